--- /dev/null
+++ b/src/base/address.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/strong.hpp"
+
+namespace tamarindshift {
+
+using Address = Strong<struct AddressTag, std::string>;
+using District = Strong<struct DistrictTag, std::string>;
+
+struct HostAndPort {
+  std::string host;
+  std::uint16_t port = 0;
+};
+
+std::optional<HostAndPort> splitAddress(const Address& address);
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/base/partner_link.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "base/address.hpp"
+#include "wire/envelope.hpp"
+
+namespace tamarindshift {
+
+class PartnerLink {
+ public:
+  using Arrival = std::function<void(const Address& from, const std::string& body)>;
+
+  virtual ~PartnerLink() = default;
+  virtual const Address& own() const = 0;
+  virtual void pass(const Address& partner, Envelope envelope) = 0;
+  void on(Matter matter, Arrival arrival) { arrivals_[matter] = std::move(arrival); }
+
+ protected:
+  void arrived(const Address& from, const Envelope& envelope) {
+    auto found = arrivals_.find(envelope.matter);
+    if (found != arrivals_.end()) found->second(from, envelope.body);
+  }
+
+ private:
+  std::map<Matter, Arrival> arrivals_;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/base/task_scope.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstddef>
+#include <list>
+
+#include "base/task.hpp"
+
+namespace tamarindshift {
+
+class TaskScope {
+ public:
+  TaskScope() = default;
+  TaskScope(const TaskScope&) = delete;
+  TaskScope& operator=(const TaskScope&) = delete;
+  void spawn(Task<void> task);
+  std::size_t size() const { return tasks_.size(); }
+
+ private:
+  void sweep();
+  std::list<Task<void>> tasks_;
+  std::size_t sweepAt_ = 16;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/group/group_listener.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <functional>
+
+#include "group/configuration.hpp"
+#include "group/delivery.hpp"
+
+namespace tamarindshift {
+
+class GroupListener {
+ public:
+  virtual ~GroupListener() = default;
+  virtual void regularConfiguration(const Configuration& configuration) = 0;
+  virtual void transitionalConfiguration(const std::set<ServerId>& members) = 0;
+  virtual void deliver(const Delivery& delivery) = 0;
+  virtual void received(const std::vector<Delivery>& deliveries, std::function<void()> stable) = 0;
+  virtual bool hasLeft(const ServerId& server) const = 0;
+  virtual bool wantsExchange() const = 0;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/group/group_timings.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "base/time.hpp"
+
+namespace tamarindshift {
+
+struct GroupTimings {
+  Duration beat = 100ms;
+  Duration suspicion = 600ms;
+  Duration settle = 200ms;
+  Duration flush = 400ms;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/group/sequenced_group.cpp
@@ -0,0 +1,406 @@
+#include "group/sequenced_group.hpp"
+
+#include <algorithm>
+
+namespace tamarindshift {
+
+SequencedGroup::SequencedGroup(Clock& clock, PartnerLink& link, Journal& journal, Member own, std::set<Address> seeds,
+                               GroupTimings timings)
+    : clock_(clock), link_(link), journal_(journal), own_(std::move(own)), seeds_(std::move(seeds)), timings_(timings), known_(seeds_) {
+  known_.erase(own_.server.address);
+  route(Matter::groupBeat, &SequencedGroup::onBeat);
+  route(Matter::groupSubmit, &SequencedGroup::onSubmit);
+  route(Matter::groupOrdered, &SequencedGroup::onOrdered);
+  route(Matter::groupAcked, &SequencedGroup::onAcked);
+  route(Matter::groupSafe, &SequencedGroup::onSafe);
+  route(Matter::groupPrepare, &SequencedGroup::onPrepare);
+  route(Matter::groupFlushed, &SequencedGroup::onFlushed);
+  route(Matter::groupInstall, &SequencedGroup::onInstall);
+  scope_.spawn(work());
+  scope_.spawn(beat());
+}
+
+template <class Body>
+void SequencedGroup::route(Matter matter, void (SequencedGroup::*handler)(const Body&)) {
+  link_.on(matter, [this, handler](const Address&, const std::string& bytes) {
+    auto body = unpacked<Body>(bytes);
+    if (!body) {
+      journal_.count("group.unreadable");
+      return;
+    }
+    backlog_.put([this, handler, received = std::move(*body)] { (this->*handler)(received); });
+  });
+}
+
+template <class Body>
+void SequencedGroup::pass(const Address& partner, Matter matter, const Body& body) {
+  link_.pass(partner, Envelope{matter, packed(body)});
+}
+
+Task<void> SequencedGroup::work() {
+  for (;;) {
+    auto command = co_await backlog_.take(clock_);
+    command();
+  }
+}
+
+Task<void> SequencedGroup::beat() {
+  for (;;) {
+    backlog_.put([this] {
+      sendBeats();
+      considerForming();
+    });
+    co_await sleep(clock_, timings_.beat);
+  }
+}
+
+void SequencedGroup::join(GroupListener& listener) { listener_ = &listener; }
+
+void SequencedGroup::setFoundation(std::set<ServerId> foundation) { foundation_ = std::move(foundation); }
+
+std::optional<std::set<ServerId>> SequencedGroup::unjoinedSeeds() const {
+  std::set<ServerId> servers;
+  for (const auto& seed : seeds_) {
+    if (seed == own_.server.address) {
+      servers.insert(own_.server);
+      continue;
+    }
+    auto found = partners_.find(seed);
+    if (found == partners_.end() || clock_.now() - found->second.heardAt > timings_.suspicion) return std::nullopt;
+    if (found->second.beat.joined) return std::nullopt;
+    servers.insert(found->second.beat.from.server);
+  }
+  return servers;
+}
+
+std::optional<std::set<ServerId>> SequencedGroup::agreedFoundation() const {
+  for (const auto& [address, partner] : partners_)
+    if (partner.beat.joined && partner.beat.foundation.contains(own_.server)) return partner.beat.foundation;
+  if (foundation_.empty()) return std::nullopt;
+  for (const auto& server : foundation_) {
+    if (server == own_.server) continue;
+    auto found = partners_.find(server.address);
+    if (found == partners_.end() || found->second.beat.from.server != server) return std::nullopt;
+    if (found->second.beat.foundation != foundation_) return std::nullopt;
+  }
+  return foundation_;
+}
+
+std::vector<Address> SequencedGroup::joinedPartners() const {
+  std::vector<Address> joined;
+  for (const auto& [address, partner] : partners_)
+    if (partner.beat.joined && clock_.now() - partner.heardAt <= timings_.suspicion) joined.push_back(address);
+  return joined;
+}
+
+void SequencedGroup::sendBeats() {
+  GroupBeat beat;
+  beat.from = own_;
+  beat.joined = listener_ != nullptr;
+  beat.view = view_;
+  beat.flushing = flushing_;
+  beat.highestCounter = highestCounter_;
+  beat.received = received_;
+  beat.stable = stable_;
+  beat.safe = safe_;
+  beat.sentAt = clock_.now().time_since_epoch();
+  beat.known = known_;
+  beat.foundation = foundation_;
+  for (const auto& [address, partner] : partners_)
+    if (clock_.now() - partner.heardAt <= timings_.suspicion) beat.heard[partner.beat.from] = partner.beat.sentAt;
+  for (const auto& address : known_) pass(address, Matter::groupBeat, beat);
+  for (auto& unordered : unordered_)
+    if (!flushing_ && clock_.now() - unordered.sentAt > 2 * timings_.beat) submit(unordered);
+}
+
+void SequencedGroup::onBeat(const GroupBeat& beat) {
+  if (beat.from.server.address == own_.server.address) return;
+  if (listener_ && listener_->hasLeft(beat.from.server)) {
+    pass(beat.from.server.address, Matter::leftNotice, beat.from.server);
+    return;
+  }
+  auto& partner = partners_[beat.from.server.address];
+  if (partner.beat.from != beat.from)
+    partner = Partner{};
+  else if (beat.sentAt < partner.beat.sentAt)
+    return;
+  std::uint64_t receivedBefore = partner.beat.view == beat.view ? partner.beat.received : 0;
+  partner.beat = beat;
+  partner.heardAt = clock_.now();
+  known_.insert(beat.from.server.address);
+  for (const auto& address : beat.known)
+    if (address != own_.server.address) known_.insert(address);
+  highestCounter_ = std::max(highestCounter_, beat.highestCounter);
+
+  bool sameView = !flushing_ && !beat.flushing && beat.view == view_;
+  if (!sameView) {
+    partner.provedAt.reset();
+    partner.proofWaiting.reset();
+    return;
+  }
+  auto heard = beat.heard.find(own_);
+  if (heard != beat.heard.end() && !partner.proofWaiting) {
+    partner.proofWaiting = Instant{heard->second};
+    partner.proofNeeds = beat.safe;
+  }
+  if (isSequencer()) {
+    recordAck(beat.from, beat.stable);
+    if (beat.received == receivedBefore)
+      for (auto next = ordered_.upper_bound(beat.received); next != ordered_.end(); ++next)
+        pass(beat.from.server.address, Matter::groupOrdered, next->second);
+  } else if (beat.from == *members_.begin()) {
+    advanceSafe(beat.safe);
+  }
+  settleProof(partner);
+}
+
+void SequencedGroup::settleProof(Partner& partner) {
+  if (!partner.proofWaiting || delivered_ < partner.proofNeeds) return;
+  partner.provedAt = std::max(partner.provedAt.value_or(Instant::min()), *partner.proofWaiting);
+  partner.proofWaiting.reset();
+}
+
+std::optional<Instant> SequencedGroup::provedAt() const {
+  if (flushing_ || members_.empty()) return std::nullopt;
+  Instant proved = clock_.now();
+  for (const auto& member : members_) {
+    if (member == own_) continue;
+    auto found = partners_.find(member.server.address);
+    if (found == partners_.end() || found->second.beat.from != member || !found->second.provedAt) return std::nullopt;
+    proved = std::min(proved, *found->second.provedAt);
+  }
+  return proved;
+}
+
+std::set<ServerId> SequencedGroup::unjoined() const {
+  std::set<ServerId> servers;
+  for (const auto& [address, partner] : partners_)
+    if (!partner.beat.joined && clock_.now() - partner.heardAt <= timings_.suspicion) servers.insert(partner.beat.from.server);
+  return servers;
+}
+
+std::set<Member> SequencedGroup::reachable() const {
+  std::set<Member> members{own_};
+  for (const auto& [address, partner] : partners_) {
+    if (!partner.beat.joined || clock_.now() - partner.heardAt > timings_.suspicion) continue;
+    if (!partner.beat.heard.contains(own_)) continue;
+    if (partner.refusedUntil && *partner.refusedUntil > clock_.now()) continue;
+    members.insert(partner.beat.from);
+  }
+  return members;
+}
+
+bool SequencedGroup::isSequencer() const { return !members_.empty() && *members_.begin() == own_; }
+
+bool SequencedGroup::needsNewView(const std::set<Member>& reachable) const {
+  if (flushing_ || reachable != members_ || listener_->wantsExchange()) return true;
+  for (const auto& member : reachable) {
+    if (member == own_) continue;
+    const auto& beat = partners_.at(member.server.address).beat;
+    if (beat.flushing || beat.view != view_) return true;
+  }
+  return false;
+}
+
+void SequencedGroup::considerForming() {
+  if (!listener_) return;
+  auto now = clock_.now();
+  if (forming_ && now >= forming_->deadline) {
+    for (const auto& member : forming_->members)
+      if (!forming_->flushed.contains(member)) {
+        auto found = partners_.find(member.server.address);
+        if (found != partners_.end()) found->second.refusedUntil = now + 2 * timings_.suspicion;
+      }
+    forming_.reset();
+  }
+  auto candidates = reachable();
+  bool waitingForInstall = flushing_ && promised_.coordinator != own_ && now - flushedAt_ < 2 * timings_.flush;
+  if (forming_ || waitingForInstall || *candidates.begin() != own_ || !needsNewView(candidates)) {
+    unsettledSince_.reset();
+    return;
+  }
+  if (!unsettledSince_) unsettledSince_ = now;
+  if (now - *unsettledSince_ >= timings_.settle) startForming(candidates);
+}
+
+void SequencedGroup::startForming(std::set<Member> members) {
+  unsettledSince_.reset();
+  ViewId proposed{std::max(highestCounter_, promised_.counter) + 1, own_};
+  journal_.count("group.views_proposed");
+  forming_ = Forming{proposed, members, {}, clock_.now() + timings_.flush};
+  GroupPrepare prepare{proposed, members};
+  for (const auto& member : members)
+    if (member != own_) pass(member.server.address, Matter::groupPrepare, prepare);
+  onPrepare(prepare);
+}
+
+void SequencedGroup::onPrepare(const GroupPrepare& prepare) {
+  if (!listener_ || !prepare.members.contains(own_) || prepare.proposed <= promised_) return;
+  auto candidates = reachable();
+  if (prepare.proposed.coordinator != own_) {
+    if (!candidates.contains(prepare.proposed.coordinator) || *candidates.begin() < prepare.proposed.coordinator) return;
+    forming_.reset();
+  }
+  promised_ = prepare.proposed;
+  highestCounter_ = std::max(highestCounter_, promised_.counter);
+  flushing_ = true;
+  flushedAt_ = clock_.now();
+  GroupFlushed flushed{promised_, own_, view_, safe_, {}};
+  for (auto entry = held_.upper_bound(safe_); entry != held_.end(); ++entry) flushed.held.push_back(entry->second);
+  if (promised_.coordinator == own_)
+    onFlushed(flushed);
+  else
+    pass(promised_.coordinator.server.address, Matter::groupFlushed, flushed);
+}
+
+void SequencedGroup::onFlushed(const GroupFlushed& flushed) {
+  if (!forming_ || flushed.proposed != forming_->proposed || !forming_->members.contains(flushed.from)) return;
+  forming_->flushed[flushed.from] = flushed;
+  if (forming_->flushed.size() == forming_->members.size()) finishForming();
+}
+
+void SequencedGroup::finishForming() {
+  GroupInstall install{forming_->proposed, forming_->members, {}};
+  for (const auto& [member, flushed] : forming_->flushed) {
+    auto& branch = install.branches[flushed.view];
+    branch.members.insert(member);
+    branch.safe = std::max(branch.safe, flushed.safe);
+    for (const auto& delivery : flushed.held) branch.held.emplace(delivery.sequence, delivery);
+  }
+  auto members = forming_->members;
+  forming_.reset();
+  for (const auto& member : members)
+    if (member != own_) pass(member.server.address, Matter::groupInstall, install);
+  onInstall(install);
+}
+
+void SequencedGroup::onInstall(const GroupInstall& install) {
+  if (!listener_ || install.proposed != promised_ || !flushing_) return;
+  if (!members_.empty()) {
+    const auto& branch = install.branches.at(view_);
+    for (const auto& [sequence, delivery] : branch.held)
+      if (sequence > delivered_) held_.emplace(sequence, delivery);
+    deliverUpTo(branch.safe);
+    std::set<ServerId> transitional;
+    for (const auto& member : branch.members) transitional.insert(member.server);
+    listener_->transitionalConfiguration(transitional);
+    deliverUpTo(std::numeric_limits<std::uint64_t>::max());
+  }
+  view_ = install.proposed;
+  members_ = install.members;
+  flushing_ = false;
+  held_.clear();
+  ordered_.clear();
+  numbers_.clear();
+  acked_.clear();
+  unordered_.clear();
+  received_ = stable_ = safe_ = delivered_ = lastSequence_ = lastNumber_ = 0;
+  for (auto& [address, partner] : partners_) {
+    partner.provedAt.reset();
+    partner.proofWaiting.reset();
+  }
+  journal_.count("group.views_installed");
+  Configuration configuration{view_, {}};
+  std::string names;
+  for (const auto& member : members_) {
+    configuration.set.insert(member.server);
+    names += " " + text(member.server);
+  }
+  journal_.line("view " + text(view_) + " of" + names);
+  listener_->regularConfiguration(configuration);
+}
+
+void SequencedGroup::multicast(const ViewId& view, std::string payload, bool durable) {
+  if (flushing_ || view != view_) return;
+  unordered_.push_back(Unordered{++lastNumber_, std::move(payload), durable, {}});
+  submit(unordered_.back());
+}
+
+void SequencedGroup::submit(Unordered& unordered) {
+  unordered.sentAt = clock_.now();
+  GroupSubmit submit{view_, own_, unordered.number, unordered.payload, unordered.durable};
+  if (isSequencer())
+    backlog_.put([this, submit] { order(submit); });
+  else
+    pass(members_.begin()->server.address, Matter::groupSubmit, submit);
+}
+
+void SequencedGroup::onSubmit(const GroupSubmit& submit) {
+  if (isSequencer()) order(submit);
+}
+
+void SequencedGroup::order(const GroupSubmit& submit) {
+  if (flushing_ || submit.view != view_ || numbers_[submit.from] + 1 != submit.number) return;
+  numbers_[submit.from] = submit.number;
+  GroupOrdered ordered{Delivery{view_, ++lastSequence_, submit.from.server, submit.payload, submit.durable}, submit.number};
+  ordered_.emplace(lastSequence_, ordered);
+  for (const auto& member : members_)
+    if (member != own_) pass(member.server.address, Matter::groupOrdered, ordered);
+  hold(ordered);
+}
+
+void SequencedGroup::onOrdered(const GroupOrdered& ordered) {
+  if (flushing_ || ordered.delivery.view != view_) return;
+  hold(ordered);
+}
+
+void SequencedGroup::hold(const GroupOrdered& ordered) {
+  const auto& delivery = ordered.delivery;
+  if (delivery.sequence != received_ + 1) return;
+  received_ = delivery.sequence;
+  held_.emplace(delivery.sequence, delivery);
+  if (delivery.sender == own_.server)
+    while (!unordered_.empty() && unordered_.front().number <= ordered.number) unordered_.pop_front();
+  listener_->received({delivery}, [this, view = view_, upto = delivery.sequence] { becameStable(view, upto); });
+}
+
+void SequencedGroup::becameStable(const ViewId& view, std::uint64_t upto) {
+  if (flushing_ || view != view_ || upto <= stable_) return;
+  stable_ = upto;
+  if (isSequencer())
+    recordAck(own_, stable_);
+  else
+    pass(members_.begin()->server.address, Matter::groupAcked, GroupMark{view_, own_, stable_});
+}
+
+void SequencedGroup::onAcked(const GroupMark& mark) {
+  if (!flushing_ && mark.view == view_ && isSequencer()) recordAck(mark.from, mark.upto);
+}
+
+void SequencedGroup::recordAck(const Member& member, std::uint64_t upto) {
+  acked_[member] = std::max(acked_[member], upto);
+  std::uint64_t everyone = lastSequence_;
+  for (const auto& each : members_) {
+    auto found = acked_.find(each);
+    everyone = std::min(everyone, found == acked_.end() ? 0 : found->second);
+  }
+  if (everyone <= safe_) return;
+  for (const auto& each : members_)
+    if (each != own_) pass(each.server.address, Matter::groupSafe, GroupMark{view_, own_, everyone});
+  ordered_.erase(ordered_.begin(), ordered_.upper_bound(everyone));
+  advanceSafe(everyone);
+}
+
+void SequencedGroup::onSafe(const GroupMark& mark) {
+  if (!flushing_ && mark.view == view_ && mark.from == *members_.begin()) advanceSafe(mark.upto);
+}
+
+void SequencedGroup::advanceSafe(std::uint64_t upto) {
+  if (upto <= safe_) return;
+  safe_ = upto;
+  deliverUpTo(upto);
+  for (auto& [address, partner] : partners_) settleProof(partner);
+}
+
+void SequencedGroup::deliverUpTo(std::uint64_t upto) {
+  while (delivered_ < upto) {
+    auto next = held_.find(delivered_ + 1);
+    if (next == held_.end()) return;
+    auto delivery = next->second;
+    held_.erase(next);
+    ++delivered_;
+    listener_->deliver(delivery);
+  }
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/group/sequenced_group.hpp
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <deque>
+
+#include "base/backlog.hpp"
+#include "base/journal.hpp"
+#include "base/partner_link.hpp"
+#include "base/task_scope.hpp"
+#include "group/group.hpp"
+#include "group/group_messages.hpp"
+#include "group/group_timings.hpp"
+
+namespace tamarindshift {
+
+class SequencedGroup : public Group {
+ public:
+  SequencedGroup(Clock& clock, PartnerLink& link, Journal& journal, Member own, std::set<Address> seeds,
+                 GroupTimings timings);
+
+  void join(GroupListener& listener) override;
+  void multicast(const ViewId& view, std::string payload, bool durable) override;
+  std::optional<Instant> provedAt() const override;
+  std::set<ServerId> unjoined() const override;
+
+  void setFoundation(std::set<ServerId> foundation);
+  std::optional<std::set<ServerId>> unjoinedSeeds() const;
+  std::optional<std::set<ServerId>> agreedFoundation() const;
+  std::vector<Address> joinedPartners() const;
+  const std::set<Address>& known() const { return known_; }
+  const ViewId& view() const { return view_; }
+  bool flushing() const { return flushing_; }
+  std::vector<Member> viewMembers() const { return {members_.begin(), members_.end()}; }
+  std::uint64_t safe() const { return safe_; }
+
+ private:
+  struct Partner {
+    GroupBeat beat;
+    Instant heardAt{};
+    std::optional<Instant> refusedUntil;
+    std::optional<Instant> provedAt;
+    std::optional<Instant> proofWaiting;
+    std::uint64_t proofNeeds = 0;
+    std::uint64_t receivedBefore = 0;
+  };
+  struct Unordered {
+    std::uint64_t number = 0;
+    std::string payload;
+    bool durable = false;
+    Instant sentAt{};
+  };
+  struct Forming {
+    ViewId proposed;
+    std::set<Member> members;
+    std::map<Member, GroupFlushed> flushed;
+    Instant deadline{};
+  };
+
+  template <class Body>
+  void route(Matter matter, void (SequencedGroup::*handler)(const Body&));
+  template <class Body>
+  void pass(const Address& partner, Matter matter, const Body& body);
+
+  Task<void> work();
+  Task<void> beat();
+  void sendBeats();
+  void onBeat(const GroupBeat& beat);
+  void onSubmit(const GroupSubmit& submit);
+  void onOrdered(const GroupOrdered& ordered);
+  void onAcked(const GroupMark& mark);
+  void onSafe(const GroupMark& mark);
+  void onPrepare(const GroupPrepare& prepare);
+  void onFlushed(const GroupFlushed& flushed);
+  void onInstall(const GroupInstall& install);
+
+  std::set<Member> reachable() const;
+  bool isSequencer() const;
+  bool needsNewView(const std::set<Member>& reachable) const;
+  void considerForming();
+  void startForming(std::set<Member> members);
+  void finishForming();
+  void submit(Unordered& unordered);
+  void order(const GroupSubmit& submit);
+  void hold(const GroupOrdered& ordered);
+  void becameStable(const ViewId& view, std::uint64_t upto);
+  void recordAck(const Member& member, std::uint64_t upto);
+  void advanceSafe(std::uint64_t upto);
+  void deliverUpTo(std::uint64_t upto);
+  void settleProof(Partner& partner);
+
+  Clock& clock_;
+  PartnerLink& link_;
+  Journal& journal_;
+  Member own_;
+  std::set<Address> seeds_;
+  GroupTimings timings_;
+  GroupListener* listener_ = nullptr;
+  std::set<Address> known_;
+  std::set<ServerId> foundation_;
+  std::map<Address, Partner> partners_;
+
+  ViewId view_;
+  std::set<Member> members_;
+  ViewId promised_;
+  bool flushing_ = true;
+  Instant flushedAt_{};
+  std::uint64_t highestCounter_ = 0;
+  std::optional<Instant> unsettledSince_;
+  std::optional<Forming> forming_;
+
+  std::map<std::uint64_t, Delivery> held_;
+  std::uint64_t received_ = 0;
+  std::uint64_t stable_ = 0;
+  std::uint64_t safe_ = 0;
+  std::uint64_t delivered_ = 0;
+
+  std::deque<Unordered> unordered_;
+  std::uint64_t lastNumber_ = 0;
+
+  std::uint64_t lastSequence_ = 0;
+  std::map<Member, std::uint64_t> numbers_;
+  std::map<Member, std::uint64_t> acked_;
+  std::map<std::uint64_t, GroupOrdered> ordered_;
+
+  Backlog<std::function<void()>> backlog_;
+  TaskScope scope_;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/simulated/simulated_clock.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <deque>
+#include <unordered_set>
+
+#include "simulated/world.hpp"
+
+namespace tamarindshift {
+
+class SimulatedClock : public Clock {
+ public:
+  explicit SimulatedClock(World& world) : world_(world) {}
+  ~SimulatedClock() override;
+  Instant now() const override { return world_.now(); }
+  BeatId after(Duration duration, std::function<void()> beat) override;
+  void cancel(BeatId beat) override;
+  void freeze() { frozen_ = true; }
+  void thaw();
+  bool frozen() const { return frozen_; }
+  void slowBy(Duration delay) { slowness_ = delay; }
+
+ private:
+  World& world_;
+  bool frozen_ = false;
+  Duration slowness_{};
+  std::uint64_t last_ = 0;
+  std::unordered_map<BeatId, BeatId> pending_;
+  std::deque<std::pair<BeatId, std::function<void()>>> held_;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/simulated/world.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <random>
+
+#include "base/beat_table.hpp"
+
+namespace tamarindshift {
+
+class World {
+ public:
+  explicit World(std::uint64_t seed) : random_(seed) {}
+  Instant now() const { return now_; }
+  BeatId at(Instant due, std::function<void()> beat) { return beats_.add(std::max(due, now_), std::move(beat)); }
+  void cancel(BeatId id) { beats_.cancel(id); }
+  void runUntil(Instant until);
+  std::uint64_t below(std::uint64_t bound) { return bound == 0 ? 0 : random_() % bound; }
+  bool chance(unsigned perThousand) { return below(1000) < perThousand; }
+
+ private:
+  Instant now_{Duration{1'000'000}};
+  BeatTable beats_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/tests/tests.cmake
@@ -0,0 +1,1 @@
+add_test(NAME unit COMMAND tests)
