--- /dev/null
+++ b/src/base/setting_kinds.cpp
@@ -0,0 +1,100 @@
+#include "base/setting_kinds.hpp"
+
+#include <charconv>
+#include <sstream>
+
+namespace tamarindshift {
+
+namespace {
+
+std::optional<std::size_t> wholeNumber(const std::string& text) {
+  std::size_t value = 0;
+  auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || stop != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+std::optional<std::string> takeAddresses(const std::string& text, std::set<Address>& target) {
+  std::set<Address> read;
+  std::istringstream stream(text);
+  for (std::string each; std::getline(stream, each, ',');) {
+    if (!splitAddress(Address{each})) return "not of the form ip:port: " + each;
+    read.insert(Address{each});
+  }
+  target = read;
+  return std::nullopt;
+}
+
+}  // namespace
+
+Setting addressSetting(std::string key, std::string meaning, Address& target) {
+  auto setting = optionalAddressSetting(std::move(key), std::move(meaning), target);
+  setting.required = true;
+  return setting;
+}
+
+Setting optionalAddressSetting(std::string key, std::string meaning, Address& target) {
+  return Setting{std::move(key), std::move(meaning), target.get(), false, [&target](const std::string& text) -> std::optional<std::string> {
+                   if (!splitAddress(Address{text})) return "not of the form ip:port";
+                   target = Address{text};
+                   return std::nullopt;
+                 }};
+}
+
+Setting seedsSetting(std::set<Address>& target) {
+  return Setting{"seeds", "three addresses of replicas, with commas between", "", true, [&target](const std::string& text) -> std::optional<std::string> {
+                   if (auto fault = takeAddresses(text, target)) return fault;
+                   if (target.size() != 3) return "must be three different addresses";
+                   return std::nullopt;
+                 }};
+}
+
+Setting addressesSetting(std::string key, std::string meaning, std::set<Address>& target) {
+  return Setting{std::move(key), std::move(meaning), "", false, [&target](const std::string& text) { return takeAddresses(text, target); }};
+}
+
+Setting districtSetting(District& target) {
+  return Setting{"district", "name of the zone this process runs in", "", true, [&target](const std::string& text) -> std::optional<std::string> {
+                   if (text.empty()) return "must not be empty";
+                   target = District{text};
+                   return std::nullopt;
+                 }};
+}
+
+Setting textSetting(std::string key, std::string meaning, std::string& target, bool required) {
+  return Setting{std::move(key), std::move(meaning), target, required, [&target](const std::string& text) -> std::optional<std::string> {
+                   if (text.empty()) return "must not be empty";
+                   target = text;
+                   return std::nullopt;
+                 }};
+}
+
+Setting durationSetting(std::string key, std::string meaning, Duration& target, Duration least, Duration most) {
+  return Setting{std::move(key), std::move(meaning) + ", in milliseconds", std::to_string(milliseconds(target).count()), false,
+                 [&target, least, most](const std::string& text) -> std::optional<std::string> {
+                   auto value = wholeNumber(text);
+                   if (!value || std::chrono::milliseconds{*value} < least || std::chrono::milliseconds{*value} > most)
+                     return "must be a whole number from " + std::to_string(milliseconds(least).count()) + " to " + std::to_string(milliseconds(most).count());
+                   target = std::chrono::milliseconds{*value};
+                   return std::nullopt;
+                 }};
+}
+
+Setting numberSetting(std::string key, std::string meaning, std::size_t& target, std::size_t least, std::size_t most) {
+  return Setting{std::move(key), std::move(meaning), std::to_string(target), false, [&target, least, most](const std::string& text) -> std::optional<std::string> {
+                   auto value = wholeNumber(text);
+                   if (!value || *value < least || *value > most) return "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most);
+                   target = *value;
+                   return std::nullopt;
+                 }};
+}
+
+Setting flagSetting(std::string key, std::string meaning, bool& target) {
+  return Setting{std::move(key), std::move(meaning) + ", true or false", target ? "true" : "false", false, [&target](const std::string& text) -> std::optional<std::string> {
+                   if (text != "true" && text != "false") return "must be true or false";
+                   target = text == "true";
+                   return std::nullopt;
+                 }};
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/base/timing_settings.cpp
@@ -0,0 +1,22 @@
+#include "base/timing_settings.hpp"
+
+namespace tamarindshift {
+
+std::vector<Setting> timingSettings(Timings& timings) {
+  return {
+      durationSetting("group-beat", "pause between beats of the group layer", timings.group.beat, 10ms, 1s),
+      durationSetting("group-suspicion", "silence after which a partner is suspected", timings.group.suspicion, 50ms, 5s),
+      durationSetting("group-settle", "how long a change must stand before a view is formed", timings.group.settle, 10ms, 2s),
+      durationSetting("group-flush", "how long a coordinator waits for flushes", timings.group.flush, 50ms, 2s),
+      durationSetting("lease", "longest lease, from the proof of the replica", timings.lease, 200ms, 2800ms),
+      durationSetting("lease-margin", "margin added when leases are waited out", timings.leaseMargin, 10ms, 1s),
+      durationSetting("news-wait", "how long a news request waits for a change", timings.newsWait, 10ms, 1s),
+      durationSetting("news-patience", "how long a news request may take", timings.newsPatience, 50ms, 2s),
+      durationSetting("database-silence", "silence of a primary before STATUS is asked", timings.databaseSilence, 200ms, 60s),
+      durationSetting("statement-patience", "longest time a database may take for a request", timings.statementPatience, 100ms, 25s),
+      durationSetting("backlog-patience", "longest wait for a connection", timings.backlogPatience, 10ms, 20s),
+      durationSetting("come-back", "when refused callers are told to come back", timings.comeBack, 10ms, 60s),
+  };
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/base/timings.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "group/group_timings.hpp"
+
+namespace tamarindshift {
+
+struct Timings {
+  GroupTimings group;
+  Duration lease = 2s;
+  Duration leaseMargin = 200ms;
+  Duration planFollowed = 3s;
+  Duration newsWait = 200ms;
+  Duration newsPatience = 500ms;
+  Duration report = 200ms;
+  Duration duty = 100ms;
+  Duration databaseSilence = 1500ms;
+  Duration statusPatience = 500ms;
+  Duration promotePatience = 1500ms;
+  Duration nodeSilence = 2500ms;
+  Duration orderPatience = 4s;
+  Duration statementPatience = 10s;
+  Duration backlogPatience = 2s;
+  Duration comeBack = 1s;
+  Duration stop = 6s;
+  Duration stopTransactions = 3s;
+  Duration detach = 7s;
+
+  std::optional<std::string> fault() const;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/control/access_messages.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "control/plan.hpp"
+
+namespace tamarindshift {
+
+struct ServiceReport {
+  std::uint64_t followed = 0;
+  Epoch epoch;
+  Position acknowledged;
+  std::map<BranchName, std::uint32_t> wanted;
+  std::map<BranchName, std::uint32_t> held;
+  MSGPACK_DEFINE(followed, epoch, acknowledged, wanted, held)
+};
+
+struct NodeReport {
+  Address node;
+  District district;
+  std::uint64_t boot = 0;
+  bool draining = false;
+  PlanMark mark;
+  Duration lease{};
+  std::map<ServiceName, ServiceReport> services;
+  MSGPACK_DEFINE(node, district, boot, draining, mark, lease, services)
+};
+
+struct DatabaseBeat {
+  ServiceName service;
+  DatabaseName database;
+  std::uint64_t boot = 0;
+  std::uint64_t number = 0;
+  std::string role;
+  Epoch epoch;
+  Position position;
+  Duration contactAge{};
+  bool leaving = false;
+  MSGPACK_DEFINE(service, database, boot, number, role, epoch, position, contactAge, leaving)
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/control/access_tables.cpp
@@ -0,0 +1,41 @@
+#include "control/access_tables.hpp"
+
+#include <algorithm>
+
+namespace tamarindshift {
+
+void AccessTables::noteReport(const NodeReport& report, Instant now) {
+  nodes_[report.node] = Node{report, now};
+  for (const auto& [service, own] : report.services) acknowledged_[service] = std::max(acknowledged_[service], own.acknowledged);
+}
+
+void AccessTables::noteBeat(const DatabaseBeat& beat, Instant now) {
+  auto& held = databases_[{beat.service, beat.database}];
+  if (held.beat.boot == beat.boot && beat.number <= held.beat.number) return;
+  held = Database{beat, now};
+}
+
+const AccessTables::Database* AccessTables::database(const ServiceName& service, const DatabaseName& database) const {
+  auto found = databases_.find({service, database});
+  return found == databases_.end() ? nullptr : &found->second;
+}
+
+std::vector<DatabaseSign> AccessTables::signs(const ServiceName& service, Instant now) const {
+  std::vector<DatabaseSign> signs;
+  for (const auto& [key, held] : databases_)
+    if (key.first == service)
+      signs.push_back(DatabaseSign{key.second.get(), held.beat.role, held.beat.epoch.get(), held.beat.position.get(),
+                                   held.beat.contactAge + (now - held.heardAt), now - held.heardAt});
+  return signs;
+}
+
+Position AccessTables::acknowledged(const ServiceName& service) const {
+  auto found = acknowledged_.find(service);
+  return found == acknowledged_.end() ? Position{} : found->second;
+}
+
+void AccessTables::forgetNodesBefore(Instant before) {
+  std::erase_if(nodes_, [before](const auto& each) { return each.second.heardAt < before; });
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/control/access_tables.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "control/access_messages.hpp"
+#include "news/news_messages.hpp"
+
+namespace tamarindshift {
+
+class AccessTables {
+ public:
+  struct Node {
+    NodeReport report;
+    Instant heardAt{};
+  };
+  struct Database {
+    DatabaseBeat beat;
+    Instant heardAt{};
+  };
+
+  void noteReport(const NodeReport& report, Instant now);
+  void noteBeat(const DatabaseBeat& beat, Instant now);
+  const std::map<Address, Node>& nodes() const { return nodes_; }
+  const Database* database(const ServiceName& service, const DatabaseName& database) const;
+  std::vector<DatabaseSign> signs(const ServiceName& service, Instant now) const;
+  Position acknowledged(const ServiceName& service) const;
+  void forgetNodesBefore(Instant before);
+
+ private:
+  std::map<Address, Node> nodes_;
+  std::map<std::pair<ServiceName, DatabaseName>, Database> databases_;
+  std::map<ServiceName, Position> acknowledged_;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/control/control_state.cpp
@@ -0,0 +1,187 @@
+#include "control/control_state.hpp"
+
+#include <algorithm>
+
+#include "control/plan_reader.hpp"
+#include "control/service_news.hpp"
+
+namespace tamarindshift {
+
+std::string ControlState::applyGreen(const Action& action, std::uint64_t position) {
+  position_ = position;
+  auto update = unpacked<ControlUpdate>(action.update);
+  if (!update) return "unreadable";
+  if (update->dutyEpoch != 0) {
+    if (update->dutyEpoch < dutyEpoch_) return "lower duty epoch";
+    dutyEpoch_ = update->dutyEpoch;
+  }
+  std::string reply = "unreadable";
+  auto apply = [&]<class Body>(auto&& handler, const std::optional<Body>& body) {
+    if (body) reply = handler(*body);
+  };
+  switch (update->matter) {
+    case ControlMatter::plan:
+      apply([this](const auto& body) { return applyPlan(body); }, unpacked<PlanUpdate>(update->body));
+      break;
+    case ControlMatter::drainDatabase:
+      apply([this](const auto& body) { return applyDatabase(body, true); }, unpacked<DatabaseUpdate>(update->body));
+      break;
+    case ControlMatter::returnDatabase:
+      apply([this](const auto& body) { return applyDatabase(body, false); }, unpacked<DatabaseUpdate>(update->body));
+      break;
+    case ControlMatter::recovery:
+      apply([this](const auto& body) { return applyRecovery(body); }, unpacked<RecoveryUpdate>(update->body));
+      break;
+    case ControlMatter::promoted:
+      apply([this](const auto& body) { return applyPromoted(body); }, unpacked<PromotedUpdate>(update->body));
+      break;
+    case ControlMatter::shares:
+      apply([this](const auto& body) { return applyShares(body); }, unpacked<SharesUpdate>(update->body));
+      break;
+    case ControlMatter::enrolNode:
+      apply([this](const auto& body) { return applyNode(body, false); }, unpacked<NodeUpdate>(update->body));
+      break;
+    case ControlMatter::drainNode:
+      apply([this](const auto& body) { return applyNode(body, true); }, unpacked<NodeUpdate>(update->body));
+      break;
+  }
+  publish();
+  return reply;
+}
+
+std::string ControlState::applyPlan(const PlanUpdate& update) {
+  if (plan_ && update.text == planText_) return "held";
+  PlanReader reader;
+  auto plan = reader.read(update.text);
+  if (!plan) return "broken";
+  if (plan_ && plan->mark <= plan_->mark) return "older";
+  plan_ = std::move(plan);
+  planText_ = update.text;
+  std::erase_if(services_, [this](const auto& each) { return !plan_->services.contains(each.first); });
+  for (const auto& [name, service] : plan_->services) {
+    auto& state = services_[name];
+    std::erase_if(state.drained, [&](const auto& database) { return !service.databases.contains(database.first); });
+    state.sharesAt = position_;
+    std::map<BranchName, std::uint32_t> sums;
+    for (auto& [node, branches] : state.grants) {
+      std::erase_if(branches, [&](const auto& branch) { return !service.branches.contains(branch.first); });
+      for (auto& [branch, amount] : branches) {
+        auto& sum = sums[branch];
+        amount = std::min(amount, service.branches.at(branch).connections - sum);
+        sum += amount;
+      }
+    }
+  }
+  return "held";
+}
+
+std::string ControlState::applyDatabase(const DatabaseUpdate& update, bool drained) {
+  auto service = services_.find(update.service);
+  if (service == services_.end() || !plan_->services.at(update.service).databases.contains(update.database)) return "no such database";
+  if (drained)
+    service->second.drained[update.database] = DrainMark{update.boot, update.number};
+  else
+    service->second.drained.erase(update.database);
+  return "held";
+}
+
+std::string ControlState::applyRecovery(const RecoveryUpdate& update) {
+  auto service = services_.find(update.service);
+  if (service == services_.end() || service->second.epoch != update.oldEpoch) return "other epoch";
+  if (!plan_->services.at(update.service).databases.contains(update.chosen)) return "no such database";
+  auto& state = service->second;
+  state.epoch = Epoch{state.epoch.get() + 1};
+  state.formerPrimary = state.primary;
+  state.primary = update.chosen;
+  state.promoted = false;
+  state.recoveryAt = position_;
+  return "held";
+}
+
+std::string ControlState::applyPromoted(const PromotedUpdate& update) {
+  auto service = services_.find(update.service);
+  if (service == services_.end() || service->second.epoch != update.epoch) return "other epoch";
+  service->second.promoted = true;
+  return "held";
+}
+
+std::string ControlState::applyShares(const SharesUpdate& update) {
+  auto service = services_.find(update.service);
+  if (service == services_.end() || service->second.sharesAt != update.basis) return "other basis";
+  const auto& branches = plan_->services.at(update.service).branches;
+  std::map<BranchName, std::uint64_t> sums;
+  for (const auto& [node, grants] : update.grants)
+    for (const auto& [branch, amount] : grants) {
+      if (!branches.contains(branch)) return "no such branch";
+      if ((sums[branch] += amount) > branches.at(branch).connections) return "over the branch";
+    }
+  service->second.grants = update.grants;
+  service->second.sharesAt = position_;
+  return "held";
+}
+
+std::string ControlState::applyNode(const NodeUpdate& update, bool draining) {
+  if (draining) {
+    auto found = nodes_.find(update.node);
+    if (found == nodes_.end() || found->second.boot != update.boot) return "other boot";
+    found->second.draining = true;
+    return "held";
+  }
+  nodes_[update.node] = NodeState{update.district, update.boot, false};
+  return "held";
+}
+
+void ControlState::publish() {
+  NewsTable fleet;
+  for (const auto& [address, node] : nodes_) {
+    NodeNews news{node.district, node.draining, {}};
+    if (plan_)
+      if (auto machine = plan_->machines.find(address); machine != plan_->machines.end()) news.labels = machine->second;
+    fleet["node/" + address.get()] = packed(news);
+  }
+  FleetPlanNews fleetPlan;
+  if (plan_) {
+    fleetPlan.mark = plan_->mark;
+    for (const auto& [name, kind] : plan_->kinds) fleetPlan.kinds[name] = kind.service;
+  }
+  fleet["plan"] = packed(fleetPlan);
+  board_.publish(fleetTopic, position_, std::move(fleet));
+  if (!plan_) return;
+  for (const auto& [name, entry] : board_.entries())
+    if (name != fleetTopic && !plan_->services.contains(ServiceName{name})) board_.publish(name, position_, {});
+  for (const auto& [name, service] : plan_->services) {
+    const auto& state = services_.at(name);
+    NewsTable table;
+    ServiceNews news{plan_->mark, service, {}};
+    for (const auto& [kindName, kind] : plan_->kinds)
+      if (kind.service == name) news.kinds.emplace(kindName, kind);
+    table["plan"] = packed(news);
+    table["primary"] = packed(PrimaryNews{state.epoch, state.primary, state.promoted});
+    for (const auto& [database, mark] : state.drained) table["drained/" + database.get()] = packed(mark);
+    for (const auto& [node, branches] : state.grants) table["share/" + node.get()] = packed(ShareNews{state.sharesAt, branches});
+    board_.publish(name.get(), position_, std::move(table));
+  }
+}
+
+using ControlSnapshot = std::tuple<std::string, std::map<ServiceName, ServiceState>, std::map<Address, NodeState>, std::uint64_t, std::uint64_t>;
+
+std::string ControlState::snapshot() const {
+  return packed(ControlSnapshot{planText_, services_, nodes_, dutyEpoch_, position_});
+}
+
+bool ControlState::restore(const std::string& snapshot) {
+  auto restored = unpacked<ControlSnapshot>(snapshot);
+  if (!restored) return false;
+  const auto& text = std::get<0>(*restored);
+  std::optional<Plan> plan;
+  if (!text.empty()) {
+    plan = PlanReader{}.read(text);
+    if (!plan) return false;
+  }
+  plan_ = std::move(plan);
+  std::tie(planText_, services_, nodes_, dutyEpoch_, position_) = *restored;
+  publish();
+  return true;
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/control/control_state.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <optional>
+
+#include "base/journal.hpp"
+#include "control/control_update.hpp"
+#include "engine/application.hpp"
+#include "news/news_board.hpp"
+
+namespace tamarindshift {
+
+struct DrainMark {
+  std::uint64_t boot = 0;
+  std::uint64_t number = 0;
+  MSGPACK_DEFINE(boot, number)
+};
+
+struct ServiceState {
+  Epoch epoch;
+  DatabaseName primary;
+  bool promoted = false;
+  DatabaseName formerPrimary;
+  std::uint64_t recoveryAt = 0;
+  std::map<DatabaseName, DrainMark> drained;
+  Grants grants;
+  std::uint64_t sharesAt = 0;
+  MSGPACK_DEFINE(epoch, primary, promoted, formerPrimary, recoveryAt, drained, grants, sharesAt)
+};
+
+struct NodeState {
+  District district;
+  std::uint64_t boot = 0;
+  bool draining = false;
+  MSGPACK_DEFINE(district, boot, draining)
+};
+
+class ControlState : public Application {
+ public:
+  explicit ControlState(NewsBoard& board) : board_(board) {}
+
+  std::string applyGreen(const Action& action, std::uint64_t position) override;
+  std::string snapshot() const override;
+  bool restore(const std::string& snapshot) override;
+
+  const std::optional<Plan>& plan() const { return plan_; }
+  const std::string& planText() const { return planText_; }
+  const std::map<ServiceName, ServiceState>& services() const { return services_; }
+  const std::map<Address, NodeState>& nodes() const { return nodes_; }
+  std::uint64_t position() const { return position_; }
+
+ private:
+  std::string applyPlan(const PlanUpdate& update);
+  std::string applyDatabase(const DatabaseUpdate& update, bool drained);
+  std::string applyRecovery(const RecoveryUpdate& update);
+  std::string applyPromoted(const PromotedUpdate& update);
+  std::string applyShares(const SharesUpdate& update);
+  std::string applyNode(const NodeUpdate& update, bool draining);
+  void publish();
+
+  NewsBoard& board_;
+  std::optional<Plan> plan_;
+  std::string planText_;
+  std::map<ServiceName, ServiceState> services_;
+  std::map<Address, NodeState> nodes_;
+  std::uint64_t dutyEpoch_ = 0;
+  std::uint64_t position_ = 0;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/control/control_update.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "control/plan.hpp"
+
+namespace tamarindshift {
+
+enum class ControlMatter : std::uint8_t {
+  plan = 1,
+  drainDatabase = 2,
+  returnDatabase = 3,
+  recovery = 4,
+  promoted = 5,
+  shares = 6,
+  enrolNode = 7,
+  drainNode = 8,
+};
+
+struct ControlUpdate {
+  ControlMatter matter{};
+  std::uint64_t dutyEpoch = 0;
+  std::string body;
+  MSGPACK_DEFINE(matter, dutyEpoch, body)
+};
+
+struct PlanUpdate {
+  std::string text;
+  MSGPACK_DEFINE(text)
+};
+
+struct DatabaseUpdate {
+  ServiceName service;
+  DatabaseName database;
+  std::uint64_t boot = 0;
+  std::uint64_t number = 0;
+  MSGPACK_DEFINE(service, database, boot, number)
+};
+
+struct RecoveryUpdate {
+  ServiceName service;
+  Epoch oldEpoch;
+  DatabaseName chosen;
+  std::string reason;
+  MSGPACK_DEFINE(service, oldEpoch, chosen, reason)
+};
+
+struct PromotedUpdate {
+  ServiceName service;
+  Epoch epoch;
+  MSGPACK_DEFINE(service, epoch)
+};
+
+using Grants = std::map<Address, std::map<BranchName, std::uint32_t>>;
+
+struct SharesUpdate {
+  ServiceName service;
+  std::uint64_t basis = 0;
+  Grants grants;
+  MSGPACK_DEFINE(service, basis, grants)
+};
+
+struct NodeUpdate {
+  Address node;
+  District district;
+  std::uint64_t boot = 0;
+  MSGPACK_DEFINE(node, district, boot)
+};
+
+}  // namespace tamarindshift
+
+MSGPACK_ADD_ENUM(tamarindshift::ControlMatter)
--- /dev/null
+++ b/src/control/duties.cpp
@@ -0,0 +1,291 @@
+#include "control/duties.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "control/share_cut.hpp"
+#include "pool/database_json.hpp"
+
+namespace tamarindshift {
+
+Duties::Duties(Clock& clock, Journal& journal, const Timings& timings, ReplicationEngine& engine, const ControlState& state,
+               AccessTables& access, WebLink& databases, Address platform, ServerId own)
+    : clock_(clock), journal_(journal), timings_(timings), engine_(engine), state_(state), access_(access), databases_(databases), platform_(std::move(platform)), own_(std::move(own)) {
+  scope_.spawn(run());
+}
+
+bool Duties::onDuty() const {
+  return engine_.state() == EngineState::regPrim && !engine_.conf().set.empty() && *engine_.conf().set.begin() == own_;
+}
+
+Task<void> Duties::run() {
+  for (;;) {
+    co_await sleep(clock_, timings_.duty);
+    if (onDuty() != wasOnDuty_) {
+      wasOnDuty_ = onDuty();
+      duties_.clear();
+      waits_.clear();
+      journal_.line(wasOnDuty_ ? "takes the duties" : "lays the duties down");
+    }
+    if (wasOnDuty_) pass();
+  }
+}
+
+void Duties::pass() {
+  access_.forgetNodesBefore(clock_.now() - 10 * timings_.nodeSilence);
+  if (!nodesBusy_) scope_.spawn(nodes());
+  for (const auto& [name, service] : state_.services()) {
+    auto& duty = duties_[name];
+    auto now = clock_.now();
+    if (duty.seenAt == Instant{} || duty.epoch != service.epoch) duty = ServiceDuty{service.epoch, now, false, {}, {}, duty.sharesAt, duty.sharesSeenAt, duty.sharesMovedAt, {}, duty.busy};
+    if (duty.sharesAt != service.sharesAt || duty.sharesSeenAt == Instant{}) {
+      duty.sharesAt = service.sharesAt;
+      duty.sharesSeenAt = now;
+    }
+    if (!duty.busy) scope_.spawn(care(name));
+  }
+}
+
+Task<void> Duties::care(ServiceName name) {
+  duties_[name].busy = true;
+  co_await careFor(name);
+  duties_[name].busy = false;
+}
+
+Task<void> Duties::careFor(ServiceName name) {
+  co_await returns(name);
+  co_await shares(name);
+  if (!state_.services().contains(name)) co_return;
+  auto service = state_.services().at(name);
+  if (service.epoch == Epoch{}) co_return co_await recover(name, "first primary");
+  if (!service.promoted) co_return co_await promote(name);
+  co_await demoteStray(name);
+  if (!state_.services().contains(name) || state_.services().at(name).epoch != service.epoch) co_return;
+  service = state_.services().at(name);
+  auto primary = service.primary;
+  if (!planned(name, primary)) co_return co_await recover(name, "not in the plan");
+  if (service.drained.contains(primary)) co_return co_await recover(name, "leaves");
+  const auto* sign = access_.database(name, primary);
+  auto now = clock_.now();
+  bool silent = !sign || now - sign->heardAt > timings_.databaseSilence;
+  bool renounced = sign && sign->beat.role != "primary";
+  auto& duty = duties_[name];
+  if (!silent && !renounced) {
+    duty.silentSince = Instant{};
+    waits_.erase(name);
+    co_return;
+  }
+  if (duty.silentSince == Instant{}) duty.silentSince = now;
+  if (now - std::max(duty.silentSince, duty.seenAt) < timings_.databaseSilence / 2) co_return;
+  auto standing = co_await status(name, primary);
+  if (standing && standing->role == "primary") co_return wait(name, "no beats from the primary, yet STATUS is well");
+  co_await recover(name, standing ? "primary says it is none" : "primary is silent");
+}
+
+void Duties::wait(const ServiceName& name, const std::string& reason) {
+  if (waits_[name] == reason) return;
+  waits_[name] = reason;
+  journal_.line("service " + name.get() + " waits: " + reason);
+}
+
+const PlanDatabase* Duties::planned(const ServiceName& service, const DatabaseName& database) const {
+  if (!state_.plan()) return nullptr;
+  auto found = state_.plan()->services.find(service);
+  if (found == state_.plan()->services.end()) return nullptr;
+  auto own = found->second.databases.find(database);
+  return own == found->second.databases.end() ? nullptr : &own->second;
+}
+
+Task<std::optional<DatabaseStanding>> Duties::status(ServiceName name, DatabaseName database) {
+  const auto* found = planned(name, database);
+  if (!found) co_return std::nullopt;
+  auto outcome = co_await databases_.call(found->address, "GET", "/status", {}, clock_.now() + timings_.statusPatience);
+  if (!outcome || outcome->status != 200) co_return std::nullopt;
+  co_return standingFromJson(outcome->body);
+}
+
+Task<std::optional<Duties::Candidate>> Duties::candidate(ServiceName name, std::optional<DatabaseName> besides) {
+  std::vector<DatabaseName> names;
+  std::optional<Candidate> best;
+  for (const auto& [database, own] : state_.plan()->services.at(name).databases)
+    if (database != besides && !state_.services().at(name).drained.contains(database)) names.push_back(database);
+  for (const auto& database : names) {
+    auto standing = co_await status(name, database);
+    if (!standing) continue;
+    auto rank = [](const DatabaseStanding& each) { return std::pair(each.position, each.role == "primary"); };
+    if (!best || rank(*standing) > rank(best->standing)) best = Candidate{database, *standing};
+  }
+  co_return best;
+}
+
+Task<bool> Duties::order(ControlMatter matter, std::string body) {
+  ControlUpdate update{matter, engine_.primComponent().primIndex, std::move(body)};
+  auto outcome = co_await engine_.order(packed(update), clock_.now() + timings_.orderPatience);
+  bool held = outcome.fate == OrderFate::green && outcome.reply == "held";
+  if (!held) journal_.count("duties.orders_not_held");
+  co_return held;
+}
+
+Task<void> Duties::recover(ServiceName name, std::string reason) {
+  auto service = state_.services().at(name);
+  bool leaves = service.drained.contains(service.primary);
+  std::optional<DatabaseName> besides;
+  if (service.epoch != Epoch{} && reason != "primary says it is none") besides = service.primary;
+  auto best = co_await candidate(name, besides);
+  if (!best) co_return wait(name, "no database can become primary");
+  if (!leaves && best->standing.position < access_.acknowledged(name))
+    co_return wait(name, "no database holds all that was acknowledged");
+  if (!onDuty()) co_return;
+  journal_.line("service " + name.get() + " recovers to " + best->database.get() + ": " + reason);
+  RecoveryUpdate update{name, service.epoch, best->database, reason};
+  co_await order(ControlMatter::recovery, packed(update));
+}
+
+Task<void> Duties::demote(ServiceName name, DatabaseName former) {
+  const auto* found = planned(name, former);
+  if (!found) co_return;
+  nlohmann::json body{{"epoch", state_.services().at(name).epoch.get()}};
+  auto outcome = co_await databases_.call(found->address, "POST", "/demote", body.dump(), clock_.now() + timings_.statusPatience);
+  if (!outcome || outcome->status != 200) co_return;
+  auto standing = standingFromJson(outcome->body);
+  if (!standing) co_return;
+  auto& duty = duties_[name];
+  duty.demoted = true;
+  duty.finalPosition = std::max(duty.finalPosition, standing->position);
+}
+
+Task<void> Duties::demoteStray(ServiceName name) {
+  std::vector<DatabaseName> strays;
+  for (const auto& [database, own] : state_.plan()->services.at(name).databases) {
+    const auto* sign = access_.database(name, database);
+    if (database != state_.services().at(name).primary && sign && sign->beat.role == "primary" &&
+        clock_.now() - sign->heardAt < timings_.databaseSilence)
+      strays.push_back(database);
+  }
+  for (const auto& database : strays) {
+    journal_.count("duties.strays_demoted");
+    co_await demote(name, database);
+  }
+}
+
+Task<void> Duties::promote(ServiceName name) {
+  auto service = state_.services().at(name);
+  if (!planned(name, service.primary) || service.drained.contains(service.primary))
+    co_return co_await recover(name, "chosen database is gone");
+  bool first = service.formerPrimary.get().empty();
+  if (!first && service.formerPrimary != service.primary && !duties_[name].demoted &&
+      clock_.now() - duties_[name].demoteAskedAt > timings_.statusPatience) {
+    duties_[name].demoteAskedAt = clock_.now();
+    co_await demote(name, service.formerPrimary);
+  }
+  if (!state_.services().contains(name) || state_.services().at(name).epoch != service.epoch) co_return;
+  auto& duty = duties_[name];
+  bool leasesOver = clock_.now() - duty.seenAt > timings_.lease + timings_.leaseMargin;
+  if (!first && !leasesOver && !duty.demoted) co_return;
+  auto standing = co_await status(name, service.primary);
+  if (!standing) {
+    if (clock_.now() - duties_[name].seenAt > 2 * (timings_.lease + timings_.leaseMargin))
+      co_await recover(name, "chosen database is silent");
+    co_return;
+  }
+  auto needed = std::max(access_.acknowledged(name), duties_[name].finalPosition);
+  if (standing->position < needed) {
+    auto best = co_await candidate(name, std::nullopt);
+    if (best && best->standing.position >= needed && best->database != service.primary && leasesOver &&
+        clock_.now() - duties_[name].seenAt > 2 * timings_.lease)
+      co_return co_await recover(name, "another database holds more");
+    co_return wait(name, "the chosen database has not all that was acknowledged");
+  }
+  const auto* chosen = planned(name, service.primary);
+  if (!chosen || !onDuty()) co_return;
+  nlohmann::json body{{"service", name.get()}, {"database", service.primary.get()}, {"address", chosen->address.get()}, {"epoch", service.epoch.get()}};
+  journal_.count("duties.promote_calls");
+  auto outcome = co_await databases_.call(platform_, "POST", "/promote", body.dump(), clock_.now() + timings_.promotePatience);
+  if (!outcome || outcome->status != 200) co_return wait(name, "the platform did not confirm the promotion");
+  waits_.erase(name);
+  PromotedUpdate update{name, service.epoch};
+  co_await order(ControlMatter::promoted, packed(update));
+}
+
+bool Duties::everyNodeFollows(const ServiceName& name, std::uint64_t position, Instant since) const {
+  auto now = clock_.now();
+  for (const auto& [address, node] : state_.nodes()) {
+    auto heard = access_.nodes().find(address);
+    bool silent = heard == access_.nodes().end() || now - heard->second.heardAt > timings_.nodeSilence;
+    if (silent) {
+      if (now - since < timings_.nodeSilence + timings_.lease) return false;
+      continue;
+    }
+    auto own = heard->second.report.services.find(name);
+    if (own == heard->second.report.services.end() || own->second.followed < position) return false;
+  }
+  return true;
+}
+
+Task<void> Duties::shares(ServiceName name) {
+  if (!state_.services().contains(name)) co_return;
+  auto service = state_.services().at(name);
+  auto& duty = duties_[name];
+  Wanted wanted;
+  for (const auto& [address, node] : state_.nodes()) {
+    auto heard = access_.nodes().find(address);
+    if (node.draining || heard == access_.nodes().end() || clock_.now() - heard->second.heardAt > timings_.nodeSilence) continue;
+    auto own = heard->second.report.services.find(name);
+    wanted[address] = own == heard->second.report.services.end() ? std::map<BranchName, std::uint32_t>{} : own->second.wanted;
+  }
+  auto target = cutShares(state_.plan()->services.at(name), wanted);
+  if (target == service.grants) co_return;
+  auto lower = lowered(service.grants, target);
+  bool newNode = target.size() != service.grants.size();
+  if (lower != service.grants) {
+    bool pressing = newNode;
+    for (const auto& [node, branches] : wanted)
+      for (const auto& [branch, want] : branches) {
+        auto held = service.grants.find(node);
+        if (held == service.grants.end() || !held->second.contains(branch)) continue;
+        pressing = pressing || (want > held->second.at(branch) && target[node][branch] > held->second.at(branch));
+      }
+    if (!pressing || clock_.now() - duty.sharesMovedAt < timings_.lease / 2) co_return;
+    duty.sharesMovedAt = clock_.now();
+    SharesUpdate update{name, service.sharesAt, lower};
+    co_await order(ControlMatter::shares, packed(update));
+    co_return;
+  }
+  if (!everyNodeFollows(name, service.sharesAt, duty.sharesSeenAt)) co_return;
+  SharesUpdate update{name, service.sharesAt, target};
+  co_await order(ControlMatter::shares, packed(update));
+}
+
+Task<void> Duties::nodes() {
+  nodesBusy_ = true;
+  std::vector<NodeReport> reports;
+  for (const auto& [address, node] : access_.nodes())
+    if (clock_.now() - node.heardAt < timings_.nodeSilence) reports.push_back(node.report);
+  for (const auto& report : reports) {
+    auto known = state_.nodes().find(report.node);
+    NodeUpdate update{report.node, report.district, report.boot};
+    bool same = known != state_.nodes().end() && known->second.boot == report.boot && known->second.district == report.district;
+    if (!same && !report.draining)
+      co_await order(ControlMatter::enrolNode, packed(update));
+    else if (same && report.draining && !known->second.draining)
+      co_await order(ControlMatter::drainNode, packed(update));
+  }
+  nodesBusy_ = false;
+}
+
+Task<void> Duties::returns(ServiceName name) {
+  std::vector<DatabaseName> returned;
+  for (const auto& [database, mark] : state_.services().at(name).drained) {
+    const auto* sign = access_.database(name, database);
+    if (!sign || sign->beat.leaving || clock_.now() - sign->heardAt > timings_.databaseSilence) continue;
+    if (sign->beat.boot != mark.boot || sign->beat.number > mark.number) returned.push_back(database);
+  }
+  for (const auto& database : returned) {
+    journal_.line("database " + database.get() + " is back");
+    DatabaseUpdate update{name, database, 0, 0};
+    co_await order(ControlMatter::returnDatabase, packed(update));
+  }
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/control/duties.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "base/task_scope.hpp"
+#include "base/timings.hpp"
+#include "control/access_tables.hpp"
+#include "control/control_state.hpp"
+#include "engine/replication_engine.hpp"
+#include "pool/database_link.hpp"
+
+namespace tamarindshift {
+
+class Duties {
+ public:
+  Duties(Clock& clock, Journal& journal, const Timings& timings, ReplicationEngine& engine, const ControlState& state,
+         AccessTables& access, WebLink& databases, Address platform, ServerId own);
+
+  bool onDuty() const;
+  const std::map<ServiceName, std::string>& waits() const { return waits_; }
+
+ private:
+  struct ServiceDuty {
+    Epoch epoch;
+    Instant seenAt{};
+    bool demoted = false;
+    Position finalPosition;
+    Instant demoteAskedAt{};
+    std::uint64_t sharesAt = 0;
+    Instant sharesSeenAt{};
+    Instant sharesMovedAt{};
+    Instant silentSince{};
+    bool busy = false;
+  };
+  struct Candidate {
+    DatabaseName database;
+    DatabaseStanding standing;
+  };
+
+  Task<void> run();
+  void pass();
+  Task<void> care(ServiceName name);
+  Task<void> careFor(ServiceName name);
+  Task<void> recover(ServiceName name, std::string reason);
+  Task<void> promote(ServiceName name);
+  Task<void> demote(ServiceName name, DatabaseName former);
+  Task<void> demoteStray(ServiceName name);
+  Task<std::optional<DatabaseStanding>> status(ServiceName name, DatabaseName database);
+  Task<std::optional<Candidate>> candidate(ServiceName name, std::optional<DatabaseName> besides);
+  Task<bool> order(ControlMatter matter, std::string body);
+  Task<void> shares(ServiceName name);
+  Task<void> nodes();
+  Task<void> returns(ServiceName name);
+  bool everyNodeFollows(const ServiceName& name, std::uint64_t position, Instant since) const;
+  void wait(const ServiceName& name, const std::string& reason);
+  const PlanDatabase* planned(const ServiceName& service, const DatabaseName& database) const;
+
+  Clock& clock_;
+  Journal& journal_;
+  const Timings& timings_;
+  ReplicationEngine& engine_;
+  const ControlState& state_;
+  AccessTables& access_;
+  WebLink& databases_;
+  Address platform_;
+  ServerId own_;
+  std::map<ServiceName, ServiceDuty> duties_;
+  std::map<ServiceName, std::string> waits_;
+  bool nodesBusy_ = false;
+  bool wasOnDuty_ = false;
+  TaskScope scope_;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/control/operator_door.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "control/replica_node.hpp"
+
+namespace tamarindshift {
+
+class OperatorDoor : public DoorKeeper {
+ public:
+  explicit OperatorDoor(ReplicaNode& replica, Clock& clock) : replica_(replica), clock_(clock) {}
+  Task<DoorReply> serve(DoorRequest request) override;
+  void gone(ConnectionId) override {}
+
+ private:
+  DoorReply status() const;
+  ReplicaNode& replica_;
+  Clock& clock_;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/control/plan_reader.cpp
@@ -0,0 +1,218 @@
+#include "control/plan_reader.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+
+#include <boost/property_tree/json_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+#include <nlohmann/json.hpp>
+
+namespace tamarindshift {
+
+std::optional<Plan> PlanReader::read(const std::string& text) {
+  faults_.clear();
+  if (text.size() > mostBytes) {
+    fault("", "larger than " + std::to_string(mostBytes) + " bytes");
+    return std::nullopt;
+  }
+  Tree tree;
+  if (!nlohmann::json::accept(text)) {
+    fault("", "not JSON");
+    return std::nullopt;
+  }
+  try {
+    std::istringstream stream(text);
+    boost::property_tree::read_json(stream, tree);
+  } catch (const boost::property_tree::json_parser_error& error) {
+    fault("", "not JSON: " + error.message());
+    return std::nullopt;
+  }
+  Plan plan;
+  if (!keys(tree, "", {"mark", "services", "kinds"}, {"machines"})) return std::nullopt;
+  auto markText = tree.get<std::string>("mark", "");
+  std::uint64_t mark = 0;
+  auto [stop, error] = std::from_chars(markText.data(), markText.data() + markText.size(), mark);
+  if (error != std::errc{} || stop != markText.data() + markText.size() || mark == 0) fault("mark", "must be a whole number from 1");
+  plan.mark = PlanMark{mark};
+  for (const auto& [key, child] : tree.get_child("services")) {
+    auto path = "services." + key;
+    if (!plan.services.emplace(ServiceName{name(key, path)}, service(child, path)).second) fault(path, "duplicate name");
+  }
+  if (tree.get_child("services").empty()) fault("services", "must name at least one service");
+  for (const auto& [key, child] : tree.get_child("kinds")) {
+    auto path = "kinds." + key;
+    if (!plan.kinds.emplace(KindName{name(key, path)}, kind(child, path)).second) fault(path, "duplicate name");
+    if (auto own = child.get_child_optional("labels")) plan.kindLabels[KindName{key}] = labels(*own, path + ".labels");
+  }
+  if (tree.get_child("kinds").empty()) fault("kinds", "must name at least one kind of work");
+  if (auto machines = tree.get_child_optional("machines"))
+    for (const auto& [key, child] : *machines) {
+      auto path = "machines." + key;
+      if (!splitAddress(Address{key})) fault(path, "must be an address of the form ip:port");
+      if (!plan.machines.emplace(Address{key}, labels(child, path)).second) fault(path, "duplicate name");
+    }
+  if (faults_.empty()) crossCheck(plan);
+  if (!faults_.empty()) return std::nullopt;
+  return plan;
+}
+
+bool PlanReader::keys(const Tree& tree, const std::string& path, const std::set<std::string>& required,
+                      const std::set<std::string>& optional) {
+  auto before = faults_.size();
+  auto dot = path.empty() ? "" : path + ".";
+  if (tree.empty()) fault(path, "must be an object");
+  std::set<std::string> seen;
+  for (const auto& [key, child] : tree) {
+    if (!required.contains(key) && !optional.contains(key)) fault(dot + key, "unknown key");
+    if (!seen.insert(key).second) fault(dot + key, "duplicate key");
+  }
+  for (const auto& key : required)
+    if (!seen.contains(key)) fault(dot + key, "missing");
+  return faults_.size() == before;
+}
+
+std::uint32_t PlanReader::number(const Tree& tree, const std::string& path, std::uint32_t least, std::uint32_t most) {
+  const auto& text = tree.data();
+  std::uint32_t value = 0;
+  auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (!tree.empty() || error != std::errc{} || stop != text.data() + text.size() || value < least || value > most) {
+    fault(path, "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    return least;
+  }
+  return value;
+}
+
+std::string PlanReader::name(const std::string& text, const std::string& path) {
+  bool plain = !text.empty() && text.size() <= 64 && std::all_of(text.begin(), text.end(), [](unsigned char letter) {
+    return std::isalnum(letter) || letter == '-' || letter == '_' || letter == '.';
+  });
+  if (!plain) fault(path, "a name has 1 to 64 letters, digits, '-', '_' or '.'");
+  return text;
+}
+
+std::set<Label> PlanReader::labels(const Tree& tree, const std::string& path) {
+  std::set<Label> read;
+  if (!tree.data().empty()) fault(path, "must be a list of labels");
+  for (const auto& [key, child] : tree) {
+    if (!key.empty() || !child.empty()) {
+      fault(path, "must be a list of labels");
+      continue;
+    }
+    if (!read.insert(Label{name(child.data(), path)}).second) fault(path, "duplicate label " + child.data());
+  }
+  return read;
+}
+
+PlanService PlanReader::service(const Tree& tree, const std::string& path) {
+  PlanService service;
+  if (!keys(tree, path, {"databases", "quota"}, {})) return service;
+  for (const auto& [key, child] : tree.get_child("databases")) {
+    auto own = path + ".databases." + key;
+    PlanDatabase database;
+    if (!keys(child, own, {"address", "cap"}, {"labels"})) continue;
+    database.address = Address{child.get<std::string>("address")};
+    if (!splitAddress(database.address)) fault(own + ".address", "must be of the form ip:port");
+    database.cap = number(child.get_child("cap"), own + ".cap", 1, 100000);
+    if (auto given = child.get_child_optional("labels")) database.labels = labels(*given, own + ".labels");
+    if (!service.databases.emplace(DatabaseName{name(key, own)}, database).second) fault(own, "duplicate name");
+  }
+  if (service.databases.empty()) fault(path + ".databases", "must name at least one database");
+  const auto& quota = tree.get_child("quota");
+  if (!keys(quota, path + ".quota", {"connections", "branches"}, {})) return service;
+  service.connections = number(quota.get_child("connections"), path + ".quota.connections", 1, 100000);
+  for (const auto& [database, own] : service.databases)
+    if (own.cap < service.connections)
+      fault(path + ".quota.connections", "more than the cap of database " + database.get());
+  std::set<std::string> seen;
+  std::uint32_t sum = 0;
+  for (const auto& [key, child] : quota.get_child("branches")) {
+    auto own = path + ".quota.branches." + key;
+    name(key, own);
+    if (!seen.insert(key).second) fault(own, "duplicate name");
+    branch(child, own, 0, 1, seen, service);
+    sum += child.get<std::uint32_t>("connections", 0);
+  }
+  if (seen.empty()) fault(path + ".quota.branches", "must name at least one branch");
+  if (sum > service.connections) fault(path + ".quota.branches", "children exceed the parent");
+  return service;
+}
+
+void PlanReader::branch(const Tree& tree, const std::string& path, std::uint32_t order, std::uint32_t depth,
+                        std::set<std::string>& seen, PlanService& service) {
+  if (depth > 8) return fault(path, "the tree is deeper than 8");
+  if (!keys(tree, path, {"connections"}, {"order", "weight", "floor", "branches"})) return;
+  PlanBranch own;
+  own.connections = number(tree.get_child("connections"), path + ".connections", 1, 100000);
+  own.order = order;
+  if (auto given = tree.get_child_optional("order")) own.order = number(*given, path + ".order", 1, 1000);
+  if (auto given = tree.get_child_optional("weight")) own.weight = number(*given, path + ".weight", 1, 1000);
+  if (auto given = tree.get_child_optional("floor")) own.floor = number(*given, path + ".floor", 0, 100000);
+  if (own.floor > own.connections) fault(path + ".floor", "more than the branch's connections");
+  auto children = tree.get_child_optional("branches");
+  if (!children) {
+    auto leaf = path.substr(path.rfind('.') + 1);
+    service.branches.emplace(BranchName{leaf}, own);
+    return;
+  }
+  std::uint32_t sum = 0;
+  for (const auto& [key, child] : *children) {
+    auto inner = path + ".branches." + key;
+    name(key, inner);
+    if (!seen.insert(key).second) fault(inner, "duplicate name");
+    branch(child, inner, own.order, depth + 1, seen, service);
+    sum += child.get<std::uint32_t>("connections", 0);
+  }
+  if (children->empty()) fault(path + ".branches", "must name at least one branch");
+  if (sum > own.connections) fault(path + ".branches", "children exceed the parent");
+}
+
+PlanKind PlanReader::kind(const Tree& tree, const std::string& path) {
+  PlanKind kind;
+  if (!keys(tree, path, {"service", "branch", "consistency"}, {"machines", "databases", "labels"})) return kind;
+  kind.service = ServiceName{tree.get<std::string>("service")};
+  kind.branch = BranchName{tree.get<std::string>("branch")};
+  auto consistency = tree.get<std::string>("consistency");
+  if (consistency == "primary")
+    kind.consistency = Consistency::primary;
+  else if (consistency == "lookups")
+    kind.consistency = Consistency::lookups;
+  else if (consistency == "status")
+    kind.consistency = Consistency::status;
+  else
+    fault(path + ".consistency", "must be primary, lookups or status");
+  if (auto given = tree.get_child_optional("machines")) kind.machines = labels(*given, path + ".machines");
+  if (auto given = tree.get_child_optional("databases")) kind.databases = labels(*given, path + ".databases");
+  return kind;
+}
+
+void PlanReader::crossCheck(const Plan& plan) {
+  std::map<Address, std::string> addresses;
+  for (const auto& [serviceName, service] : plan.services)
+    for (const auto& [databaseName, database] : service.databases) {
+      auto path = "services." + serviceName.get() + ".databases." + databaseName.get();
+      auto [other, fresh] = addresses.emplace(database.address, path);
+      if (!fresh) fault(path + ".address", "also the address of " + other->second);
+    }
+  auto selects = [](const std::set<Label>& selector, const std::set<Label>& labels) {
+    return std::includes(labels.begin(), labels.end(), selector.begin(), selector.end());
+  };
+  for (const auto& [kindName, kind] : plan.kinds) {
+    auto path = "kinds." + kindName.get();
+    auto service = plan.services.find(kind.service);
+    if (service == plan.services.end()) {
+      fault(path + ".service", "no such service");
+      continue;
+    }
+    if (!service->second.branches.contains(kind.branch)) fault(path + ".branch", "no such leaf branch in the service");
+    if (!std::any_of(service->second.databases.begin(), service->second.databases.end(),
+                     [&](const auto& database) { return selects(kind.databases, database.second.labels); }))
+      fault(path + ".databases", "selects nothing");
+    if (!kind.machines.empty() && !std::any_of(plan.machines.begin(), plan.machines.end(), [&](const auto& machine) {
+          return selects(kind.machines, machine.second);
+        }))
+      fault(path + ".machines", "selects nothing");
+  }
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/control/plan_reader.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include <boost/property_tree/ptree_fwd.hpp>
+
+#include "control/plan.hpp"
+#include "control/plan_fault.hpp"
+
+namespace tamarindshift {
+
+class PlanReader {
+ public:
+  static constexpr std::size_t mostBytes = 256 * 1024;
+
+  std::optional<Plan> read(const std::string& text);
+  const std::vector<PlanFault>& faults() const { return faults_; }
+
+ private:
+  using Tree = boost::property_tree::ptree;
+  void fault(const std::string& path, const std::string& reason) { faults_.push_back(PlanFault{path, reason}); }
+  bool keys(const Tree& tree, const std::string& path, const std::set<std::string>& required, const std::set<std::string>& optional);
+  std::uint32_t number(const Tree& tree, const std::string& path, std::uint32_t least, std::uint32_t most);
+  std::string name(const std::string& text, const std::string& path);
+  std::set<Label> labels(const Tree& tree, const std::string& path);
+  PlanService service(const Tree& tree, const std::string& path);
+  void branch(const Tree& tree, const std::string& path, std::uint32_t order, std::uint32_t depth, std::set<std::string>& seen, PlanService& service);
+  PlanKind kind(const Tree& tree, const std::string& path);
+  void crossCheck(const Plan& plan);
+
+  std::vector<PlanFault> faults_;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/control/replica_settings.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <set>
+
+#include "base/address.hpp"
+#include "base/timings.hpp"
+#include "engine/replication_engine.hpp"
+
+namespace tamarindshift {
+
+struct ReplicaSettings {
+  Address address;
+  District district;
+  std::set<Address> seeds;
+  Address platform;
+  Timings timings;
+  EngineBounds bounds;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/control/share_cut.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "control/access_messages.hpp"
+#include "control/control_update.hpp"
+
+namespace tamarindshift {
+
+using Wanted = std::map<Address, std::map<BranchName, std::uint32_t>>;
+
+Grants cutShares(const PlanService& service, const Wanted& wanted);
+Grants lowered(const Grants& held, const Grants& target);
+
+}  // namespace tamarindshift
--- a/src/engine/replication_engine.cpp
+++ b/src/engine/replication_engine.cpp
@@ -620,9 +620,10 @@
 }
 
 void ReplicationEngine::rewriteWhenLong() {
-  if (store_.length() < bounds_.storeLength) return;
+  if (store_.length() < std::max(bounds_.storeLength, 2 * rewrittenLength_)) return;
   journal_.count("store.rewrites");
   store_.rewrite(wholeState());
+  rewrittenLength_ = store_.length();
 }
 
 void ReplicationEngine::loadRecord(const EngineRecord& record) {
--- a/src/engine/replication_engine.hpp
+++ b/src/engine/replication_engine.hpp
@@ -155,6 +155,7 @@
   std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting_;
   std::deque<Delivery> undelivered_;
   std::size_t durableSyncs_ = 0;
+  std::size_t rewrittenLength_ = 0;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
   Gate changed_;
 };
--- /dev/null
+++ b/src/news/agent_node.cpp
@@ -0,0 +1,145 @@
+#include "news/agent_node.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "control/beat_json.hpp"
+#include "control/service_news.hpp"
+#include "edge/door_replies.hpp"
+
+namespace tamarindshift {
+
+AgentNode::AgentNode(Clock& clock, PartnerLink& link, Journal& journal, AgentSettings settings)
+    : clock_(clock), journal_(journal), settings_(std::move(settings)), replicas_(settings_.seeds), desk_(clock, link), news_(clock, desk_, board_, *this, settings_.timings.newsWait) {
+  desk_.serve("report", [this](Address, std::string body) -> Task<std::optional<std::string>> {
+    if (auto report = unpacked<NodeReport>(body)) relay(std::move(*report));
+    co_return std::nullopt;
+  });
+  follower(fleetTopic);
+  scope_.spawn(partners());
+  scope_.spawn(keepTopics());
+}
+
+Follower& AgentNode::follower(const Topic& topic) {
+  auto& follower = followers_[topic];
+  if (!follower)
+    follower = std::make_unique<Follower>(clock_, desk_, board_, journal_, topic, [this, topic] { return sources(topic); },
+                                          FollowTimings{settings_.timings.newsPatience, 50ms});
+  return *follower;
+}
+
+std::vector<Address> AgentNode::sources(const Topic& topic) const {
+  std::vector<Address> agents;
+  if (const auto* fleet = board_.find(fleetTopic)) {
+    static const std::string prefix = "node/";
+    for (const auto& [key, value] : fleet->table) {
+      if (!key.starts_with(prefix)) continue;
+      auto news = unpacked<NodeNews>(value);
+      if (news && news->district == settings_.district) agents.push_back(Address{key.substr(prefix.size())});
+    }
+  }
+  std::vector<Address> sources;
+  if (!agents.empty()) {
+    std::size_t sum = 0;
+    for (unsigned char letter : topic) sum = sum * 31 + letter;
+    std::rotate(agents.begin(), agents.begin() + static_cast<std::ptrdiff_t>(sum % agents.size()), agents.end());
+    for (const auto& agent : agents) {
+      if (agent == settings_.address) break;
+      sources.push_back(agent);
+    }
+    if (std::find(agents.begin(), agents.end(), settings_.address) == agents.end()) sources.clear();
+  }
+  std::vector<Address> replicas(replicas_.begin(), replicas_.end());
+  std::size_t sum = 0;
+  for (unsigned char letter : settings_.address.get()) sum = sum * 31 + letter;
+  if (!replicas.empty()) std::rotate(replicas.begin(), replicas.begin() + static_cast<std::ptrdiff_t>(sum % replicas.size()), replicas.end());
+  sources.insert(sources.end(), replicas.begin(), replicas.end());
+  return sources;
+}
+
+Task<void> AgentNode::partners() {
+  for (std::size_t shot = 0;; ++shot) {
+    std::vector<Address> replicas(replicas_.begin(), replicas_.end());
+    auto bytes = co_await desk_.ask(replicas[shot % replicas.size()], "partners", {}, clock_.now() + settings_.timings.newsPatience);
+    if (auto known = bytes ? unpacked<std::set<Address>>(*bytes) : std::nullopt) {
+      replicas_ = settings_.seeds;
+      replicas_.insert(known->begin(), known->end());
+    }
+    co_await sleep(clock_, 3s);
+  }
+}
+
+Task<void> AgentNode::keepTopics() {
+  for (;;) {
+    std::set<Topic> wanted{fleetTopic};
+    if (const auto* fleet = board_.find(fleetTopic))
+      if (auto plan = fleet->table.find("plan"); plan != fleet->table.end())
+        if (auto news = unpacked<FleetPlanNews>(plan->second))
+          for (const auto& [kind, service] : news->kinds) wanted.insert(service.get());
+    std::erase_if(followers_, [&](const auto& each) { return !wanted.contains(each.first); });
+    for (const auto& topic : wanted) follower(topic);
+    co_await board_.entry(fleetTopic).changed.wait(clock_, clock_.now() + 500ms);
+  }
+}
+
+std::optional<Instant> AgentNode::leaseUntil(const Topic& topic) {
+  auto found = followers_.find(topic);
+  return found == followers_.end() ? std::nullopt : found->second->leaseUntil();
+}
+
+std::vector<DatabaseSign> AgentNode::signs(const Topic& topic) {
+  auto found = followers_.find(topic);
+  return found == followers_.end() ? std::vector<DatabaseSign>{} : found->second->signs();
+}
+
+void AgentNode::relay(NodeReport report) {
+  report.node = settings_.address;
+  report.district = settings_.district;
+  auto bytes = packed(report);
+  for (const auto& replica : replicas_) desk_.tell(replica, "report", bytes);
+}
+
+Task<DoorReply> AgentNode::serve(DoorRequest request) {
+  if (request.path == "/beat" || request.path == "/detach") {
+    if (request.method != "POST") co_return refusal(405, "wrong method");
+    auto beat = beatFromJson(request.body);
+    if (!beat) co_return refusal(400, "not a beat");
+    if (request.path == "/detach") co_return co_await detach(packed(*beat));
+    auto bytes = packed(*beat);
+    for (const auto& replica : replicas_) desk_.tell(replica, "beat", bytes);
+    journal_.count("beats.relayed");
+    co_return DoorReply{200, "{}", std::nullopt};
+  }
+  if (request.method != "GET") co_return refusal(404, "no such path or method");
+  if (request.path == "/ready") {
+    if (leaseUntil(fleetTopic)) co_return DoorReply{200, "{}", std::nullopt};
+    co_return refusal(503, "no current lease", {}, settings_.timings.comeBack);
+  }
+  if (request.path == "/status") co_return status();
+  if (request.path == "/counters") co_return DoorReply{200, nlohmann::json(journal_.counters()).dump(2), std::nullopt};
+  co_return refusal(404, "no such path");
+}
+
+Task<DoorReply> AgentNode::detach(std::string body) {
+  for (const auto& replica : std::vector<Address>(replicas_.begin(), replicas_.end())) {
+    auto bytes = co_await desk_.ask(replica, "detach", body, clock_.now() + settings_.timings.orderPatience / 2);
+    auto reply = bytes ? unpacked<std::pair<int, std::string>>(*bytes) : std::nullopt;
+    if (reply && reply->first != 503) co_return DoorReply{reply->first, reply->second, std::nullopt};
+  }
+  co_return refusal(503, "no replica took it in time", "send it again", settings_.timings.comeBack);
+}
+
+DoorReply AgentNode::status() const {
+  nlohmann::json json;
+  json["address"] = settings_.address.get();
+  json["district"] = settings_.district.get();
+  for (const auto& [topic, follower] : followers_) {
+    auto& own = json["topics"][topic];
+    own = {{"mark", board_.mark(topic)}, {"source", follower->source().get()}};
+    if (auto until = follower->leaseUntil()) own["lease_ms"] = milliseconds(*until - clock_.now()).count();
+  }
+  return DoorReply{200, json.dump(2), std::nullopt};
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/news/news_board.cpp
@@ -0,0 +1,88 @@
+#include "news/news_board.hpp"
+
+namespace tamarindshift {
+
+NewsBoard::Entry& NewsBoard::entry(const Topic& topic) {
+  auto& entry = entries_[topic];
+  if (!entry) entry = std::make_unique<Entry>();
+  return *entry;
+}
+
+const NewsBoard::Entry* NewsBoard::find(const Topic& topic) const {
+  auto found = entries_.find(topic);
+  return found == entries_.end() ? nullptr : found->second.get();
+}
+
+std::uint64_t NewsBoard::mark(const Topic& topic) const {
+  const auto* entry = find(topic);
+  return entry ? entry->mark : 0;
+}
+
+void NewsBoard::change(Entry& entry, NewsChange change) {
+  entry.mark = change.mark;
+  if (change.removed)
+    entry.table.erase(change.key);
+  else
+    entry.table[change.key] = change.value;
+  entry.changes.push_back(std::move(change));
+  while (entry.changes.size() > keptChanges) {
+    entry.changesSince = entry.changes.front().mark;
+    entry.changes.pop_front();
+  }
+}
+
+void NewsBoard::publish(const Topic& topic, std::uint64_t mark, NewsTable table) {
+  auto& entry = this->entry(topic);
+  if (mark <= entry.mark) return;
+  std::vector<NewsChange> changes;
+  for (const auto& [key, value] : table) {
+    auto old = entry.table.find(key);
+    if (old == entry.table.end() || old->second != value) changes.push_back(NewsChange{mark, key, false, value});
+  }
+  for (const auto& [key, value] : entry.table)
+    if (!table.contains(key)) changes.push_back(NewsChange{mark, key, true, {}});
+  if (changes.empty()) return;
+  for (auto& each : changes) change(entry, std::move(each));
+  entry.changed.open();
+}
+
+bool NewsBoard::apply(const Topic& topic, const FollowReply& reply) {
+  auto& entry = this->entry(topic);
+  if (reply.fate == FollowFate::notCurrent || reply.mark < entry.mark) return false;
+  if (reply.fate == FollowFate::snapshot) {
+    if (reply.mark == entry.mark) return true;
+    entry.mark = entry.changesSince = reply.mark;
+    entry.table = reply.table;
+    entry.changes.clear();
+    entry.changed.open();
+    return true;
+  }
+  bool changed = false;
+  auto held = entry.mark;
+  for (const auto& each : reply.changes) {
+    if (each.mark <= held) continue;
+    change(entry, each);
+    changed = true;
+  }
+  if (changed) entry.changed.open();
+  return true;
+}
+
+void NewsBoard::fill(const Topic& topic, std::uint64_t have, FollowReply& reply) const {
+  const auto* entry = find(topic);
+  if (!entry || entry->mark < have) {
+    reply.fate = FollowFate::notCurrent;
+    return;
+  }
+  reply.mark = entry->mark;
+  if (have < entry->changesSince || have == 0) {
+    reply.fate = FollowFate::snapshot;
+    reply.table = entry->table;
+    return;
+  }
+  reply.fate = FollowFate::changes;
+  for (const auto& each : entry->changes)
+    if (each.mark > have) reply.changes.push_back(each);
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/news/news_board.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+
+#include "base/gate.hpp"
+#include "news/news_messages.hpp"
+
+namespace tamarindshift {
+
+class NewsBoard {
+ public:
+  struct Entry {
+    std::uint64_t mark = 0;
+    std::uint64_t changesSince = 0;
+    NewsTable table;
+    std::deque<NewsChange> changes;
+    Gate changed;
+  };
+
+  void publish(const Topic& topic, std::uint64_t mark, NewsTable table);
+  bool apply(const Topic& topic, const FollowReply& reply);
+  void fill(const Topic& topic, std::uint64_t have, FollowReply& reply) const;
+  const Entry* find(const Topic& topic) const;
+  Entry& entry(const Topic& topic);
+  std::uint64_t mark(const Topic& topic) const;
+  const std::map<Topic, std::unique_ptr<Entry>>& entries() const { return entries_; }
+
+ private:
+  static constexpr std::size_t keptChanges = 256;
+  void change(Entry& entry, NewsChange change);
+  std::map<Topic, std::unique_ptr<Entry>> entries_;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/pool/connection_pool.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <list>
+
+#include "base/journal.hpp"
+#include "pool/guide.hpp"
+#include "pool/pooled_connection.hpp"
+
+namespace tamarindshift {
+
+class ConnectionPool {
+ public:
+  ConnectionPool(Clock& clock, WebLink& link, Journal& journal);
+
+  std::shared_ptr<PooledConnection> takeIdle(const ServiceName& service, const DatabaseName& database, const BranchName& branch);
+  bool mayHold(const Guide::ServiceView& view, const ServiceName& service, const DatabaseName& database, const BranchName& branch) const;
+  bool mayOpen(const Guide::ServiceView& view, const ServiceName& service, const DatabaseName& database);
+  Task<std::shared_ptr<PooledConnection>> open(ServiceName service, DatabaseName database, BranchName branch, Address address, Instant deadline);
+  void release(const std::shared_ptr<PooledConnection>& connection);
+  void drop(const std::shared_ptr<PooledConnection>& connection);
+  void closeAll(const ServiceName& service);
+  void closeAllBesides(const std::map<ServiceName, Guide::ServiceView>& services);
+  void trim(const ServiceName& service, const Guide::ServiceView& view);
+  bool within(const ServiceName& service, const Guide::ServiceView& view) const;
+  std::uint32_t busy(const ServiceName& service, const DatabaseName& database, const BranchName& branch) const;
+  std::uint32_t busiest(const ServiceName& service, const BranchName& branch) const;
+  std::uint32_t openConnections(const ServiceName& service, const DatabaseName& database) const;
+  std::uint32_t load(const ServiceName& service, const DatabaseName& database) const;
+
+ private:
+  using Key = std::pair<ServiceName, DatabaseName>;
+  struct Shelf {
+    std::list<std::shared_ptr<PooledConnection>> idle;
+    std::map<BranchName, std::uint32_t> busy;
+    std::uint32_t opening = 0;
+    Instant openAfter{};
+    std::uint32_t total() const;
+  };
+  static std::uint32_t allowed(const Guide::ServiceView& view);
+  static std::uint32_t allowed(const Guide::ServiceView& view, const BranchName& branch);
+  static constexpr std::uint32_t mostOpening = 4;
+
+  Clock& clock_;
+  WebLink& link_;
+  Journal& journal_;
+  std::map<Key, Shelf> shelves_;
+  std::set<std::shared_ptr<PooledConnection>> busy_;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/pool/database_json.cpp
@@ -0,0 +1,88 @@
+#include "pool/database_json.hpp"
+
+#include <array>
+
+#include <nlohmann/json.hpp>
+
+namespace tamarindshift {
+
+namespace {
+
+using Json = nlohmann::json;
+constexpr std::array<const char*, 7> operationNames{"statement", "begin", "commit", "rollback", "prepare", "execute", "set"};
+
+Json standingJson(const DatabaseStanding& standing) {
+  return Json{{"role", standing.role},
+              {"epoch", standing.epoch.get()},
+              {"position", standing.position.get()},
+              {"contact_age_ms", milliseconds(standing.contactAge).count()}};
+}
+
+DatabaseStanding standingOf(const Json& json) {
+  return DatabaseStanding{json.at("role").get<std::string>(), Epoch{json.at("epoch").get<std::uint64_t>()},
+                          Position{json.at("position").get<std::uint64_t>()},
+                          std::chrono::milliseconds{json.at("contact_age_ms").get<std::int64_t>()}};
+}
+
+template <class Reader>
+auto guarded(const std::string& body, Reader reader) -> std::optional<decltype(reader(Json{}))> {
+  try {
+    return reader(Json::parse(body));
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+const char* text(Operation operation) { return operationNames[static_cast<std::size_t>(operation)]; }
+
+std::optional<Operation> operationNamed(const std::string& name) {
+  for (std::size_t index = 0; index < operationNames.size(); ++index)
+    if (name == operationNames[index]) return static_cast<Operation>(index);
+  return std::nullopt;
+}
+
+std::string requestToJson(const DatabaseRequest& request) {
+  Json parameters = Json::array();
+  for (const auto& parameter : request.parameters) parameters.push_back(parameter ? Json(*parameter) : Json(nullptr));
+  Json json{{"operation", text(request.operation)}, {"text", request.text}, {"reads", request.reads}};
+  if (!request.name.empty()) json["name"] = request.name;
+  if (!parameters.empty()) json["parameters"] = parameters;
+  return json.dump();
+}
+
+std::optional<DatabaseRequest> requestFromJson(const std::string& body) {
+  return guarded(body, [](const Json& json) {
+    DatabaseRequest request;
+    auto operation = operationNamed(json.at("operation").get<std::string>());
+    request.operation = operation.value_or(Operation::statement);
+    request.text = json.value("text", "");
+    request.name = json.value("name", "");
+    request.reads = json.value("reads", false);
+    for (const auto& parameter : json.value("parameters", Json::array()))
+      request.parameters.push_back(parameter.is_null() ? std::nullopt : std::optional{parameter.get<std::string>()});
+    return request;
+  });
+}
+
+std::string replyToJson(const DatabaseReply& reply) {
+  Json json{{"done", reply.done}, {"result", reply.result}, {"standing", standingJson(reply.standing)}};
+  if (!reply.reason.empty()) json["reason"] = reply.reason;
+  return json.dump();
+}
+
+std::optional<DatabaseReply> replyFromJson(const std::string& body) {
+  return guarded(body, [](const Json& json) {
+    return DatabaseReply{json.at("done").get<bool>(), json.value("reason", ""), json.at("result").get<std::string>(),
+                         standingOf(json.at("standing"))};
+  });
+}
+
+std::string standingToJson(const DatabaseStanding& standing) { return standingJson(standing).dump(); }
+
+std::optional<DatabaseStanding> standingFromJson(const std::string& body) {
+  return guarded(body, [](const Json& json) { return standingOf(json); });
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/pool/database_messages.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "control/names.hpp"
+
+namespace tamarindshift {
+
+enum class Operation : std::uint8_t { statement, begin, commit, rollback, prepare, execute, set };
+
+struct DatabaseRequest {
+  Operation operation = Operation::statement;
+  std::string text;
+  std::string name;
+  std::vector<std::optional<std::string>> parameters;
+  bool reads = false;
+};
+
+struct DatabaseStanding {
+  std::string role;
+  Epoch epoch;
+  Position position;
+  Duration contactAge{};
+};
+
+struct DatabaseReply {
+  bool done = false;
+  std::string reason;
+  std::string result;
+  DatabaseStanding standing;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/pool/proxy_node.cpp
@@ -0,0 +1,527 @@
+#include "pool/proxy_node.hpp"
+
+#include <algorithm>
+
+namespace tamarindshift {
+
+namespace {
+
+bool keeps(const DatabaseRequest& request) { return !request.reads; }
+
+bool labelled(const std::set<Label>& labels, const std::set<Label>& selector) {
+  return std::includes(labels.begin(), labels.end(), selector.begin(), selector.end());
+}
+
+}  // namespace
+
+ProxyNode::ProxyNode(Clock& clock, PartnerLink& link, WebLink& databases, Journal& journal, ProxySettings settings,
+                     std::uint64_t entropy)
+    : clock_(clock), databases_(databases), journal_(journal), settings_(std::move(settings)), boot_(entropy), desk_(clock, link), guide_(clock, desk_, journal, settings_.timings, settings_.agent, settings_.node), pool_(clock, databases, journal) {
+  scope_.spawn(work());
+  scope_.spawn(tick());
+  scope_.spawn(report());
+}
+
+Task<void> ProxyNode::work() {
+  for (;;) {
+    auto command = co_await backlog_.take(clock_);
+    command();
+    passes();
+  }
+}
+
+Task<void> ProxyNode::tick() {
+  for (;;) {
+    co_await sleep(clock_, 20ms);
+    backlog_.put([this] {
+      guide_.refresh();
+      careServices();
+      carePins();
+    });
+  }
+}
+
+Task<void> ProxyNode::report() {
+  for (;;) {
+    NodeReport report;
+    report.node = settings_.node;
+    report.boot = boot_;
+    report.draining = draining();
+    report.mark = guide_.planMark();
+    for (const auto& [name, view] : guide_.services()) {
+      if (!view.plan) continue;
+      auto& own = report.services[name];
+      own.followed = followed_[name];
+      own.epoch = view.primary.epoch;
+      own.acknowledged = acknowledged_[name];
+      if (auto until = guide_.leaseUntil(name)) report.lease = std::max(report.lease, *until - clock_.now());
+      for (const auto& [branch, planned] : view.plan->service.branches) {
+        auto held = pool_.busiest(name, branch);
+        auto now = static_cast<double>(held + requests_.waitingOn(name, branch));
+        auto& demand = demand_[{name, branch}];
+        demand = std::max(now, demand * 0.9);
+        own.wanted[branch] = draining() ? 0 : static_cast<std::uint32_t>(demand + 1.5);
+        own.held[branch] = held;
+      }
+    }
+    desk_.tell(settings_.agent, "report", packed(report));
+    co_await sleep(clock_, settings_.timings.report);
+  }
+}
+
+void ProxyNode::passes() {
+  expirePass();
+  placePass();
+}
+
+std::shared_ptr<Session> ProxyNode::openSession(const KindName& kind, std::map<ServiceName, Position> own, ConnectionId door) {
+  if (draining() || sessions_.size() >= settings_.sessions) return nullptr;
+  auto session = std::make_shared<Session>();
+  session->id = SessionId{std::to_string(boot_ % 1000000) + "-" + std::to_string(++lastSession_)};
+  session->kind = kind;
+  session->own = std::move(own);
+  session->door = door;
+  session->usedAt = clock_.now();
+  sessions_[session->id] = session;
+  journal_.count("sessions.opened");
+  return session;
+}
+
+std::shared_ptr<Session> ProxyNode::session(const SessionId& id) const {
+  auto found = sessions_.find(id);
+  return found == sessions_.end() ? nullptr : found->second;
+}
+
+void ProxyNode::closeSession(const std::shared_ptr<Session>& session) {
+  session->closing = true;
+  sessions_.erase(session->id);
+  dropPin(session);
+}
+
+void ProxyNode::gone(ConnectionId door) {
+  for (const auto& [id, session] : sessions_)
+    if (session->door == door && (session->inTransaction || session->busy)) {
+      journal_.count("sessions.walked_away");
+      if (session->inTransaction) session->transactionLost = true;
+      if (session->stateful) session->stateLost = true;
+      session->inTransaction = session->stateful = false;
+      dropPin(session);
+    }
+}
+
+void ProxyNode::dropPin(const std::shared_ptr<Session>& session) {
+  if (!session->pinned) return;
+  auto connection = std::exchange(session->pinned, nullptr);
+  pool_.drop(connection);
+}
+
+Task<RequestReply> ProxyNode::run(std::shared_ptr<Session> session, KindName kind, DatabaseRequest request) {
+  auto record = std::make_shared<RequestRecord>();
+  record->session = session;
+  record->kind = std::move(kind);
+  record->request = std::move(request);
+  record->enrolledAt = clock_.now();
+  record->giveUpAt = clock_.now() + settings_.timings.backlogPatience;
+  session->usedAt = clock_.now();
+  session->busy = true;
+  backlog_.put([this, record] { enrolPass(record); });
+  while (record->stage != RequestStage::replied) co_await record->replied.wait(clock_);
+  session->busy = false;
+  session->usedAt = clock_.now();
+  co_return record->reply;
+}
+
+void ProxyNode::enrolPass(const Record& record) {
+  const auto& session = record->session;
+  auto operation = record->request.operation;
+  if (std::exchange(session->transactionLost, false)) return refuse(record, "transaction lost, nothing was kept", 410);
+  if (session->stateLost) return refuse(record, "session state lost, open a new session", 410);
+  bool ends = operation == Operation::commit || operation == Operation::rollback;
+  if (ends && !session->inTransaction) return refuse(record, "no transaction is open", 409);
+  if (operation == Operation::begin && session->inTransaction) return refuse(record, "a transaction is open already", 409);
+  if (operation == Operation::execute && !session->stateful) return refuse(record, "nothing is prepared in this session", 409);
+  if (draining() && !session->inTransaction) return refuse(record, "this node is leaving");
+  auto view = guide_.kind(record->kind);
+  if (!view.kind) return refuse(record, view.refusal, view.refusal == "unknown kind of work" && guide_.anyLease() ? 403 : 503);
+  record->service = view.kind->service;
+  record->branch = view.kind->branch;
+  record->order = view.service->plan->service.branches.at(record->branch).order;
+  auto waiting = requests_.waitingOn(record->service, record->branch);
+  if (waiting >= settings_.backlog) return refuse(record, "backlog is full");
+  auto granted = view.service->share.most.find(record->branch);
+  auto slots = granted == view.service->share.most.end() ? 0 : granted->second;
+  auto expected = meanTaken_[record->service] * static_cast<double>(waiting) / std::max(1u, slots);
+  if (expected > static_cast<double>(settings_.timings.backlogPatience.count())) return refuse(record, "backlog is past hope");
+  requests_.enrol(record);
+}
+
+void ProxyNode::expirePass() {
+  for (const auto& record : requests_.waiting()) {
+    if (record->session->closing) refuse(record, "session closed");
+    else if (clock_.now() >= record->giveUpAt) refuse(record, "no connection in time");
+  }
+  if (!draining()) return;
+  auto since = clock_.now() - *drainingSince_;
+  if (since < settings_.timings.stop - 300ms) return;
+  auto underway = requests_.records();
+  for (const auto& [number, record] : underway) {
+    if (record->stage != RequestStage::passed || !keeps(record->request))
+      refuse(record, "this node is leaving");
+    else
+      unknown(record, "this node had to leave before the database replied");
+  }
+}
+
+void ProxyNode::placePass() {
+  for (const auto& record : requests_.waiting()) placeOne(record);
+}
+
+void ProxyNode::placeOne(const Record& record) {
+  auto view = guide_.kind(record->kind);
+  if (!view.kind || view.kind->service != record->service) return refuse(record, view.kind ? "the plan changed" : view.refusal);
+  if (!guide_.leased(record->service)) return refuse(record, "no current lease");
+  if (record->session->pinned) return placePinned(record);
+  if (record->session->inTransaction) return transactionLost(record);
+  if (record->session->stateful) {
+    record->session->stateLost = true;
+    return refuse(record, "session state lost, open a new session", 410);
+  }
+  auto operation = record->request.operation;
+  bool pins = operation == Operation::prepare || operation == Operation::set;
+  if (pins) {
+    auto granted = view.service->share.most.find(record->branch);
+    auto most = granted == view.service->share.most.end() ? 0 : std::max(1u, granted->second / 2);
+    if (this->pins(record->service, record->branch) >= most) return refuse(record, "too many sessions hold connections");
+  }
+  std::string refusal;
+  auto choice = choose(record, view, refusal);
+  if (!choice) return refuse(record, refusal);
+  const auto& service = *view.service;
+  if (!pool_.mayHold(service, record->service, choice->database, record->branch)) return;
+  if (auto idle = pool_.takeIdle(record->service, choice->database, record->branch)) {
+    requests_.passed(record);
+    scope_.spawn(passOn(record, idle, *choice));
+  } else if (pool_.mayOpen(service, record->service, choice->database)) {
+    requests_.passed(record);
+    scope_.spawn(passOn(record, nullptr, *choice));
+  }
+}
+
+void ProxyNode::placePinned(const Record& record) {
+  const auto& session = record->session;
+  auto connection = session->pinned;
+  if (connection->service != record->service) return refuse(record, "the session's connection is at another service", 409);
+  bool usable = !connection->doomed && connection->link && connection->link->usable();
+  if (!usable || !mayPass(record, *connection)) {
+    dropPin(session);
+    if (session->inTransaction) return transactionLost(record);
+    session->stateLost = true;
+    return refuse(record, "session state lost, open a new session", 410);
+  }
+  requests_.passed(record);
+  scope_.spawn(passOn(record, connection, Choice{connection->database, {}, connection->epoch}));
+}
+
+std::optional<ProxyNode::Choice> ProxyNode::choose(const Record& record, const Guide::KindView& view, std::string& refusal) const {
+  bool mayRead = record->request.reads && view.kind->consistency != Consistency::primary;
+  if (mayRead)
+    if (auto replica = chooseReplica(record, view)) return replica;
+  const auto& primary = view.service->primary;
+  const auto& databases = view.service->plan->service.databases;
+  auto found = databases.find(primary.primary);
+  if (!primary.promoted || found == databases.end()) {
+    refusal = "the primary is being recovered";
+    return std::nullopt;
+  }
+  if (view.service->drained.contains(primary.primary)) {
+    refusal = "the primary is leaving";
+    return std::nullopt;
+  }
+  if (!labelled(found->second.labels, view.kind->databases)) {
+    refusal = "the primary is not selected for the kind";
+    return std::nullopt;
+  }
+  return Choice{found->first, found->second.address, primary.epoch};
+}
+
+std::optional<ProxyNode::Choice> ProxyNode::chooseReplica(const Record& record, const Guide::KindView& view) const {
+  std::optional<Choice> best;
+  std::uint32_t least = 0;
+  auto own = record->session->own.find(record->service);
+  auto needed = own == record->session->own.end() ? Position{} : own->second;
+  auto bound = stalenessBound(view.kind->consistency);
+  for (const auto& sign : guide_.signs(record->service)) {
+    DatabaseName name{sign.database};
+    auto planned = view.service->plan->service.databases.find(name);
+    if (planned == view.service->plan->service.databases.end() || name == view.service->primary.primary) continue;
+    if (view.service->drained.contains(name) || record->avoid.contains(name)) continue;
+    if (!labelled(planned->second.labels, view.kind->databases)) continue;
+    if (sign.role != "replica" || sign.age > bound || Position{sign.position} < needed) continue;
+    auto load = pool_.load(record->service, name);
+    if (!best || load < least) {
+      best = Choice{name, planned->second.address, view.service->primary.epoch};
+      least = load;
+    }
+  }
+  return best;
+}
+
+bool ProxyNode::mayPass(const Record& record, const PooledConnection& connection) const {
+  auto view = guide_.kind(record->kind);
+  if (!view.kind || view.kind->service != record->service || !guide_.leased(record->service)) return false;
+  if (connection.epoch != view.service->primary.epoch) return false;
+  const auto& databases = view.service->plan->service.databases;
+  if (!databases.contains(connection.database)) return false;
+  return record->session->inTransaction || !view.service->drained.contains(connection.database);
+}
+
+Task<void> ProxyNode::passOn(Record record, std::shared_ptr<PooledConnection> connection, Choice choice) {
+  if (!connection) {
+    auto deadline = std::min(record->giveUpAt, clock_.now() + settings_.timings.backlogPatience / 2);
+    connection = co_await pool_.open(record->service, choice.database, record->branch, choice.address, deadline);
+    if (!connection) {
+      record->avoid.insert(choice.database);
+      backlog_.put([this, record] { again(record); });
+      co_return;
+    }
+  }
+  connection->epoch = choice.epoch;
+  if (record->stage == RequestStage::replied || record->session->closing || !mayPass(record, *connection)) {
+    if (record->session->pinned == connection)
+      dropPin(record->session);
+    else
+      pool_.release(connection);
+    backlog_.put([this, record] { again(record); });
+    co_return;
+  }
+  ++record->shots;
+  auto passedAt = clock_.now();
+  connection->running = true;
+  auto outcome = co_await connection->link->run(record->request, clock_.now() + settings_.timings.statementPatience);
+  connection->running = false;
+  noteDone(record->service, clock_.now() - passedAt);
+  settle(record, connection, std::move(outcome));
+  backlog_.put([] {});
+}
+
+void ProxyNode::noteDone(const ServiceName& service, Duration taken) {
+  auto& mean = meanTaken_[service];
+  mean = mean * 0.95 + static_cast<double>(taken.count()) * 0.05;
+}
+
+void ProxyNode::again(const Record& record) {
+  if (record->stage == RequestStage::replied) return;
+  if (record->shots >= settings_.mostShots) return refuse(record, "no database did it in three shots");
+  requests_.waits(record);
+}
+
+void ProxyNode::refuse(const Record& record, const std::string& reason, int status) {
+  journal_.count("requests.refused");
+  journal_.count("refused: " + reason);
+  RequestReply reply;
+  reply.fate = status == 410 ? RequestFate::lostState : RequestFate::refused;
+  reply.status = status;
+  reply.reason = reason;
+  if (status == 503) reply.comeBack = settings_.timings.comeBack;
+  requests_.reply(record, std::move(reply));
+}
+
+void ProxyNode::unknown(const Record& record, const std::string& reason) {
+  journal_.count("requests.unknown");
+  RequestReply reply;
+  reply.fate = RequestFate::unknown;
+  reply.status = 504;
+  reply.reason = reason;
+  requests_.reply(record, std::move(reply));
+}
+
+void ProxyNode::transactionLost(const Record& record) {
+  record->session->inTransaction = false;
+  if (record->session->stateful) record->session->stateLost = true;
+  refuse(record, "transaction lost, nothing was kept", 410);
+}
+
+void ProxyNode::settle(const Record& record, const std::shared_ptr<PooledConnection>& connection, PassOutcome outcome) {
+  if (outcome.fate == PassFate::replied)
+    settleReplied(record, connection, std::move(outcome.reply));
+  else
+    settleLost(record, connection, outcome.fate == PassFate::lost);
+}
+
+void ProxyNode::settleLost(const Record& record, const std::shared_ptr<PooledConnection>& connection, bool sent) {
+  journal_.count(sent ? "passes.lost" : "passes.unsent");
+  const auto& session = record->session;
+  bool pinned = session->pinned == connection;
+  if (pinned) session->pinned.reset();
+  pool_.drop(connection);
+  bool mayBeKept = sent && keeps(record->request) && record->request.operation != Operation::rollback;
+  if (session->inTransaction) {
+    if (sent && record->request.operation == Operation::commit) {
+      session->inTransaction = false;
+      if (session->stateful) session->stateLost = true;
+      return unknown(record, "the reply to the commit was lost");
+    }
+    return transactionLost(record);
+  }
+  if (pinned) session->stateLost = true;
+  if (mayBeKept && record->request.operation != Operation::begin) return unknown(record, "the reply was lost");
+  if (pinned) return refuse(record, "session state lost, open a new session", 410);
+  record->avoid.insert(connection->database);
+  again(record);
+}
+
+void ProxyNode::settleReplied(const Record& record, const std::shared_ptr<PooledConnection>& connection, DatabaseReply reply) {
+  const auto& session = record->session;
+  auto view = guide_.kind(record->kind);
+  auto operation = record->request.operation;
+  bool atPrimary = view.service && view.service->primary.primary == connection->database;
+  bool current = view.kind && view.kind->service == record->service && guide_.leased(record->service) &&
+                 view.service->primary.epoch == connection->epoch;
+  if (current && atPrimary) current = reply.standing.role == "primary" && reply.standing.epoch == connection->epoch;
+  bool inTransaction = session->inTransaction && session->pinned == connection;
+  bool keptNow = reply.done && keeps(record->request) &&
+                 (operation == Operation::commit || (!inTransaction && (operation == Operation::statement || operation == Operation::execute)));
+
+  if (!current) {
+    journal_.count("passes.replied_late");
+    if (session->pinned == connection) session->pinned.reset();
+    pool_.drop(connection);
+    if (keptNow) {
+      session->inTransaction = false;
+      if (session->stateful) session->stateLost = true;
+      return unknown(record, "the reply came after the lease or the epoch it was passed under");
+    }
+    if (inTransaction) return transactionLost(record);
+    if (session->stateful) {
+      session->stateLost = true;
+      return refuse(record, "session state lost, open a new session", 410);
+    }
+    if (!record->request.reads) return refuse(record, "the database is not the primary");
+    record->avoid.insert(connection->database);
+    return again(record);
+  }
+  if (record->request.reads && !atPrimary) {
+    auto own = session->own.find(record->service);
+    bool behind = own != session->own.end() && reply.standing.position < own->second;
+    bool stale = reply.standing.contactAge > stalenessBound(view.kind->consistency);
+    if (behind || stale) {
+      journal_.count("reads.too_stale");
+      if (session->pinned != connection) {
+        pool_.release(connection);
+        record->avoid.insert(connection->database);
+        return again(record);
+      }
+      return refuse(record, "the replica is too far behind");
+    }
+  }
+  if (keptNow) {
+    auto& own = session->own[record->service];
+    own = std::max(own, reply.standing.position);
+    auto& acknowledged = acknowledged_[record->service];
+    acknowledged = std::max(acknowledged, reply.standing.position);
+  }
+  if (operation == Operation::begin && reply.done) session->inTransaction = true;
+  if (operation == Operation::commit || operation == Operation::rollback) session->inTransaction = false;
+  if (reply.done && (operation == Operation::prepare || operation == Operation::set)) session->stateful = true;
+  retire(record, connection);
+  RequestReply answer;
+  answer.fate = reply.done ? RequestFate::done : RequestFate::failed;
+  answer.status = reply.done ? 200 : 422;
+  answer.reason = reply.reason;
+  answer.result = std::move(reply.result);
+  answer.database = connection->database;
+  answer.position = reply.standing.position;
+  journal_.count(reply.done ? "requests.done" : "requests.failed");
+  requests_.reply(record, std::move(answer));
+}
+
+void ProxyNode::retire(const Record& record, const std::shared_ptr<PooledConnection>& connection) {
+  const auto& session = record->session;
+  bool holds = session->inTransaction || session->stateful;
+  bool abandoned = session->closing || session->transactionLost || session->stateLost || record->stage == RequestStage::replied;
+  if (holds && !abandoned && !connection->doomed) {
+    session->pinned = connection;
+    return;
+  }
+  bool wasPinned = session->pinned == connection;
+  if (wasPinned) session->pinned.reset();
+  bool dirty = abandoned || (wasPinned && session->stateful);
+  if (dirty) {
+    if (holds) session->transactionLost = session->inTransaction;
+    session->inTransaction = session->stateful = false;
+    pool_.drop(connection);
+  } else {
+    pool_.release(connection);
+  }
+}
+
+std::uint32_t ProxyNode::pins(const ServiceName& service, const BranchName& branch) const {
+  std::uint32_t amount = 0;
+  for (const auto& [id, session] : sessions_)
+    amount += session->stateful && session->pinned && session->pinned->service == service && session->pinned->branch == branch;
+  return amount;
+}
+
+void ProxyNode::carePins() {
+  auto now = clock_.now();
+  std::vector<std::shared_ptr<Session>> idle;
+  for (const auto& [id, session] : sessions_) {
+    if (!session->busy && now - session->usedAt > settings_.idleSession) idle.push_back(session);
+    if (!session->pinned || session->pinned->running) continue;
+    auto connection = session->pinned;
+    const auto* service = guide_.service(connection->service);
+    bool lost = !service || !service->plan || !guide_.leased(connection->service) || service->primary.epoch != connection->epoch ||
+                !service->plan->service.databases.contains(connection->database);
+    bool leaving = service && service->drained.contains(connection->database);
+    bool stopping = draining() && now - *drainingSince_ > settings_.timings.stopTransactions;
+    bool late = session->inTransaction && now - session->usedAt > settings_.idleInTransaction;
+    bool leavingLate = leaving && (!session->inTransaction || now - session->usedAt > settings_.timings.stopTransactions);
+    if (!lost && !stopping && !late && !leavingLate) continue;
+    journal_.count("sessions.pins_closed");
+    if (session->inTransaction) session->transactionLost = true;
+    if (session->stateful) session->stateLost = true;
+    session->inTransaction = false;
+    dropPin(session);
+  }
+  for (const auto& session : idle) closeSession(session);
+}
+
+void ProxyNode::careServices() {
+  pool_.closeAllBesides(guide_.services());
+  for (const auto& [name, view] : guide_.services()) {
+    if (!guide_.leased(name)) {
+      pool_.closeAll(name);
+      continue;
+    }
+    pool_.trim(name, view);
+    if (pool_.within(name, view)) followed_[name] = view.mark;
+  }
+}
+
+void ProxyNode::drain() {
+  if (drainingSince_) return;
+  drainingSince_ = clock_.now();
+  journal_.line("draining");
+}
+
+bool ProxyNode::stopped() const {
+  if (!drainingSince_) return false;
+  auto since = clock_.now() - *drainingSince_;
+  if (since > settings_.timings.stop) return true;
+  if (requests_.underway() > 0 || since < settings_.timings.report * 2) return false;
+  for (const auto& [id, session] : sessions_)
+    if (session->inTransaction) return false;
+  return true;
+}
+
+std::optional<std::string> ProxyNode::notReady() const {
+  if (draining()) return "this node is leaving";
+  if (!guide_.anyLease()) return "no current lease";
+  if (guide_.planMark() == PlanMark{}) return "no plan";
+  for (const auto& [name, view] : guide_.services())
+    if (!guide_.leased(name) || view.share.most.empty()) return "no share of service " + name.get() + " yet";
+  if (guide_.services().empty()) return "no news of any service";
+  return std::nullopt;
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/programs/proxy.cpp
@@ -0,0 +1,33 @@
+#include "base/timing_settings.hpp"
+#include "edge/session_door.hpp"
+#include "real/daemon.hpp"
+#include "real/tcp_link.hpp"
+
+using namespace tamarindshift;
+
+int main(int argumentCount, char** arguments) {
+  ProxySettings settings;
+  Address own;
+  Address http;
+  Program program("proxy", "carries the sessions of an access machine to the databases");
+  program.add(addressSetting("address", "own loopback address towards the agent", own));
+  program.add(addressSetting("http", "address that user agents are served on", http));
+  program.add(addressSetting("agent", "address of the agent on this machine", settings.agent));
+  program.add(numberSetting("backlog", "most requests that wait in one branch", settings.backlog, 1, 100000));
+  program.add(numberSetting("sessions", "most open sessions", settings.sessions, 1, 1000000));
+  program.add(durationSetting("idle-in-transaction", "longest idle time of an open transaction", settings.idleInTransaction, 100ms, 600s));
+  program.add(durationSetting("idle-session", "longest idle time of a session", settings.idleSession, 1s, 86400s));
+  program.add(timingSettings(settings.timings));
+  if (auto code = program.read(argumentCount, arguments)) return *code;
+  if (auto fault = settings.timings.fault()) return complain("proxy", *fault);
+  settings.node = settings.agent;
+
+  Daemon daemon("proxy");
+  TcpLink link(daemon.context, daemon.clock, daemon.journal, own);
+  ProxyNode node(daemon.clock, link, daemon.web, daemon.journal, settings, freshEntropy());
+  SessionDoor door(node);
+  if (auto fault = link.listen()) return complain("proxy", *fault);
+  if (auto fault = daemon.serve(http, door)) return complain("proxy", *fault);
+  return daemon.run([&] { node.drain(); }, [&] { daemon.journal.line("settings of a proxy change at its next start"); },
+                    [&]() -> std::optional<int> { return node.stopped() ? std::optional{0} : std::nullopt; });
+}
--- /dev/null
+++ b/src/programs/replica.cpp
@@ -0,0 +1,41 @@
+#include "base/timing_settings.hpp"
+#include "control/operator_door.hpp"
+#include "real/daemon.hpp"
+#include "real/file_store.hpp"
+#include "real/tcp_link.hpp"
+
+using namespace tamarindshift;
+
+int main(int argumentCount, char** arguments) {
+  ReplicaSettings settings;
+  Address http;
+  std::string folder;
+  Program program("replica", "orders the control actions of tamarindshift on a core machine");
+  program.add(addressSetting("address", "own address towards other processes", settings.address));
+  program.add(addressSetting("http", "address of the operator API", http));
+  program.add(districtSetting(settings.district));
+  program.add(seedsSetting(settings.seeds));
+  program.add(textSetting("data", "data folder", folder, true));
+  program.add(addressSetting("platform", "address of the platform that carries out promotions", settings.platform));
+  program.add(numberSetting("store-length", "bytes after which the store is rewritten", settings.bounds.storeLength, 65536, 1u << 30));
+  program.add(timingSettings(settings.timings));
+  if (auto code = program.read(argumentCount, arguments)) return *code;
+  if (auto fault = settings.timings.fault()) return complain("replica", *fault);
+
+  Daemon daemon("replica");
+  TcpLink link(daemon.context, daemon.clock, daemon.journal, settings.address);
+  FileStore store(daemon.clock, folder);
+  ReplicaNode node(daemon.clock, link, store, daemon.web, daemon.journal, settings, freshEntropy());
+  if (auto fault = node.start()) return complain("replica", *fault);
+  OperatorDoor door(node, daemon.clock);
+  if (auto fault = link.listen()) return complain("replica", *fault);
+  if (auto fault = daemon.serve(http, door)) return complain("replica", *fault);
+  bool stopping = false;
+  return daemon.run([&] { stopping = true; },
+                    [&] { daemon.journal.line("settings of a replica change at its next start"); },
+                    [&]() -> std::optional<int> {
+                      if (stopping) return 0;
+                      if (!node.dismissed()) return std::nullopt;
+                      return complain("replica", "this member was removed from the group; empty the data folder to join anew");
+                    });
+}
--- /dev/null
+++ b/src/real/asio.hpp
@@ -0,0 +1,5 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio.hpp>
--- /dev/null
+++ b/src/real/daemon.cpp
@@ -0,0 +1,54 @@
+#include "real/daemon.hpp"
+
+#include <csignal>
+#include <iostream>
+
+namespace tamarindshift {
+
+std::optional<std::string> Daemon::serve(const Address& address, DoorKeeper& keeper) {
+  doors_.push_back(std::make_unique<RestinioDoor>(context, address, keeper));
+  auto fault = doors_.back()->open();
+  if (fault) return "cannot serve on " + address.get() + ": " + *fault;
+  return std::nullopt;
+}
+
+void Daemon::awaitSignal(std::function<void()> terminate, std::function<void()> reread) {
+  signals_.async_wait([this, terminate, reread](const boost::system::error_code& error, int signal) {
+    if (error) return;
+    signal == SIGHUP ? reread() : terminate();
+    awaitSignal(terminate, reread);
+  });
+}
+
+Task<void> Daemon::watch(std::function<std::optional<int>()> ended) {
+  for (auto nextLog = clock.now() + 60s;;) {
+    if (auto code = ended()) {
+      code_ = *code;
+      context.stop();
+      co_return;
+    }
+    if (clock.now() >= nextLog) {
+      journal.logCounters();
+      nextLog += 60s;
+    }
+    co_await sleep(clock, 20ms);
+  }
+}
+
+int Daemon::run(std::function<void()> terminate, std::function<void()> reread, std::function<std::optional<int>()> ended) {
+  awaitSignal(std::move(terminate), std::move(reread));
+  scope_.spawn(watch(std::move(ended)));
+  journal.line("started");
+  try {
+    context.run();
+  } catch (const std::exception& error) {
+    std::cerr << name_ << ": " << error.what() << "\n";
+    std::_Exit(1);
+  }
+  journal.logCounters();
+  journal.line("ended");
+  std::cout.flush();
+  std::_Exit(code_);
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/real/file_store.cpp
@@ -0,0 +1,175 @@
+#include "real/file_store.hpp"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+
+#include <boost/crc.hpp>
+
+namespace tamarindshift {
+
+namespace {
+
+constexpr char magic[8] = {'T', 'A', 'M', 'S', 'H', 'I', 'F', 'T'};
+constexpr std::size_t headerSize = sizeof(magic) + 4;
+constexpr std::size_t recordHead = 8;
+constexpr std::size_t mostRecord = 64u << 20;
+
+std::uint32_t checksum(const char* bytes, std::size_t size) {
+  boost::crc_32_type crc;
+  crc.process_bytes(bytes, size);
+  return crc.checksum();
+}
+
+std::string header() {
+  std::string bytes(magic, sizeof(magic));
+  auto version = FileStore::version;
+  bytes.append(reinterpret_cast<const char*>(&version), 4);
+  return bytes;
+}
+
+std::string framed(const std::string& record) {
+  auto size = static_cast<std::uint32_t>(record.size());
+  auto crc = checksum(record.data(), record.size());
+  std::string bytes(reinterpret_cast<const char*>(&size), 4);
+  bytes.append(reinterpret_cast<const char*>(&crc), 4);
+  return bytes + record;
+}
+
+std::optional<std::string> recordAt(const std::string& bytes, std::size_t offset) {
+  if (bytes.size() - offset < recordHead) return std::nullopt;
+  std::uint32_t size = 0;
+  std::uint32_t crc = 0;
+  std::memcpy(&size, bytes.data() + offset, 4);
+  std::memcpy(&crc, bytes.data() + offset + 4, 4);
+  if (size == 0 || size > mostRecord || size > bytes.size() - offset - recordHead) return std::nullopt;
+  if (checksum(bytes.data() + offset + recordHead, size) != crc) return std::nullopt;
+  return bytes.substr(offset + recordHead, size);
+}
+
+std::string systemReason(const std::string& what) { return what + ": " + std::strerror(errno); }
+
+}  // namespace
+
+FileStore::~FileStore() {
+  if (file_ >= 0) ::close(file_);
+  if (lock_ >= 0) ::close(lock_);
+}
+
+std::optional<std::vector<std::string>> FileStore::fail(std::string reason) {
+  reason_ = std::move(reason);
+  return std::nullopt;
+}
+
+std::optional<std::vector<std::string>> FileStore::load() {
+  std::error_code error;
+  std::filesystem::create_directories(folder_, error);
+  if (error) return fail("cannot make the data folder " + folder_ + ": " + error.message());
+  lock_ = ::open((folder_ + "/lock").c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0644);
+  if (lock_ < 0) return fail(systemReason("cannot write in the data folder " + folder_));
+  if (::flock(lock_, LOCK_EX | LOCK_NB) != 0) return fail("another process uses the data folder " + folder_);
+  std::filesystem::remove(path() + ".new", error);
+  std::ifstream stream(path(), std::ios::binary);
+  std::string bytes{std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
+  stream.close();
+  auto records = parse(bytes);
+  if (!records) return std::nullopt;
+  file_ = ::open(path().c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0644);
+  if (file_ < 0) return fail(systemReason("cannot open " + path()));
+  if (length_ == 0) {
+    if (::ftruncate(file_, 0) != 0) return fail(systemReason("cannot empty " + path()));
+    writeAll(file_, header());
+    length_ = headerSize;
+  }
+  if (::ftruncate(file_, static_cast<off_t>(length_)) != 0) return fail(systemReason("cannot cut " + path()));
+  ::lseek(file_, 0, SEEK_END);
+  if (::fsync(file_) != 0) return fail(systemReason("cannot sync " + path()));
+  syncFolder();
+  return records;
+}
+
+std::optional<std::vector<std::string>> FileStore::parse(const std::string& bytes) {
+  std::vector<std::string> records;
+  length_ = 0;
+  if (bytes.size() < headerSize) {
+    auto whole = header();
+    if (bytes != whole.substr(0, bytes.size())) return fail(path() + " is not a tamarindshift store");
+    return records;
+  }
+  if (std::memcmp(bytes.data(), magic, sizeof(magic)) != 0) return fail(path() + " is not a tamarindshift store");
+  std::uint32_t held = 0;
+  std::memcpy(&held, bytes.data() + sizeof(magic), 4);
+  if (held != version)
+    return fail(path() + " has format " + std::to_string(held) + ", this program reads " + std::to_string(version));
+  std::size_t offset = headerSize;
+  while (offset < bytes.size()) {
+    auto record = recordAt(bytes, offset);
+    if (!record) break;
+    offset += recordHead + record->size();
+    records.push_back(std::move(*record));
+  }
+  for (auto later = offset + 1; later + recordHead < bytes.size(); ++later)
+    if (static_cast<unsigned char>(bytes[later + recordHead]) == 0x92 && recordAt(bytes, later))
+      return fail(path() + " is corrupted at byte " + std::to_string(offset) + " with good records behind it");
+  length_ = offset;
+  return records;
+}
+
+void FileStore::writeAll(int file, const std::string& bytes) {
+  std::size_t done = 0;
+  while (done < bytes.size()) {
+    auto amount = ::write(file, bytes.data() + done, bytes.size() - done);
+    if (amount < 0 && errno == EINTR) continue;
+    if (amount <= 0) throw std::runtime_error(systemReason("cannot write " + path()));
+    done += static_cast<std::size_t>(amount);
+  }
+}
+
+void FileStore::append(const std::string& record) {
+  unwritten_ += framed(record);
+  length_ += record.size() + recordHead;
+}
+
+void FileStore::sync(std::function<void()> synced) {
+  waiting_.push_back(std::move(synced));
+  if (waiting_.size() == 1) clock_.after(Duration::zero(), [this] { flush(); });
+}
+
+void FileStore::flush() {
+  writeAll(file_, unwritten_);
+  unwritten_.clear();
+  if (::fdatasync(file_) != 0) throw std::runtime_error(systemReason("cannot sync " + path()));
+  auto waiting = std::move(waiting_);
+  waiting_.clear();
+  for (auto& synced : waiting) synced();
+}
+
+void FileStore::rewrite(const std::vector<std::string>& records) {
+  auto bytes = header();
+  for (const auto& record : records) bytes += framed(record);
+  auto fresh = path() + ".new";
+  int file = ::open(fresh.c_str(), O_CREAT | O_TRUNC | O_RDWR | O_CLOEXEC, 0644);
+  if (file < 0) throw std::runtime_error(systemReason("cannot open " + fresh));
+  writeAll(file, bytes);
+  if (::fsync(file) != 0 || ::rename(fresh.c_str(), path().c_str()) != 0) throw std::runtime_error(systemReason("cannot rewrite " + path()));
+  syncFolder();
+  ::close(file_);
+  file_ = file;
+  length_ = bytes.size();
+  unwritten_.clear();
+}
+
+void FileStore::syncFolder() {
+  int folder = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (folder < 0 || ::fsync(folder) != 0) throw std::runtime_error(systemReason("cannot sync the folder " + folder_));
+  ::close(folder);
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/real/http_web_link.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "edge/web_link.hpp"
+#include "real/asio.hpp"
+
+namespace tamarindshift {
+
+class HttpWebLink : public WebLink {
+ public:
+  HttpWebLink(boost::asio::io_context& context) : context_(context) {}
+  Task<std::unique_ptr<WebConnection>> open(Address address, Instant deadline) override;
+
+ private:
+  boost::asio::io_context& context_;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/real/program.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/setting.hpp"
+#include "real/log_journal.hpp"
+#include "real/real_clock.hpp"
+
+namespace tamarindshift {
+
+class Program {
+ public:
+  Program(std::string name, std::string purpose) : name_(std::move(name)), purpose_(std::move(purpose)) {}
+  void add(Setting setting) { settings_.push_back(std::move(setting)); }
+  void add(std::vector<Setting> settings);
+  std::optional<int> read(int argumentCount, char** arguments);
+  bool reread();
+  const std::string& lastReason() const { return reason_; }
+
+ private:
+  bool take(const std::map<std::string, std::string>& values);
+  std::optional<std::map<std::string, std::string>> fileValues();
+  std::string name_;
+  std::string purpose_;
+  std::vector<Setting> settings_;
+  std::map<std::string, std::string> flagValues_;
+  std::string file_;
+  std::string reason_;
+};
+
+std::uint64_t freshEntropy();
+int complain(const std::string& program, const std::string& reason);
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/real/tcp_link.cpp
@@ -0,0 +1,143 @@
+#include "real/tcp_link.hpp"
+
+#include <cstring>
+
+#include "real/completion.hpp"
+
+namespace tamarindshift {
+
+using boost::asio::ip::tcp;
+using Error = boost::system::error_code;
+
+namespace {
+
+std::string framed(const Envelope& envelope) {
+  auto size = static_cast<std::uint32_t>(envelope.body.size() + 1);
+  std::string frame(4, '\0');
+  std::memcpy(frame.data(), &size, 4);
+  frame.push_back(static_cast<char>(envelope.matter));
+  frame += envelope.body;
+  return frame;
+}
+
+std::optional<tcp::endpoint> endpointOf(const Address& address) {
+  auto split = splitAddress(address);
+  if (!split) return std::nullopt;
+  Error error;
+  auto host = boost::asio::ip::make_address(split->host, error);
+  if (error) return std::nullopt;
+  return tcp::endpoint{host, split->port};
+}
+
+}  // namespace
+
+TcpLink::TcpLink(boost::asio::io_context& context, Clock& clock, Journal& journal, Address own)
+    : context_(context), clock_(clock), journal_(journal), own_(std::move(own)), acceptor_(context) {}
+
+std::optional<std::string> TcpLink::listen() {
+  auto endpoint = endpointOf(own_);
+  if (!endpoint) return "not an address of the form ip:port: " + own_.get();
+  Error error;
+  acceptor_.open(endpoint->protocol(), error);
+  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(*endpoint, error);
+  if (!error) acceptor_.listen(tcp::acceptor::max_listen_connections, error);
+  if (error) return "cannot listen on " + own_.get() + ": " + error.message();
+  scope_.spawn(accept());
+  return std::nullopt;
+}
+
+Task<void> TcpLink::accept() {
+  for (;;) {
+    auto socket = std::make_shared<tcp::socket>(context_);
+    auto [error] = co_await Completion<Error>([&](auto done) { acceptor_.async_accept(*socket, done); });
+    if (error) {
+      co_await sleep(clock_, 50ms);
+      continue;
+    }
+    scope_.spawn(receive(socket));
+  }
+}
+
+Task<void> TcpLink::receive(std::shared_ptr<tcp::socket> socket) {
+  Error ignored;
+  socket->set_option(tcp::no_delay(true), ignored);
+  std::optional<Address> from;
+  for (;;) {
+    auto head = std::make_shared<std::uint32_t>(0);
+    auto [headError, headSize] = co_await Completion<Error, std::size_t>([&](auto done) {
+      boost::asio::async_read(*socket, boost::asio::buffer(head.get(), 4), [head, done](Error error, std::size_t size) { done(error, size); });
+    });
+    if (headError || headSize != 4 || *head == 0 || *head > mostFrameBytes) co_return;
+    auto body = std::make_shared<std::string>(*head, '\0');
+    auto [error, size] = co_await Completion<Error, std::size_t>([&](auto done) {
+      boost::asio::async_read(*socket, boost::asio::buffer(*body), [body, done](Error failure, std::size_t amount) { done(failure, amount); });
+    });
+    if (error || size != body->size()) co_return;
+    Envelope envelope{static_cast<Matter>(body->front()), body->substr(1)};
+    if (!from)
+      from = Address{envelope.body};
+    else
+      arrived(*from, envelope);
+  }
+}
+
+void TcpLink::pass(const Address& partner, Envelope envelope) {
+  auto& outgoing = outgoing_[partner];
+  if (!outgoing) {
+    outgoing = std::make_unique<Outgoing>();
+    scope_.spawn(send(partner));
+  }
+  auto frame = framed(envelope);
+  if (outgoing->bytes + frame.size() > mostBacklogBytes) {
+    journal_.count("link.dropped");
+    return;
+  }
+  outgoing->bytes += frame.size();
+  outgoing->backlog.push_back(std::move(frame));
+  outgoing->filled.open();
+}
+
+Task<void> TcpLink::send(Address partner) {
+  auto& outgoing = *outgoing_.at(partner);
+  auto endpoint = endpointOf(partner);
+  while (endpoint) {
+    while (outgoing.backlog.empty()) co_await outgoing.filled.wait(clock_);
+    auto socket = std::make_shared<tcp::socket>(context_);
+    auto limit = clock_.after(500ms, [weak = std::weak_ptr<tcp::socket>(socket)] {
+      Error ignored;
+      if (auto open = weak.lock()) open->close(ignored);
+    });
+    auto [connectError] = co_await Completion<Error>([&](auto done) {
+      socket->async_connect(*endpoint, [socket, done](Error error) { done(error); });
+    });
+    clock_.cancel(limit);
+    if (connectError) {
+      outgoing.backlog.clear();
+      outgoing.bytes = 0;
+      co_await sleep(clock_, 50ms);
+      continue;
+    }
+    Error ignored;
+    socket->set_option(tcp::no_delay(true), ignored);
+    outgoing.backlog.push_front(framed(Envelope{Matter{}, own_.get()}));
+    outgoing.bytes += outgoing.backlog.front().size();
+    for (;;) {
+      while (outgoing.backlog.empty()) co_await outgoing.filled.wait(clock_);
+      auto batch = std::make_shared<std::string>();
+      while (!outgoing.backlog.empty() && batch->size() < 65536) {
+        *batch += outgoing.backlog.front();
+        outgoing.backlog.pop_front();
+      }
+      outgoing.bytes -= batch->size();
+      auto [error, size] = co_await Completion<Error, std::size_t>([&](auto done) {
+        boost::asio::async_write(*socket, boost::asio::buffer(*batch), [socket, batch, done](Error failure, std::size_t amount) { done(failure, amount); });
+      });
+      if (error || size != batch->size()) break;
+    }
+    journal_.count("link.resets");
+    socket->close(ignored);
+  }
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/real/tcp_link.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <deque>
+
+#include "base/clock.hpp"
+#include "base/gate.hpp"
+#include "base/journal.hpp"
+#include "base/partner_link.hpp"
+#include "base/task_scope.hpp"
+#include "real/asio.hpp"
+
+namespace tamarindshift {
+
+class TcpLink : public PartnerLink {
+ public:
+  TcpLink(boost::asio::io_context& context, Clock& clock, Journal& journal, Address own);
+  std::optional<std::string> listen();
+  const Address& own() const override { return own_; }
+  void pass(const Address& partner, Envelope envelope) override;
+
+ private:
+  struct Outgoing {
+    std::deque<std::string> backlog;
+    std::size_t bytes = 0;
+    Gate filled;
+  };
+  static constexpr std::size_t mostBacklogBytes = 8u << 20;
+  static constexpr std::size_t mostFrameBytes = 32u << 20;
+
+  Task<void> accept();
+  Task<void> receive(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
+  Task<void> send(Address partner);
+
+  boost::asio::io_context& context_;
+  Clock& clock_;
+  Journal& journal_;
+  Address own_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::map<Address, std::unique_ptr<Outgoing>> outgoing_;
+  TaskScope scope_;
+};
+
+}  // namespace tamarindshift
--- a/src/simulated/simulated_store.cpp
+++ b/src/simulated/simulated_store.cpp
@@ -24,6 +24,7 @@
 void SimulatedStore::rewrite(const std::vector<std::string>& records) {
   ++generation_;
   length_ = 0;
+  for (const auto& record : records) length_ += record.size();
   disk_.synced = records;
   disk_.unsynced.clear();
 }
--- /dev/null
+++ b/src/simulated/standin_database.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <deque>
+
+#include "base/gate.hpp"
+#include "base/journal.hpp"
+#include "base/task_scope.hpp"
+#include "base/timings.hpp"
+#include "control/access_messages.hpp"
+#include "edge/door.hpp"
+#include "edge/web_link.hpp"
+#include "pool/database_messages.hpp"
+
+namespace tamarindshift {
+
+struct StandinDatabaseSettings {
+  ServiceName service;
+  DatabaseName name;
+  Address address;
+  Address platform;
+  std::vector<Address> beatsTo;
+  std::uint32_t cap = 120;
+  bool primary = false;
+  Duration work = 1ms;
+  Duration beat = 200ms;
+  Duration semiSync = 500ms;
+};
+
+struct StandinHistoryEntry {
+  Instant at{};
+  ConnectionId connection;
+  DatabaseRequest request;
+  bool done = false;
+  std::string role;
+  Epoch epoch;
+};
+
+class StandinDatabase : public DoorKeeper {
+ public:
+  StandinDatabase(Clock& clock, WebLink& web, Journal& journal, StandinDatabaseSettings settings, std::uint64_t entropy);
+
+  Task<DoorReply> serve(DoorRequest request) override;
+  void gone(ConnectionId connection) override;
+  bool accept(ConnectionId connection);
+
+  DatabaseStanding standing() const;
+  void slow(Duration work) { settings_.work = work; }
+  void leave() { leaving_ = true; }
+  bool leaving() const { return leaving_; }
+  Task<bool> detach();
+  const std::vector<StandinHistoryEntry>& history() const { return history_; }
+  const std::map<std::string, std::string>& data() const { return data_; }
+  std::uint32_t mostConnections() const { return mostConnections_; }
+  std::size_t connections() const { return connections_.size(); }
+  const StandinDatabaseSettings& settings() const { return settings_; }
+
+ private:
+  struct Change {
+    std::uint64_t position = 0;
+    std::map<std::string, std::string> writes;
+  };
+  struct Connection {
+    bool inTransaction = false;
+    std::map<std::string, std::string> pending;
+    std::map<std::string, std::string> prepared;
+    std::map<std::string, std::string> values;
+  };
+
+  Task<DoorReply> run(ConnectionId connection, std::string body);
+  Task<DatabaseReply> runRequest(ConnectionId key, DatabaseRequest request);
+  std::optional<std::string> apply(Connection& connection, const std::string& text, bool reads, std::string& result);
+  std::string value(const Connection& connection, const std::string& key) const;
+  Task<bool> keep(std::map<std::string, std::string> writes);
+  Task<DoorReply> pull(std::string body);
+  std::string pullAsk() const;
+  Task<void> replicate();
+  Task<void> beats();
+  DatabaseBeat beat();
+  DoorReply promote(const std::string& body);
+  DoorReply demote(const std::string& body);
+
+  Clock& clock_;
+  WebLink& web_;
+  Journal& journal_;
+  StandinDatabaseSettings settings_;
+  std::uint64_t boot_;
+  std::string role_;
+  Epoch epoch_;
+  std::uint64_t position_ = 0;
+  std::uint64_t replicated_ = 0;
+  std::map<std::string, std::string> data_;
+  std::deque<Change> changes_;
+  std::map<ConnectionId, Connection> connections_;
+  std::uint32_t mostConnections_ = 0;
+  std::uint64_t beatNumber_ = 0;
+  bool leaving_ = false;
+  std::optional<Instant> contactAt_;
+  std::string lastSource_;
+  std::vector<StandinHistoryEntry> history_;
+  Gate changed_;
+  Gate acked_;
+  TaskScope scope_;
+};
+
+}  // namespace tamarindshift
