--- /dev/null
+++ b/src/simulated/scenario.cpp
@@ -0,0 +1,319 @@
+#include "simulated/scenario.hpp"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+namespace tamarindshift {
+
+namespace {
+
+std::optional<Duration> duration(const std::string& text) {
+  std::size_t used = 0;
+  double amount = 0;
+  try {
+    amount = std::stod(text, &used);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+  auto unit = text.substr(used);
+  if (unit == "s") return Duration{static_cast<std::int64_t>(amount * 1e6)};
+  if (unit == "ms") return Duration{static_cast<std::int64_t>(amount * 1e3)};
+  if (unit == "us") return Duration{static_cast<std::int64_t>(amount)};
+  return std::nullopt;
+}
+
+std::map<std::string, std::string> pairs(const std::vector<std::string>& words, std::size_t from) {
+  std::map<std::string, std::string> read;
+  for (auto index = from; index < words.size(); ++index) {
+    auto equals = words[index].find('=');
+    read[words[index].substr(0, equals)] = equals == std::string::npos ? "" : words[index].substr(equals + 1);
+  }
+  return read;
+}
+
+std::size_t number(const std::string& text) { return text.empty() ? 0 : std::stoull(text); }
+
+}  // namespace
+
+bool Scenario::fail(const std::string& reason) {
+  reason_ = reason;
+  return false;
+}
+
+bool Scenario::load(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) return fail("cannot read " + path);
+  std::size_t line = 0;
+  for (std::string text; std::getline(file, text);) {
+    ++line;
+    std::istringstream stream(text.substr(0, text.find('#')));
+    Words words;
+    for (std::string word; stream >> word;) words.push_back(word);
+    if (!words.empty() && !readLine(words, line)) return fail(path + ":" + std::to_string(line) + ": " + (reason_.empty() ? "not understood" : reason_));
+  }
+  std::stable_sort(events_.begin(), events_.end(), [](const Event& left, const Event& right) { return left.at < right.at; });
+  return true;
+}
+
+bool Scenario::readLine(const Words& words, std::size_t line) {
+  if (words[0] == "fleet") {
+    for (const auto& [key, value] : pairs(words, 1)) {
+      if (key == "replicas") shape_.replicas = number(value);
+      else if (key == "machines") shape_.machines = number(value);
+      else if (key == "districts") shape_.districts = number(value);
+      else if (key == "services") shape_.services = number(value);
+      else if (key == "databases") shape_.databases = number(value);
+      else if (key == "cap") shape_.cap = static_cast<std::uint32_t>(number(value));
+      else if (key == "connections") shape_.connections = static_cast<std::uint32_t>(number(value));
+      else if (key == "work") shape_.work = duration(value).value_or(shape_.work);
+      else if (key == "disk") shape_.diskSync = duration(value).value_or(shape_.diskSync);
+      else return fail("unknown key " + key);
+    }
+    return true;
+  }
+  if (words[0] == "callers") {
+    CallerKind kind;
+    for (const auto& [key, value] : pairs(words, 1)) {
+      if (key == "kind") {
+        kind.kind = KindName{value};
+        kind.service = ServiceName{"s" + value.substr(value.find_first_of("0123456789"))};
+        kind.primary = value.starts_with("counter");
+        if (!kind.primary) kind.writes = kind.transactions = 0;
+      } else if (key == "count") kind.callers = number(value);
+      else if (key == "pause") kind.pause = duration(value).value_or(kind.pause);
+      else if (key == "writes") kind.writes = static_cast<unsigned>(number(value));
+      else if (key == "transactions") kind.transactions = static_cast<unsigned>(number(value));
+      else if (key == "walks") kind.walksAway = static_cast<unsigned>(number(value));
+      else if (key == "stateful") kind.stateful = value == "yes";
+      else return fail("unknown key " + key);
+    }
+    shape_.callers.push_back(kind);
+    return true;
+  }
+  if (words[0] == "until" && words.size() == 2) {
+    auto end = duration(words[1]);
+    if (end) until_ = *end;
+    return end.has_value();
+  }
+  if (words[0] == "at" && words.size() > 2) {
+    auto at = duration(words[1]);
+    if (at) events_.push_back(Event{*at, Words(words.begin() + 2, words.end()), line});
+    return at.has_value();
+  }
+  if (words[0] == "expect" && words.size() > 2) {
+    expectations_.push_back(Words(words.begin() + 1, words.end()));
+    return true;
+  }
+  return false;
+}
+
+bool Scenario::run(std::uint64_t seed) {
+  faults_.clear();
+  SimulatedFleet fleet(shape_, seed);
+  for (const auto& event : events_) {
+    fleet.runUntil(fleet.start() + event.at);
+    if (!act(fleet, event.words)) return fail("line " + std::to_string(event.line) + ": event not understood");
+  }
+  fleet.runUntil(fleet.start() + until_);
+  fleet.callers().stop();
+  fleet.run(16s);
+  faults_ = NeverList(fleet).check();
+  for (const auto& words : expectations_) expect(fleet, words);
+  summarize(fleet);
+  lines_ = fleet.lines();
+  return faults_.empty();
+}
+
+bool Scenario::act(SimulatedFleet& fleet, const Words& words) {
+  const auto& verb = words[0];
+  auto machineOrHost = [&](const std::string& name) {
+    auto split = name.find('-');
+    auto kind = name.substr(0, split);
+    auto rest = split == std::string::npos ? "" : name.substr(split + 1);
+    if (kind == "replica") return "10.0.0." + rest;
+    if (kind == "machine") return "10.1.0." + rest;
+    if (kind == "database") return "10.2." + rest;
+    if (kind == "platform") return std::string("10.3.0.1");
+    return std::string("10.4.0.1");
+  };
+  if (verb == "plan") return actOnPlan(fleet, words);
+  if (verb == "heal" && words.size() == 1) {
+    fleet.network().healAll();
+    return true;
+  }
+  if ((verb == "cut" || verb == "heal" || verb == "cut-way" || verb == "heal-way") && words.size() == 3) {
+    auto left = machineOrHost(words[1]);
+    auto right = machineOrHost(words[2]);
+    bool cuts = verb.starts_with("cut");
+    auto change = [&](const std::string& from, const std::string& to) { cuts ? fleet.network().cut(from, to) : fleet.network().heal(from, to); };
+    change(left, right);
+    if (!verb.ends_with("-way")) change(right, left);
+    return true;
+  }
+  if (verb == "lose" && words.size() == 2) {
+    fleet.network().lose(static_cast<unsigned>(number(words[1])));
+    return true;
+  }
+  if (verb == "delay" && words.size() == 2) {
+    fleet.network().delay(duration(words[1]).value_or(500us));
+    return true;
+  }
+  if (verb == "platform" && words.size() == 3) {
+    auto amount = static_cast<unsigned>(number(words[2]));
+    words[1] == "refuse" ? fleet.platform().refuseNext(amount) : fleet.platform().loseNext(amount);
+    return true;
+  }
+  if (verb == "pace" && words.size() == 2) {
+    fleet.callers().pace(static_cast<unsigned>(number(words[1])));
+    return true;
+  }
+  if (verb == "add" && words.size() == 2 && words[1] == "machine") {
+    fleet.addMachine();
+    return true;
+  }
+  if (words.size() < 3) return false;
+  if (words[1] == "replica") return actOnReplica(fleet, verb, number(words[2]) - 1);
+  if (words[1] == "machine") return actOnMachine(fleet, verb, number(words[2]) - 1);
+  if (words[1] == "database") return actOnDatabase(fleet, words);
+  return false;
+}
+
+bool Scenario::actOnReplica(SimulatedFleet& fleet, const std::string& verb, std::size_t index) {
+  auto& own = *fleet.replicas().at(index);
+  if (verb == "kill") fleet.killReplica(index);
+  else if (verb == "start") fleet.startReplica(index);
+  else if (verb == "empty") own.disk.empty();
+  else if (verb == "freeze") own.clock->freeze();
+  else if (verb == "thaw") own.clock->thaw();
+  else if (verb == "slow-disk") own.store->slow(400ms);
+  else if (verb == "fast-disk") own.store->slow(fleet.shape().diskSync);
+  else return false;
+  return true;
+}
+
+bool Scenario::actOnMachine(SimulatedFleet& fleet, const std::string& verb, std::size_t index) {
+  auto& own = *fleet.machines().at(index);
+  if (verb == "kill") fleet.killMachine(index);
+  else if (verb == "start") fleet.startMachine(index);
+  else if (verb == "stop") fleet.stopMachine(index);
+  else if (verb == "freeze") own.clock->freeze();
+  else if (verb == "thaw") own.clock->thaw();
+  else if (verb == "slow") own.clock->slowBy(20ms);
+  else if (verb == "fast") own.clock->slowBy(0ms);
+  else return false;
+  return true;
+}
+
+bool Scenario::actOnDatabase(SimulatedFleet& fleet, const Words& words) {
+  auto dot = words[2].find('.');
+  auto& own = fleet.database(number(words[2].substr(0, dot)), number(words[2].substr(dot + 1)));
+  const auto& verb = words[0];
+  auto options = pairs(words, 3);
+  if (verb == "kill") fleet.crashDatabase(own);
+  else if (verb == "start") fleet.startDatabase(own);
+  else if (verb == "leave") fleet.leaveDatabase(own);
+  else if (verb == "return") fleet.returnDatabase(own);
+  else if (verb == "freeze") own.clock->freeze();
+  else if (verb == "thaw") own.clock->thaw();
+  else if (verb == "slow") own.node->slow(duration(options["work"]).value_or(500ms));
+  else if (verb == "faults") {
+    WebFaults faults;
+    faults.loseRequest = static_cast<unsigned>(number(options["request"]));
+    faults.loseReply = static_cast<unsigned>(number(options["reply"]));
+    faults.resetBefore = static_cast<unsigned>(number(options["before"]));
+    fleet.web().faults(own.settings.address, faults);
+  } else return false;
+  return true;
+}
+
+bool Scenario::actOnPlan(SimulatedFleet& fleet, const Words& words) {
+  auto options = pairs(words, 1);
+  auto mark = number(options["mark"]);
+  auto replica = options.contains("to") ? number(options["to"]) - 1 : 0;
+  std::set<std::string> without;
+  if (options.contains("without")) without.insert(options["without"]);
+  auto first = options.contains("first") ? static_cast<std::uint32_t>(number(options["first"])) : 60u;
+  auto text = fleet.planText(mark, without, first);
+  bool sound = !options.contains("broken");
+  if (!sound) {
+    const auto& how = options["broken"];
+    if (how == "cut") text = text.substr(0, text.size() / 2);
+    else if (how == "key") text.insert(1, "\"surprise\":1,");
+    else if (how == "sum") text = fleet.planText(mark, {}, 150);
+    else return false;
+  }
+  fleet.sendPlan(replica, mark, text, sound);
+  return true;
+}
+
+void Scenario::expect(SimulatedFleet& fleet, const Words& words) {
+  auto complain = [&](const std::string& seen) {
+    std::string text = "expected";
+    for (const auto& word : words) text += " " + word;
+    faults_.push_back(text + "; seen " + seen);
+  };
+  const auto& operations = fleet.callers().operations();
+  auto counted = [&](const std::string& outcome, const std::string& kind) {
+    return std::count_if(operations.begin(), operations.end(), [&](const auto& each) {
+      return (kind == "all" || each.kind.get() == kind) && (outcome == "any" || each.outcome == outcome);
+    });
+  };
+  auto compare = [&](std::uint64_t seen, const std::string& sign, const std::string& bound) {
+    auto limit = number(bound);
+    bool held = sign == ">=" ? seen >= limit : sign == "<=" ? seen <= limit : seen == limit;
+    if (!held) complain(std::to_string(seen));
+  };
+  if (words[0] == "serving" && words.size() == 6) {
+    auto within = duration(words[3]);
+    auto after = duration(words[5]);
+    if (!within || !after) return complain("a line that is not understood");
+    auto from = fleet.start() + *after;
+    Instant first = Instant::max();
+    for (const auto& each : operations)
+      if (each.kind.get() == words[1] && each.outcome == "done" && each.startedAt >= from) first = std::min(first, each.endedAt);
+    if (first == Instant::max() || first - from > *within) complain(first == Instant::max() ? "nothing served" : std::to_string(milliseconds(first - from).count()) + "ms");
+  } else if (words[0] == "share" && words.size() == 5) {
+    auto all = counted("any", words[2]);
+    auto percent = all == 0 ? 0 : counted(words[1], words[2]) * 100 / all;
+    compare(static_cast<std::uint64_t>(percent), words[3], words[4]);
+  } else if (words[0] == "plan" && words.size() == 4) {
+    auto mark = number(words[1]);
+    int status = 0;
+    for (const auto& plan : fleet.plans())
+      if (plan.mark == mark) status = plan.status;
+    compare(static_cast<std::uint64_t>(status), words[2], words[3]);
+  } else if (words[0] == "counter" && words.size() == 4) {
+    auto counters = fleet.counters();
+    compare(counters[words[1]], words[2], words[3]);
+  } else if (words[0] == "promotions" && words.size() == 3) {
+    compare(fleet.platform().calls().size(), words[1], words[2]);
+  } else if (words.size() == 4) {
+    compare(static_cast<std::uint64_t>(counted(words[0], words[1])), words[2], words[3]);
+  } else {
+    complain("a line that is not understood");
+  }
+}
+
+void Scenario::summarize(SimulatedFleet& fleet) {
+  std::map<std::string, std::map<std::string, std::size_t>> outcomes;
+  std::map<std::string, std::vector<std::int64_t>> taken;
+  for (const auto& each : fleet.callers().operations()) {
+    ++outcomes[each.kind.get()][each.outcome];
+    if (each.outcome == "done") taken[each.kind.get()].push_back((each.endedAt - each.startedAt).count());
+  }
+  std::ostringstream text;
+  for (const auto& [kind, own] : outcomes) {
+    text << kind;
+    for (const auto& [outcome, amount] : own) text << " " << outcome << "=" << amount;
+    auto& times = taken[kind];
+    std::sort(times.begin(), times.end());
+    if (!times.empty())
+      text << " p50=" << static_cast<double>(times[times.size() / 2]) / 1000 << "ms p99=" << static_cast<double>(times[times.size() * 99 / 100]) / 1000 << "ms";
+    text << "\n";
+  }
+  for (const auto& [name, value] : fleet.counters()) text << name << "=" << value << "\n";
+  summary_ = text.str();
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/simulated/simulated_fleet.cpp
@@ -0,0 +1,292 @@
+#include "simulated/simulated_fleet.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace tamarindshift {
+
+namespace {
+
+const Address platformAddress{"10.3.0.1:1"};
+
+Address at(const std::string& host, int port) { return Address{host + ":" + std::to_string(port)}; }
+
+}  // namespace
+
+SimulatedFleet::SimulatedFleet(FleetShape shape, std::uint64_t seed)
+    : shape_(std::move(shape)), world_(seed), network_(world_), web_(network_), start_(world_.now()), clock_(world_), journal_("outside", sink()), outside_(web_, clock_, Address{"10.4.0.1:1"}) {
+  platform_ = std::make_unique<StandinPlatform>(clock_, outside_, journal_);
+  web_.attach(platformAddress, *platform_, clock_);
+  for (std::size_t index = 0; index < shape_.replicas; ++index) {
+    replicas_.push_back(std::make_unique<Replica>());
+    replicas_.back()->host = "10.0.0." + std::to_string(index + 1);
+    startReplica(index);
+  }
+  for (std::size_t service = 1; service <= shape_.services; ++service)
+    for (std::size_t number = 1; number <= shape_.databases; ++number) {
+      databases_.push_back(std::make_unique<Database>());
+      auto& own = *databases_.back();
+      own.host = "10.2." + std::to_string(service) + "." + std::to_string(number);
+      own.settings.service = ServiceName{"s" + std::to_string(service)};
+      own.settings.name = DatabaseName{"d" + std::to_string(number)};
+      own.settings.address = at(own.host, 1);
+      own.settings.platform = platformAddress;
+      own.settings.cap = shape_.cap;
+      own.settings.work = shape_.work;
+      own.settings.primary = number == 1;
+      for (std::size_t index = 0; index < shape_.machines; ++index)
+        own.settings.beatsTo.push_back(at("10.1.0." + std::to_string((index + number + service) % shape_.machines + 1), 4));
+      own.settings.beatsTo.push_back(at("10.0.0.1", 2));
+      if (number == 1) platform_->setPrimary(own.settings.service, own.settings.address);
+      startDatabase(own);
+    }
+  for (std::size_t index = 0; index < shape_.machines; ++index) addMachine();
+  StandinCallersSettings callers;
+  for (const auto& machine : machines_) callers.proxies.push_back(at(machine->host, 3));
+  callers.kinds = shape_.callers;
+  callers.seed = seed;
+  callers_ = std::make_unique<StandinCallers>(clock_, outside_, journal_, callers);
+  scope_.spawn(probe());
+}
+
+SimulatedFleet::~SimulatedFleet() {
+  callers_.reset();
+  for (std::size_t index = 0; index < machines_.size(); ++index) killMachine(index);
+  for (auto& database : databases_) crashDatabase(*database);
+  for (std::size_t index = 0; index < replicas_.size(); ++index) killReplica(index);
+  web_.detach(platformAddress);
+}
+
+std::function<void(const std::string&)> SimulatedFleet::sink() {
+  return [this](const std::string& text) {
+    lines_.push_back(std::to_string(milliseconds(world_.now() - start_).count()) + "ms " + text);
+  };
+}
+
+Address SimulatedFleet::seed(std::size_t index) const { return at("10.0.0." + std::to_string(index + 1), 1); }
+
+void SimulatedFleet::startReplica(std::size_t index, std::size_t diskLatencyFactor) {
+  auto& own = *replicas_[index];
+  if (own.node) return;
+  own.clock = std::make_unique<SimulatedClock>(world_);
+  own.journal = std::make_unique<SimulatedJournal>("replica " + std::to_string(index + 1), sink());
+  own.link = std::make_unique<SimulatedLink>(network_, *own.clock, at(own.host, 1));
+  own.store = std::make_unique<SimulatedStore>(*own.clock, own.disk, shape_.diskSync * diskLatencyFactor);
+  own.web = std::make_unique<SimulatedWebLink>(web_, *own.clock, at(own.host, 1));
+  ReplicaSettings settings;
+  settings.address = at(own.host, 1);
+  settings.district = District{"z" + std::to_string(index % shape_.districts + 1)};
+  settings.seeds = {seed(0), seed(1), seed(2)};
+  settings.platform = platformAddress;
+  settings.timings = shape_.timings;
+  own.node = std::make_unique<ReplicaNode>(*own.clock, *own.link, *own.store, *own.web, *own.journal, settings, entropy());
+  if (auto fault = own.node->start()) {
+    slips_.push_back("replica " + std::to_string(index + 1) + " did not start: " + *fault);
+    return;
+  }
+  own.door = std::make_unique<OperatorDoor>(*own.node, *own.clock);
+  web_.attach(at(own.host, 2), *own.door, *own.clock);
+}
+
+void SimulatedFleet::killReplica(std::size_t index) {
+  auto& own = *replicas_[index];
+  if (!own.node) return;
+  web_.detach(at(own.host, 2));
+  for (const auto& [name, value] : own.journal->counters()) ended_["replica." + name] += value;
+  own.door.reset();
+  own.node.reset();
+  own.web.reset();
+  own.store.reset();
+  own.link.reset();
+  own.clock.reset();
+  own.disk.crash();
+}
+
+void SimulatedFleet::addMachine() {
+  auto index = machines_.size();
+  machines_.push_back(std::make_unique<Machine>());
+  machines_.back()->host = "10.1.0." + std::to_string(index + 1);
+  machines_.back()->district = District{"z" + std::to_string(index % shape_.districts + 1)};
+  startMachine(index);
+}
+
+void SimulatedFleet::startMachine(std::size_t index) {
+  auto& own = *machines_[index];
+  if (own.proxy) return;
+  own.lastMark = PlanMark{};
+  own.clock = std::make_unique<SimulatedClock>(world_);
+  own.journal = std::make_unique<SimulatedJournal>("machine " + std::to_string(index + 1), sink());
+  own.agentLink = std::make_unique<SimulatedLink>(network_, *own.clock, at(own.host, 1));
+  own.proxyLink = std::make_unique<SimulatedLink>(network_, *own.clock, at(own.host, 2));
+  own.web = std::make_unique<SimulatedWebLink>(web_, *own.clock, at(own.host, 1));
+  AgentSettings agent{at(own.host, 1), own.district, {seed(0), seed(1), seed(2)}, shape_.timings};
+  own.agent = std::make_unique<AgentNode>(*own.clock, *own.agentLink, *own.journal, agent);
+  ProxySettings proxy;
+  proxy.agent = proxy.node = at(own.host, 1);
+  proxy.timings = shape_.timings;
+  own.proxy = std::make_unique<ProxyNode>(*own.clock, *own.proxyLink, *own.web, *own.journal, proxy, entropy());
+  own.door = std::make_unique<SessionDoor>(*own.proxy);
+  web_.attach(at(own.host, 3), *own.door, *own.clock);
+  web_.attach(at(own.host, 4), *own.agent, *own.clock);
+}
+
+void SimulatedFleet::killMachine(std::size_t index) {
+  auto& own = *machines_[index];
+  if (!own.proxy) return;
+  web_.detach(at(own.host, 3));
+  web_.detach(at(own.host, 4));
+  for (const auto& [name, value] : own.journal->counters()) ended_["machine." + name] += value;
+  own.door.reset();
+  own.proxy.reset();
+  own.agent.reset();
+  own.web.reset();
+  own.proxyLink.reset();
+  own.agentLink.reset();
+  own.clock.reset();
+}
+
+void SimulatedFleet::stopMachine(std::size_t index) {
+  machines_[index]->proxy->drain();
+  scope_.spawn(stopWhenDone(index));
+}
+
+Task<void> SimulatedFleet::stopWhenDone(std::size_t index) {
+  auto& own = *machines_[index];
+  while (own.proxy && !own.proxy->stopped()) co_await sleep(clock_, 20ms);
+  if (!own.proxy) co_return;
+  own.unansweredAtStop += own.proxy->requests().underway();
+  co_await sleep(clock_, 10ms);
+  killMachine(index);
+}
+
+void SimulatedFleet::startDatabase(Database& database) {
+  if (database.node) return;
+  database.clock = std::make_unique<SimulatedClock>(world_);
+  database.journal = std::make_unique<SimulatedJournal>("database " + database.settings.service.get() + "/" + database.settings.name.get(), sink());
+  database.web = std::make_unique<SimulatedWebLink>(web_, *database.clock, database.settings.address);
+  database.node = std::make_unique<StandinDatabase>(*database.clock, *database.web, *database.journal, database.settings, entropy());
+  web_.attach(database.settings.address, *database.node, *database.clock);
+}
+
+void SimulatedFleet::keepHistory(Database& database) {
+  if (!database.node) return;
+  const auto& history = database.node->history();
+  database.history.insert(database.history.end(), history.begin(), history.end());
+  database.mostConnections = std::max(database.mostConnections, database.node->mostConnections());
+  if (auto over = database.journal->counters().find("connections.over_cap"); over != database.journal->counters().end()) database.overCap += over->second;
+}
+
+void SimulatedFleet::crashDatabase(Database& database) {
+  if (!database.node) return;
+  keepHistory(database);
+  web_.detach(database.settings.address);
+  database.node.reset();
+  database.web.reset();
+  database.clock.reset();
+  database.settings.primary = false;
+}
+
+void SimulatedFleet::leaveDatabase(Database& database) {
+  database.leftAt = world_.now();
+  database.returnedAt.reset();
+  scope_.spawn(detach(database));
+}
+
+Task<void> SimulatedFleet::detach(Database& database) {
+  if (database.node) co_await database.node->detach();
+}
+
+void SimulatedFleet::returnDatabase(Database& database) {
+  database.returnedAt = world_.now();
+  if (database.node)
+    database.node->comeBack();
+  else
+    startDatabase(database);
+}
+
+void SimulatedFleet::sendPlan(std::size_t replica, std::uint64_t mark, std::string text, bool sound) {
+  plans_.push_back(PlanAsk{mark, sound, std::move(text), world_.now(), {}, 0});
+  scope_.spawn(ask(replica, plans_.size() - 1));
+}
+
+Task<void> SimulatedFleet::ask(std::size_t replica, std::size_t index) {
+  auto text = plans_[index].text;
+  auto outcome = co_await outside_.call(at(replicas_[replica]->host, 2), "PUT", "/plan", text, clock_.now() + 8s);
+  plans_[index].endedAt = world_.now();
+  plans_[index].status = outcome ? outcome->status : 0;
+  lines_.push_back(std::to_string(milliseconds(world_.now() - start_).count()) + "ms operator: plan " + std::to_string(plans_[index].mark) + " -> " +
+                   std::to_string(plans_[index].status) + (outcome && outcome->status != 200 ? " " + outcome->body : ""));
+}
+
+std::string SimulatedFleet::planText(std::uint64_t mark, const std::set<std::string>& without, std::uint32_t firstPart) const {
+  nlohmann::json plan;
+  plan["mark"] = mark;
+  for (std::size_t service = 1; service <= shape_.services; ++service) {
+    auto number = std::to_string(service);
+    auto& own = plan["services"]["s" + number];
+    for (const auto& database : databases_)
+      if (database->settings.service.get() == "s" + number)
+        own["databases"][database->settings.name.get()] = {{"address", database->settings.address.get()}, {"cap", shape_.cap}};
+    auto first = shape_.connections * firstPart / 100;
+    own["quota"]["connections"] = shape_.connections;
+    own["quota"]["branches"]["first"] = {{"connections", first}, {"order", 1}, {"floor", 1}};
+    own["quota"]["branches"]["low"] = {{"connections", shape_.connections - first}, {"order", 2}};
+    auto kind = [&](const std::string& name, const std::string& branch, const std::string& consistency) {
+      if (!without.contains(name)) plan["kinds"][name] = {{"service", "s" + number}, {"branch", branch}, {"consistency", consistency}};
+    };
+    kind("counter" + number, "first", "primary");
+    kind("lookup" + number, "low", "lookups");
+    kind("status" + number, "low", "status");
+  }
+  return plan.dump();
+}
+
+Task<void> SimulatedFleet::probe() {
+  for (;;) {
+    co_await sleep(clock_, 50ms);
+    std::uint64_t required = 0;
+    for (const auto& plan : plans_)
+      if (plan.status == 200 && world_.now() - plan.endedAt > 3s) required = std::max(required, plan.mark);
+    for (std::size_t index = 0; index < machines_.size(); ++index) {
+      auto& own = *machines_[index];
+      if (!own.proxy || own.clock->frozen()) continue;
+      const auto& guide = own.proxy->guide();
+      bool works = std::any_of(guide.services().begin(), guide.services().end(), [&](const auto& each) { return guide.leased(each.first); });
+      auto mark = guide.planMark();
+      auto who = "machine " + std::to_string(index + 1) + " at " + std::to_string(milliseconds(world_.now() - start_).count()) + "ms";
+      if (works && mark.get() < required) slips_.push_back(who + " works under plan " + std::to_string(mark.get()) + ", " + std::to_string(required) + " is older than 3 s");
+      if (mark < own.lastMark) slips_.push_back(who + " slipped back to plan " + std::to_string(mark.get()));
+      own.lastMark = mark;
+    }
+    for (auto& database : databases_) {
+      if (!database->node) continue;
+      database->mostConnections = std::max(database->mostConnections, database->node->mostConnections());
+    }
+    if (primaryComponents() > 1) slips_.push_back("two primary components with the proof of their members");
+  }
+}
+
+std::size_t SimulatedFleet::primaryComponents() const {
+  std::set<ViewId> views;
+  for (const auto& replica : replicas_)
+    if (replica->node && !replica->clock->frozen()) {
+      auto proved = replica->node->engine().provedAt();
+      if (proved && world_.now() - *proved < 100ms + shape_.timings.group.beat) views.insert(replica->node->engine().conf().confId);
+    }
+  return views.size();
+}
+
+std::map<std::string, std::uint64_t> SimulatedFleet::counters() const {
+  auto sums = ended_;
+  for (const auto& replica : replicas_)
+    if (replica->node)
+      for (const auto& [name, value] : replica->journal->counters()) sums["replica." + name] += value;
+  for (const auto& machine : machines_)
+    if (machine->proxy)
+      for (const auto& [name, value] : machine->journal->counters()) sums["machine." + name] += value;
+  for (const auto& [name, value] : journal_.counters()) sums["outside." + name] += value;
+  return sums;
+}
+
+}  // namespace tamarindshift
--- a/src/simulated/simulated_network.cpp
+++ b/src/simulated/simulated_network.cpp
@@ -4,8 +4,6 @@
 
 namespace tamarindshift {
 
-Duration SimulatedNetwork::latency() { return delay_ + Duration{world_.below(delay_.count() + 1)}; }
-
 void SimulatedNetwork::pass(const Address& from, const Address& to, Envelope envelope) {
   if (!connected(from, to) || world_.chance(loss_)) return;
   auto& last = lastArrival_[{from, to}];
--- /dev/null
+++ b/src/simulated/simulated_web.cpp
@@ -0,0 +1,128 @@
+#include "simulated/simulated_web.hpp"
+
+namespace tamarindshift {
+
+class SimulatedWebConnection : public WebConnection {
+ public:
+  SimulatedWebConnection(SimulatedWeb& web, Clock& clock, std::shared_ptr<SimulatedWeb::Line> line)
+      : web_(web), clock_(clock), line_(std::move(line)) {}
+  ~SimulatedWebConnection() override { close(); }
+  bool usable() const override { return line_->open; }
+  void close() override { web_.end(line_); }
+
+  Task<WebOutcome> exchange(std::string method, std::string path, std::string body, Instant deadline) override {
+    auto line = line_;
+    auto faults = web_.faults_[line->to];
+    if (!line->open || web_.unlucky(faults.resetBefore)) {
+      web_.end(line);
+      co_return WebOutcome{PassFate::unsent, 0, {}};
+    }
+    auto exchange = std::make_shared<SimulatedWeb::Exchange>();
+    line->underway = exchange;
+    DoorRequest request{std::move(method), std::move(path), std::move(body), line->id};
+    auto& world = web_.network_.world();
+    if (web_.unlucky(faults.loseRequest))
+      web_.reset(line);
+    else
+      world.at(world.now() + web_.network_.latency(), [&web = web_, line, exchange, request] {
+        auto host = web.hosts_.find(line->to);
+        if (!line->open) return;
+        if (host == web.hosts_.end()) return web.reset(line);
+        if (!web.network_.connected(line->from, line->to)) return;
+        host->second.clock->after(Duration::zero(), [&web, line, exchange, request] {
+          auto found = web.hosts_.find(line->to);
+          if (line->open && found != web.hosts_.end()) found->second.scope->spawn(web.serve(line->to, line, exchange, request));
+        });
+      });
+    if (!exchange->outcome) co_await exchange->gate.wait(clock_, deadline);
+    line->underway.reset();
+    if (!exchange->outcome) {
+      web_.end(line);
+      co_return WebOutcome{PassFate::lost, 0, {}};
+    }
+    co_return *exchange->outcome;
+  }
+
+ private:
+  SimulatedWeb& web_;
+  Clock& clock_;
+  std::shared_ptr<SimulatedWeb::Line> line_;
+};
+
+void SimulatedWeb::attach(const Address& address, DoorKeeper& keeper, Clock& clock) {
+  auto& host = hosts_[address];
+  host.keeper = &keeper;
+  host.clock = &clock;
+}
+
+void SimulatedWeb::detach(const Address& address) {
+  auto found = hosts_.find(address);
+  if (found == hosts_.end()) return;
+  found->second.scope.reset();
+  auto lines = found->second.lines;
+  hosts_.erase(found);
+  for (const auto& line : lines) reset(line);
+}
+
+Task<void> SimulatedWeb::serve(Address to, std::shared_ptr<Line> line, std::shared_ptr<Exchange> exchange, DoorRequest request) {
+  auto reply = co_await hosts_.at(to).keeper->serve(std::move(request));
+  WebOutcome outcome{PassFate::replied, reply.status, std::move(reply.body)};
+  auto& world = network_.world();
+  if (unlucky(faults_[to].loseReply)) {
+    world.at(world.now() + network_.latency(), [this, line] { reset(line); });
+    co_return;
+  }
+  world.at(world.now() + network_.latency(), [this, line, exchange, outcome] {
+    if (!line->open || !network_.connected(line->to, line->from)) return;
+    exchange->outcome = outcome;
+    exchange->gate.open();
+  });
+}
+
+void SimulatedWeb::reset(const std::shared_ptr<Line>& line) {
+  if (line->underway && !line->underway->outcome) {
+    line->underway->outcome = WebOutcome{PassFate::lost, 0, {}};
+    line->underway->gate.open();
+  }
+  end(line);
+}
+
+void SimulatedWeb::end(const std::shared_ptr<Line>& line) {
+  if (!line->open) return;
+  line->open = false;
+  if (line->underway && !line->underway->outcome) {
+    line->underway->outcome = WebOutcome{PassFate::lost, 0, {}};
+    line->underway->gate.open();
+  }
+  auto host = hosts_.find(line->to);
+  if (host == hosts_.end()) return;
+  host->second.lines.erase(line);
+  auto& world = network_.world();
+  world.at(world.now() + network_.latency(), [this, to = line->to, id = line->id] {
+    auto found = hosts_.find(to);
+    if (found == hosts_.end()) return;
+    found->second.clock->after(Duration::zero(), [this, to, id] {
+      if (auto open = hosts_.find(to); open != hosts_.end()) open->second.keeper->gone(id);
+    });
+  });
+}
+
+Task<std::unique_ptr<WebConnection>> SimulatedWebLink::open(Address address, Instant deadline) {
+  Gate connected;
+  auto latency = web_.network_.latency() + web_.network_.latency();
+  co_await connected.wait(clock_, std::min(deadline, clock_.now() + latency));
+  if (!web_.network_.connected(from_, address) || !web_.network_.connected(address, from_)) {
+    co_await connected.wait(clock_, deadline);
+    co_return nullptr;
+  }
+  auto host = web_.hosts_.find(address);
+  if (host == web_.hosts_.end() || clock_.now() >= deadline) co_return nullptr;
+  auto line = std::make_shared<SimulatedWeb::Line>();
+  line->id = ConnectionId{++web_.last_};
+  line->from = from_;
+  line->to = address;
+  host->second.lines.insert(line);
+  co_return std::make_unique<SimulatedWebConnection>(web_, clock_, line);
+}
+
+}  // namespace tamarindshift
--- a/src/simulated/standin_database.hpp
+++ b/src/simulated/standin_database.hpp
@@ -45,7 +45,7 @@
 
   DatabaseStanding standing() const;
   void slow(Duration work) { settings_.work = work; }
-  void leave() { leaving_ = true; }
+  void comeBack() { leaving_ = false; }
   bool leaving() const { return leaving_; }
   Task<bool> detach();
   const std::vector<StandinHistoryEntry>& history() const { return history_; }
