--- a/src/base/address.hpp
+++ b/src/base/address.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -18,4 +19,11 @@
 
 std::optional<HostAndPort> splitAddress(const Address& address);
 
+using Detours = std::map<Address, Address>;
+
+inline const Address& detoured(const Detours& detours, const Address& address) {
+  auto found = detours.find(address);
+  return found == detours.end() ? address : found->second;
+}
+
 }  // namespace tamarindshift
--- a/src/base/setting_kinds.cpp
+++ b/src/base/setting_kinds.cpp
@@ -53,6 +53,23 @@
   return Setting{std::move(key), std::move(meaning), "", false, [&target](const std::string& text) { return takeAddresses(text, target); }};
 }
 
+Setting detoursSetting(Detours& target) {
+  return Setting{"detours", "relays to go through, as ip:port=ip:port with commas between; for trials", "", false,
+                 [&target](const std::string& text) -> std::optional<std::string> {
+                   Detours read;
+                   std::istringstream stream(text);
+                   for (std::string each; std::getline(stream, each, ',');) {
+                     auto equals = each.find('=');
+                     Address from{each.substr(0, equals)};
+                     Address via{equals == std::string::npos ? "" : each.substr(equals + 1)};
+                     if (!splitAddress(from) || !splitAddress(via)) return "not of the form ip:port=ip:port: " + each;
+                     read[from] = via;
+                   }
+                   target = read;
+                   return std::nullopt;
+                 }};
+}
+
 Setting districtSetting(District& target) {
   return Setting{"district", "name of the zone this process runs in", "", true, [&target](const std::string& text) -> std::optional<std::string> {
                    if (text.empty()) return "must not be empty";
--- a/src/base/setting_kinds.hpp
+++ b/src/base/setting_kinds.hpp
@@ -12,6 +12,7 @@
 Setting optionalAddressSetting(std::string key, std::string meaning, Address& target);
 Setting seedsSetting(std::set<Address>& target);
 Setting addressesSetting(std::string key, std::string meaning, std::set<Address>& target);
+Setting detoursSetting(Detours& target);
 Setting districtSetting(District& target);
 Setting textSetting(std::string key, std::string meaning, std::string& target, bool required);
 Setting durationSetting(std::string key, std::string meaning, Duration& target, Duration least, Duration most);
--- a/src/base/task_scope.hpp
+++ b/src/base/task_scope.hpp
@@ -13,6 +13,7 @@
   TaskScope(const TaskScope&) = delete;
   TaskScope& operator=(const TaskScope&) = delete;
   void spawn(Task<void> task);
+  void clear() { tasks_.clear(); }
   std::size_t size() const { return tasks_.size(); }
 
  private:
--- a/src/programs/proxy.cpp
+++ b/src/programs/proxy.cpp
@@ -9,6 +9,7 @@
   ProxySettings settings;
   Address own;
   Address http;
+  Detours detours;
   Program program("proxy", "carries the sessions of an access machine to the databases");
   program.add(addressSetting("address", "own loopback address towards the agent", own));
   program.add(addressSetting("http", "address that user agents are served on", http));
@@ -17,13 +18,15 @@
   program.add(numberSetting("sessions", "most open sessions", settings.sessions, 1, 1000000));
   program.add(durationSetting("idle-in-transaction", "longest idle time of an open transaction", settings.idleInTransaction, 100ms, 600s));
   program.add(durationSetting("idle-session", "longest idle time of a session", settings.idleSession, 1s, 86400s));
+  program.add(detoursSetting(detours));
   program.add(timingSettings(settings.timings));
   if (auto code = program.read(argumentCount, arguments)) return *code;
   if (auto fault = settings.timings.fault()) return complain("proxy", *fault);
   settings.node = settings.agent;
 
   Daemon daemon("proxy");
-  TcpLink link(daemon.context, daemon.clock, daemon.journal, own);
+  daemon.web.take(detours);
+  TcpLink link(daemon.context, daemon.clock, daemon.journal, own, detours);
   ProxyNode node(daemon.clock, link, daemon.web, daemon.journal, settings, freshEntropy());
   SessionDoor door(node);
   if (auto fault = link.listen()) return complain("proxy", *fault);
--- a/src/programs/replica.cpp
+++ b/src/programs/replica.cpp
@@ -9,6 +9,7 @@
 int main(int argumentCount, char** arguments) {
   ReplicaSettings settings;
   Address http;
+  Detours detours;
   std::string folder;
   Program program("replica", "orders the control actions of tamarindshift on a core machine");
   program.add(addressSetting("address", "own address towards other processes", settings.address));
@@ -18,12 +19,14 @@
   program.add(textSetting("data", "data folder", folder, true));
   program.add(addressSetting("platform", "address of the platform that carries out promotions", settings.platform));
   program.add(numberSetting("store-length", "bytes after which the store is rewritten", settings.bounds.storeLength, 65536, 1u << 30));
+  program.add(detoursSetting(detours));
   program.add(timingSettings(settings.timings));
   if (auto code = program.read(argumentCount, arguments)) return *code;
   if (auto fault = settings.timings.fault()) return complain("replica", *fault);
 
   Daemon daemon("replica");
-  TcpLink link(daemon.context, daemon.clock, daemon.journal, settings.address);
+  daemon.web.take(detours);
+  TcpLink link(daemon.context, daemon.clock, daemon.journal, settings.address, detours);
   FileStore store(daemon.clock, folder);
   ReplicaNode node(daemon.clock, link, store, daemon.web, daemon.journal, settings, freshEntropy());
   if (auto fault = node.start()) return complain("replica", *fault);
--- a/src/programs/standin-database.cpp
+++ b/src/programs/standin-database.cpp
@@ -10,6 +10,7 @@
   std::string name;
   std::set<Address> beatsTo;
   std::size_t cap = settings.cap;
+  Detours detours;
   Program program("standin-database", "stands in for a database in tests and trials");
   program.add(addressSetting("address", "own address", settings.address));
   program.add(textSetting("service", "service it belongs to", service, true));
@@ -19,6 +20,7 @@
   program.add(numberSetting("cap", "most connections", cap, 1, 100000));
   program.add(flagSetting("primary", "starts as primary", settings.primary));
   program.add(durationSetting("work", "time a request takes", settings.work, 0ms, 60s));
+  program.add(detoursSetting(detours));
   if (auto code = program.read(argumentCount, arguments)) return *code;
   settings.service = ServiceName{service};
   settings.name = DatabaseName{name};
@@ -26,6 +28,7 @@
   settings.cap = static_cast<std::uint32_t>(cap);
 
   Daemon daemon("standin-database");
+  daemon.web.take(detours);
   StandinDatabase database(daemon.clock, daemon.web, daemon.journal, settings, freshEntropy());
   if (auto fault = daemon.serve(settings.address, database)) return complain("standin-database", *fault);
   bool stopping = false;
--- a/src/programs/standin-platform.cpp
+++ b/src/programs/standin-platform.cpp
@@ -7,12 +7,15 @@
 int main(int argumentCount, char** arguments) {
   Address own;
   std::string primaries;
+  Detours detours;
   Program program("standin-platform", "stands in for the platform that carries out promotions");
   program.add(addressSetting("address", "own address", own));
   program.add(textSetting("primaries", "first primaries, as service=ip:port with commas between", primaries, true));
+  program.add(detoursSetting(detours));
   if (auto code = program.read(argumentCount, arguments)) return *code;
 
   Daemon daemon("standin-platform");
+  daemon.web.take(detours);
   StandinPlatform platform(daemon.clock, daemon.web, daemon.journal);
   std::istringstream stream(primaries);
   for (std::string each; std::getline(stream, each, ',');) {
--- a/src/real/http_web_link.cpp
+++ b/src/real/http_web_link.cpp
@@ -91,7 +91,7 @@
 }  // namespace
 
 Task<std::unique_ptr<WebConnection>> HttpWebLink::open(Address address, Instant deadline) {
-  auto split = splitAddress(address);
+  auto split = splitAddress(detoured(detours_, address));
   if (!split) co_return nullptr;
   Error error;
   auto host = boost::asio::ip::make_address(split->host, error);
--- a/src/real/http_web_link.hpp
+++ b/src/real/http_web_link.hpp
@@ -8,11 +8,13 @@
 
 class HttpWebLink : public WebLink {
  public:
-  HttpWebLink(boost::asio::io_context& context) : context_(context) {}
+  explicit HttpWebLink(boost::asio::io_context& context) : context_(context) {}
+  void take(Detours detours) { detours_ = std::move(detours); }
   Task<std::unique_ptr<WebConnection>> open(Address address, Instant deadline) override;
 
  private:
   boost::asio::io_context& context_;
+  Detours detours_;
 };
 
 }  // namespace tamarindshift
--- a/src/real/tcp_link.cpp
+++ b/src/real/tcp_link.cpp
@@ -31,8 +31,8 @@
 
 }  // namespace
 
-TcpLink::TcpLink(boost::asio::io_context& context, Clock& clock, Journal& journal, Address own)
-    : context_(context), clock_(clock), journal_(journal), own_(std::move(own)), acceptor_(context) {}
+TcpLink::TcpLink(boost::asio::io_context& context, Clock& clock, Journal& journal, Address own, Detours detours)
+    : context_(context), clock_(clock), journal_(journal), own_(std::move(own)), detours_(std::move(detours)), acceptor_(context) {}
 
 std::optional<std::string> TcpLink::listen() {
   auto endpoint = endpointOf(own_);
@@ -100,7 +100,7 @@
 
 Task<void> TcpLink::send(Address partner) {
   auto& outgoing = *outgoing_.at(partner);
-  auto endpoint = endpointOf(partner);
+  auto endpoint = endpointOf(detoured(detours_, partner));
   while (endpoint) {
     while (outgoing.backlog.empty()) co_await outgoing.filled.wait(clock_);
     auto socket = std::make_shared<tcp::socket>(context_);
--- a/src/real/tcp_link.hpp
+++ b/src/real/tcp_link.hpp
@@ -13,7 +13,7 @@
 
 class TcpLink : public PartnerLink {
  public:
-  TcpLink(boost::asio::io_context& context, Clock& clock, Journal& journal, Address own);
+  TcpLink(boost::asio::io_context& context, Clock& clock, Journal& journal, Address own, Detours detours);
   std::optional<std::string> listen();
   const Address& own() const override { return own_; }
   void pass(const Address& partner, Envelope envelope) override;
@@ -35,6 +35,7 @@
   Clock& clock_;
   Journal& journal_;
   Address own_;
+  Detours detours_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::map<Address, std::unique_ptr<Outgoing>> outgoing_;
   TaskScope scope_;
--- a/src/simulated/never_list.cpp
+++ b/src/simulated/never_list.cpp
@@ -1,27 +1,14 @@
 #include "simulated/never_list.hpp"
 
 #include <algorithm>
-#include <sstream>
-
 namespace tamarindshift {
 
-namespace {
-
-std::multiset<std::string> split(const std::string& list) {
-  std::multiset<std::string> tokens;
-  std::istringstream stream(list);
-  for (std::string token; std::getline(stream, token, ',');)
-    if (!token.empty()) tokens.insert(token);
-  return tokens;
-}
-
-}  // namespace
-
 std::vector<std::string> NeverList::check() {
   gatherHistories();
   faults_ = fleet_.slips();
-  writesOnce();
-  readsFresh();
+  HistoryChecks checks(fleet_.callers().operations(), fleet_.shape().callers, fleet_.start(), [this](std::string text) { fault(std::move(text)); });
+  checks.writesOnce(kept());
+  checks.readsFresh();
   textsUnchanged();
   leftAlone();
   plansHeld();
@@ -45,48 +32,18 @@
   }
 }
 
-void NeverList::writesOnce() {
-  std::map<ServiceName, std::map<std::string, std::multiset<std::string>>> kept;
-  for (const auto& database : fleet_.databases())
-    if (database->node && database->node->standing().role == "primary" && database->node->standing().epoch != Epoch{})
-      for (const auto& replica : fleet_.replicas()) {
-        if (!replica->node || replica->clock->frozen()) continue;
-        auto service = replica->node->state().services().find(database->settings.service);
-        if (service == replica->node->state().services().end() || service->second.primary != database->settings.name) continue;
-        for (const auto& [key, list] : database->node->data()) kept[database->settings.service][key] = split(list);
-      }
-  std::map<KindName, ServiceName> services;
-  for (const auto& kind : fleet_.shape().callers) services[kind.kind] = kind.service;
-  for (const auto& operation : fleet_.callers().operations()) {
-    auto service = kept.find(services[operation.kind]);
-    if (service == kept.end()) continue;
-    for (const auto& token : operation.tokens) {
-      auto times = service->second[operation.key].count(token);
-      if (times > 1) fault("written twice: " + token);
-      if (operation.outcome == "done" && times == 0) fault("acknowledged and gone: " + token + " ended " + clockText(operation.endedAt));
-      if (operation.outcome != "done" && operation.outcome != "unknown" && times > 0)
-        fault("kept after '" + operation.outcome + "' (" + operation.reason + "): " + token + " ended " + clockText(operation.endedAt));
+KeptData NeverList::kept() const {
+  KeptData kept;
+  for (const auto& database : fleet_.databases()) {
+    if (!database->node || database->node->standing().role != "primary" || database->node->standing().epoch == Epoch{}) continue;
+    for (const auto& replica : fleet_.replicas()) {
+      if (!replica->node || replica->clock->frozen()) continue;
+      auto service = replica->node->state().services().find(database->settings.service);
+      if (service != replica->node->state().services().end() && service->second.primary == database->settings.name)
+        kept[database->settings.service] = database->node->data();
     }
   }
-}
-
-void NeverList::readsFresh() {
-  std::map<std::string, std::vector<std::pair<Instant, std::string>>> acknowledged;
-  for (const auto& operation : fleet_.callers().operations())
-    if (operation.outcome == "done")
-      for (const auto& token : operation.tokens) acknowledged[operation.key].emplace_back(operation.endedAt, token);
-  std::map<KindName, Duration> bounds;
-  for (const auto& kind : fleet_.shape().callers)
-    bounds[kind.kind] = kind.primary ? Duration::zero() : Duration{kind.kind.get().starts_with("status") ? 2500ms : 1500ms};
-  for (const auto& operation : fleet_.callers().operations()) {
-    if (!operation.reads || operation.outcome != "done" || operation.key.empty()) continue;
-    auto seen = split(operation.result);
-    for (const auto& [at, token] : acknowledged[operation.key])
-      if (at < operation.startedAt - bounds[operation.kind] && !seen.contains(token))
-        fault(operation.kind.get() + " read at " + clockText(operation.startedAt) + " missed " + token + " of " + clockText(at));
-    for (const auto& token : operation.ownBefore)
-      if (!seen.contains(token)) fault("a session's read missed its own " + token);
-  }
+  return kept;
 }
 
 void NeverList::textsUnchanged() {
--- a/src/simulated/never_list.hpp
+++ b/src/simulated/never_list.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "simulated/history_checks.hpp"
 #include "simulated/simulated_fleet.hpp"
 
 namespace tamarindshift {
@@ -11,8 +12,7 @@
 
  private:
   void gatherHistories();
-  void writesOnce();
-  void readsFresh();
+  KeptData kept() const;
   void textsUnchanged();
   void leftAlone();
   void plansHeld();
--- a/src/simulated/scenario.cpp
+++ b/src/simulated/scenario.cpp
@@ -4,25 +4,13 @@
 #include <fstream>
 #include <sstream>
 
+#include "base/duration_text.hpp"
+#include "simulated/deployment.hpp"
+
 namespace tamarindshift {
 
 namespace {
 
-std::optional<Duration> duration(const std::string& text) {
-  std::size_t used = 0;
-  double amount = 0;
-  try {
-    amount = std::stod(text, &used);
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
-  auto unit = text.substr(used);
-  if (unit == "s") return Duration{static_cast<std::int64_t>(amount * 1e6)};
-  if (unit == "ms") return Duration{static_cast<std::int64_t>(amount * 1e3)};
-  if (unit == "us") return Duration{static_cast<std::int64_t>(amount)};
-  return std::nullopt;
-}
-
 std::map<std::string, std::string> pairs(const std::vector<std::string>& words, std::size_t from) {
   std::map<std::string, std::string> read;
   for (auto index = from; index < words.size(); ++index) {
@@ -59,15 +47,19 @@
 bool Scenario::readLine(const Words& words, std::size_t line) {
   if (words[0] == "fleet") {
     for (const auto& [key, value] : pairs(words, 1)) {
-      if (key == "replicas") shape_.replicas = number(value);
+      if (key == "deployment") {
+        auto shape = deploymentNamed(value);
+        if (!shape) return fail("unknown deployment " + value);
+        shape_ = *shape;
+      } else if (key == "replicas") shape_.replicas = number(value);
       else if (key == "machines") shape_.machines = number(value);
       else if (key == "districts") shape_.districts = number(value);
       else if (key == "services") shape_.services = number(value);
       else if (key == "databases") shape_.databases = number(value);
       else if (key == "cap") shape_.cap = static_cast<std::uint32_t>(number(value));
       else if (key == "connections") shape_.connections = static_cast<std::uint32_t>(number(value));
-      else if (key == "work") shape_.work = duration(value).value_or(shape_.work);
-      else if (key == "disk") shape_.diskSync = duration(value).value_or(shape_.diskSync);
+      else if (key == "work") shape_.work = durationText(value).value_or(shape_.work);
+      else if (key == "disk") shape_.diskSync = durationText(value).value_or(shape_.diskSync);
       else return fail("unknown key " + key);
     }
     return true;
@@ -81,7 +73,7 @@
         kind.primary = value.starts_with("counter");
         if (!kind.primary) kind.writes = kind.transactions = 0;
       } else if (key == "count") kind.callers = number(value);
-      else if (key == "pause") kind.pause = duration(value).value_or(kind.pause);
+      else if (key == "pause") kind.pause = durationText(value).value_or(kind.pause);
       else if (key == "writes") kind.writes = static_cast<unsigned>(number(value));
       else if (key == "transactions") kind.transactions = static_cast<unsigned>(number(value));
       else if (key == "walks") kind.walksAway = static_cast<unsigned>(number(value));
@@ -92,12 +84,12 @@
     return true;
   }
   if (words[0] == "until" && words.size() == 2) {
-    auto end = duration(words[1]);
+    auto end = durationText(words[1]);
     if (end) until_ = *end;
     return end.has_value();
   }
   if (words[0] == "at" && words.size() > 2) {
-    auto at = duration(words[1]);
+    auto at = durationText(words[1]);
     if (at) events_.push_back(Event{*at, Words(words.begin() + 2, words.end()), line});
     return at.has_value();
   }
@@ -156,7 +148,7 @@
     return true;
   }
   if (verb == "delay" && words.size() == 2) {
-    fleet.network().delay(duration(words[1]).value_or(500us));
+    fleet.network().delay(durationText(words[1]).value_or(500us));
     return true;
   }
   if (verb == "platform" && words.size() == 3) {
@@ -216,7 +208,7 @@
   else if (verb == "return") fleet.returnDatabase(own);
   else if (verb == "freeze") own.clock->freeze();
   else if (verb == "thaw") own.clock->thaw();
-  else if (verb == "slow") own.node->slow(duration(options["work"]).value_or(500ms));
+  else if (verb == "slow") own.node->slow(durationText(options["work"]).value_or(500ms));
   else if (verb == "faults") {
     WebFaults faults;
     faults.loseRequest = static_cast<unsigned>(number(options["request"]));
@@ -265,8 +257,8 @@
     if (!held) complain(std::to_string(seen));
   };
   if (words[0] == "serving" && words.size() == 6) {
-    auto within = duration(words[3]);
-    auto after = duration(words[5]);
+    auto within = durationText(words[3]);
+    auto after = durationText(words[5]);
     if (!within || !after) return complain("a line that is not understood");
     auto from = fleet.start() + *after;
     Instant first = Instant::max();
--- a/src/simulated/simulated_fleet.cpp
+++ b/src/simulated/simulated_fleet.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include <nlohmann/json.hpp>
+#include "simulated/standin_plan.hpp"
 
 namespace tamarindshift {
 
@@ -222,26 +222,9 @@
 }
 
 std::string SimulatedFleet::planText(std::uint64_t mark, const std::set<std::string>& without, std::uint32_t firstPart) const {
-  nlohmann::json plan;
-  plan["mark"] = mark;
-  for (std::size_t service = 1; service <= shape_.services; ++service) {
-    auto number = std::to_string(service);
-    auto& own = plan["services"]["s" + number];
-    for (const auto& database : databases_)
-      if (database->settings.service.get() == "s" + number)
-        own["databases"][database->settings.name.get()] = {{"address", database->settings.address.get()}, {"cap", shape_.cap}};
-    auto first = shape_.connections * firstPart / 100;
-    own["quota"]["connections"] = shape_.connections;
-    own["quota"]["branches"]["first"] = {{"connections", first}, {"order", 1}, {"floor", 1}};
-    own["quota"]["branches"]["low"] = {{"connections", shape_.connections - first}, {"order", 2}};
-    auto kind = [&](const std::string& name, const std::string& branch, const std::string& consistency) {
-      if (!without.contains(name)) plan["kinds"][name] = {{"service", "s" + number}, {"branch", branch}, {"consistency", consistency}};
-    };
-    kind("counter" + number, "first", "primary");
-    kind("lookup" + number, "low", "lookups");
-    kind("status" + number, "low", "status");
-  }
-  return plan.dump();
+  std::vector<StandinDatabaseSettings> databases;
+  for (const auto& database : databases_) databases.push_back(database->settings);
+  return standinPlan(shape_, databases, mark, without, firstPart);
 }
 
 Task<void> SimulatedFleet::probe() {
--- a/src/simulated/standin_database.cpp
+++ b/src/simulated/standin_database.cpp
@@ -61,6 +61,7 @@
     settings_.work = std::chrono::milliseconds{Json::parse(request.body).at("work_ms").get<int>()};
     co_return DoorReply{200, "{}", std::nullopt};
   }
+  if (request.path == "/data") co_return DoorReply{200, Json(data_).dump(), std::nullopt};
   if (request.path == "/counters")
     co_return DoorReply{200, Json{{"requests", history_.size()}, {"connections", connections_.size()}, {"most_connections", mostConnections_}, {"cap", settings_.cap}}.dump(), std::nullopt};
   co_return refusal(404, "no such path");
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -1,1 +1,15 @@
 add_test(NAME unit COMMAND tests)
+
+file(GLOB SCENARIOS CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/scenarios/*.txt)
+foreach(scenario ${SCENARIOS})
+  get_filename_component(name ${scenario} NAME_WE)
+  add_test(NAME scenario.${name} COMMAND scenario --seeds 3 ${scenario})
+  set_tests_properties(scenario.${name} PROPERTIES TIMEOUT 600)
+endforeach()
+
+file(GLOB FLEETS CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/fleet/*.txt)
+foreach(fleet ${FLEETS})
+  get_filename_component(name ${fleet} NAME_WE)
+  add_test(NAME fleet.${name} COMMAND fleet --script ${fleet} --folder ${CMAKE_BINARY_DIR}/fleet-${name})
+  set_tests_properties(fleet.${name} PROPERTIES TIMEOUT 180 RUN_SERIAL ON)
+endforeach()
