What recovery replays is written down: a second restart lost greens

Cause: on restart the received messages of the last view are replayed as if a transitional configuration had delivered them, but records were not appended during that replay. A later green record then named an action whose red record was never on disk, and the next restart left it out and shifted the order. Found by 40 random schedules of crashes, cuts, losses and freezes per test. Ruled out: the marking rules; the same action was green in the same place at all three members before the restart.

--- a/src/control/replica_node.hpp
+++ b/src/control/replica_node.hpp
@@ -4,7 +4,7 @@
 #include "control/duties.hpp"
 #include "control/replica_settings.hpp"
 #include "edge/door.hpp"
-#include "group/sequenced_group.hpp"
+#include "engine/core.hpp"
 #include "news/news_desk.hpp"
 
 namespace tamarindshift {
@@ -15,10 +15,10 @@
               ReplicaSettings settings, std::uint64_t entropy);
 
   std::optional<std::string> start();
-  bool dismissed() const { return dismissed_ || engine_->dismissed(); }
-  const ReplicationEngine& engine() const { return *engine_; }
-  ReplicationEngine& engine() { return *engine_; }
-  const SequencedGroup& group() const { return *group_; }
+  bool dismissed() const { return core_.dismissed(); }
+  const ReplicationEngine& engine() const { return core_.engine(); }
+  ReplicationEngine& engine() { return core_.engine(); }
+  const SequencedGroup& group() const { return core_.group(); }
   const ControlState& state() const { return state_; }
   const AccessTables& access() const { return access_; }
   const Duties& duties() const { return *duties_; }
@@ -35,23 +35,16 @@
 
  private:
   void serveDesk();
-  Task<void> enter();
-  void onJoinAsk(const Address& from, const std::string& bytes);
 
   Clock& clock_;
-  PartnerLink& link_;
-  StableStore& store_;
   WebLink& databases_;
   Journal& journal_;
   ReplicaSettings settings_;
-  std::uint64_t entropy_;
-  bool dismissed_ = false;
   NewsBoard board_;
   ControlState state_;
   AccessTables access_;
   Desk desk_;
-  std::unique_ptr<SequencedGroup> group_;
-  std::unique_ptr<ReplicationEngine> engine_;
+  Core core_;
   std::unique_ptr<Duties> duties_;
   std::unique_ptr<NewsDesk> news_;
   TaskScope scope_;
--- /dev/null
+++ b/src/engine/core.cpp
@@ -0,0 +1,82 @@
+#include "engine/core.hpp"
+
+namespace tamarindshift {
+
+Core::Core(Clock& clock, PartnerLink& link, StableStore& store, Application& application, Journal& journal, CoreSettings settings,
+           std::uint64_t entropy)
+    : clock_(clock), link_(link), store_(store), application_(application), journal_(journal), settings_(std::move(settings)), entropy_(entropy) {}
+
+std::optional<std::string> Core::start() {
+  auto records = store_.load();
+  if (!records) return store_.lastReason();
+  own_ = ServerId{settings_.address, Incarnation{entropy_}};
+  for (const auto& bytes : *records) {
+    auto record = unpacked<EngineRecord>(bytes);
+    if (!record) return "the store holds an unreadable record";
+    if (record->kind != EngineRecordKind::identity) continue;
+    auto identity = unpacked<IdentityRecord>(record->body);
+    if (!identity) return "the store holds an unreadable identity";
+    if (identity->serverId.address != settings_.address) return "the data folder belongs to " + identity->serverId.address.get();
+    own_ = identity->serverId;
+  }
+  Member member{own_, Boot{entropy_ ^ 0x9e3779b97f4a7c15ULL}};
+  group_ = std::make_unique<SequencedGroup>(clock_, link_, journal_, member, settings_.seeds, settings_.timings);
+  engine_ = std::make_unique<ReplicationEngine>(clock_, *group_, store_, application_, journal_, settings_.bounds);
+  if (!engine_->recover(*records)) return "the store holds an unreadable record";
+  link_.on(Matter::joinAsk, [this](const Address& from, const std::string& bytes) { onJoinAsk(from, bytes); });
+  link_.on(Matter::joinSnapshot, [this](const Address& from, const std::string& bytes) {
+    auto snapshot = unpacked<EngineSnapshot>(bytes);
+    if (snapshot && engine_->identity() && engine_->adopt(*snapshot)) journal_.line("joined with a snapshot from " + from.get());
+  });
+  link_.on(Matter::leftNotice, [this](const Address&, const std::string& bytes) {
+    auto server = unpacked<ServerId>(bytes);
+    if (server && *server == own_) dismissed_ = true;
+  });
+  if (engine_->identity()) {
+    group_->setFoundation(engine_->identity()->foundation);
+    if (!engine_->member()) scope_.spawn(enter());
+  } else {
+    engine_->writeIdentity(IdentityRecord{own_, {}, false}, [this] { scope_.spawn(enter()); });
+  }
+  return std::nullopt;
+}
+
+void Core::onJoinAsk(const Address& from, const std::string& bytes) {
+  auto joiner = unpacked<ServerId>(bytes);
+  if (!joiner || !engine_->member()) return;
+  if (engine_->hasLeft(*joiner))
+    link_.pass(from, Envelope{Matter::leftNotice, packed(*joiner)});
+  else if (engine_->knows(*joiner))
+    link_.pass(from, Envelope{Matter::joinSnapshot, packed(engine_->snapshotNow())});
+  else
+    engine_->requestJoin(*joiner);
+}
+
+Task<void> Core::enter() {
+  std::size_t shot = 0;
+  while (!engine_->member()) {
+    auto identity = *engine_->identity();
+    auto agreed = group_->agreedFoundation();
+    auto joined = group_->joinedPartners();
+    if (agreed && agreed->contains(own_)) {
+      identity.foundation = *agreed;
+      identity.founded = true;
+      engine_->writeIdentity(identity, [] {});
+      group_->setFoundation(*agreed);
+      engine_->found();
+      journal_.line("founded a group of " + std::to_string(agreed->size()));
+    } else if (!joined.empty()) {
+      link_.pass(joined[shot++ % joined.size()], Envelope{Matter::joinAsk, packed(own_)});
+      co_await sleep(clock_, 2 * settings_.timings.beat);
+    } else if (auto seeds = group_->unjoinedSeeds(); seeds && seeds->contains(own_) && *seeds != identity.foundation) {
+      identity.foundation = *seeds;
+      Gate synced;
+      engine_->writeIdentity(identity, [&synced] { synced.open(); });
+      co_await synced.wait(clock_);
+      group_->setFoundation(identity.foundation);
+    }
+    co_await sleep(clock_, settings_.timings.beat);
+  }
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/engine/core.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <memory>
+
+#include "base/partner_link.hpp"
+#include "base/task_scope.hpp"
+#include "engine/replication_engine.hpp"
+#include "group/sequenced_group.hpp"
+
+namespace tamarindshift {
+
+struct CoreSettings {
+  Address address;
+  std::set<Address> seeds;
+  GroupTimings timings;
+  EngineBounds bounds;
+};
+
+class Core {
+ public:
+  Core(Clock& clock, PartnerLink& link, StableStore& store, Application& application, Journal& journal, CoreSettings settings,
+       std::uint64_t entropy);
+
+  std::optional<std::string> start();
+  bool dismissed() const { return dismissed_ || engine_->dismissed(); }
+  const ReplicationEngine& engine() const { return *engine_; }
+  ReplicationEngine& engine() { return *engine_; }
+  const SequencedGroup& group() const { return *group_; }
+  const ServerId& own() const { return own_; }
+
+ private:
+  Task<void> enter();
+  void onJoinAsk(const Address& from, const std::string& bytes);
+
+  Clock& clock_;
+  PartnerLink& link_;
+  StableStore& store_;
+  Application& application_;
+  Journal& journal_;
+  CoreSettings settings_;
+  std::uint64_t entropy_;
+  ServerId own_;
+  bool dismissed_ = false;
+  std::unique_ptr<SequencedGroup> group_;
+  std::unique_ptr<ReplicationEngine> engine_;
+  TaskScope scope_;
+};
+
+}  // namespace tamarindshift
--- a/src/engine/replication_engine.cpp
+++ b/src/engine/replication_engine.cpp
@@ -682,9 +682,9 @@
   }
   std::erase_if(undelivered_, [this](const Delivery& delivery) { return delivery.view != conf_.confId; });
   bool founded = identity_ && identity_->founded;
-  if (founded) replayAsTransitional();
   replaying_ = false;
   if (!founded) return true;
+  replayAsTransitional();
   started_ = true;
   for (const auto& [index, action] : std::map<std::uint64_t, Action>{ongoingQueue_})
     if (redCut_[serverId_] < index) markRed(action);
