A joiner with a lower incarnation never replaces a newer one of the same address

Cause: a machine emptied twice left two pending PERSISTENT_JOINs; ordered by action_id the older one came last and removed the living incarnation, which then stayed outside for good. Incarnations are now drawn from the wall clock and the lower one loses when its JOIN is green.

--- a/src/control/replica_node.cpp
+++ b/src/control/replica_node.cpp
@@ -10,8 +10,8 @@
 namespace tamarindshift {
 
 ReplicaNode::ReplicaNode(Clock& clock, PartnerLink& link, StableStore& store, WebLink& databases, Journal& journal,
-                         ReplicaSettings settings, std::uint64_t entropy)
-    : clock_(clock), databases_(databases), journal_(journal), settings_(std::move(settings)), state_(board_), desk_(clock, link), core_(clock, link, store, state_, journal, CoreSettings{settings_.address, settings_.seeds, settings_.timings.group, settings_.bounds}, entropy) {}
+                         ReplicaSettings settings, std::uint64_t incarnation)
+    : clock_(clock), databases_(databases), journal_(journal), settings_(std::move(settings)), state_(board_), desk_(clock, link), core_(clock, link, store, state_, journal, CoreSettings{settings_.address, settings_.seeds, settings_.timings.group, settings_.bounds}, incarnation) {}
 
 std::optional<std::string> ReplicaNode::start() {
   if (auto fault = core_.start()) return fault;
--- a/src/control/replica_node.hpp
+++ b/src/control/replica_node.hpp
@@ -12,7 +12,7 @@
 class ReplicaNode : public NewsSource {
  public:
   ReplicaNode(Clock& clock, PartnerLink& link, StableStore& store, WebLink& databases, Journal& journal,
-              ReplicaSettings settings, std::uint64_t entropy);
+              ReplicaSettings settings, std::uint64_t incarnation);
 
   std::optional<std::string> start();
   bool dismissed() const { return core_.dismissed(); }
--- a/src/engine/core.cpp
+++ b/src/engine/core.cpp
@@ -3,13 +3,13 @@
 namespace tamarindshift {
 
 Core::Core(Clock& clock, PartnerLink& link, StableStore& store, Application& application, Journal& journal, CoreSettings settings,
-           std::uint64_t entropy)
-    : clock_(clock), link_(link), store_(store), application_(application), journal_(journal), settings_(std::move(settings)), entropy_(entropy) {}
+           std::uint64_t incarnation)
+    : clock_(clock), link_(link), store_(store), application_(application), journal_(journal), settings_(std::move(settings)), incarnation_(incarnation) {}
 
 std::optional<std::string> Core::start() {
   auto records = store_.load();
   if (!records) return store_.lastReason();
-  own_ = ServerId{settings_.address, Incarnation{entropy_}};
+  own_ = ServerId{settings_.address, Incarnation{incarnation_}};
   for (const auto& bytes : *records) {
     auto record = unpacked<EngineRecord>(bytes);
     if (!record) return "the store holds an unreadable record";
@@ -19,7 +19,7 @@
     if (identity->serverId.address != settings_.address) return "the data folder belongs to " + identity->serverId.address.get();
     own_ = identity->serverId;
   }
-  Member member{own_, Boot{entropy_ ^ 0x9e3779b97f4a7c15ULL}};
+  Member member{own_, Boot{incarnation_ ^ 0x9e3779b97f4a7c15ULL}};
   group_ = std::make_unique<SequencedGroup>(clock_, link_, journal_, member, settings_.seeds, settings_.timings);
   engine_ = std::make_unique<ReplicationEngine>(clock_, *group_, store_, application_, journal_, settings_.bounds);
   if (!engine_->recover(*records)) return "the store holds an unreadable record";
--- a/src/engine/core.hpp
+++ b/src/engine/core.hpp
@@ -19,7 +19,7 @@
 class Core {
  public:
   Core(Clock& clock, PartnerLink& link, StableStore& store, Application& application, Journal& journal, CoreSettings settings,
-       std::uint64_t entropy);
+       std::uint64_t incarnation);
 
   std::optional<std::string> start();
   bool dismissed() const { return dismissed_ || engine_->dismissed(); }
@@ -38,7 +38,7 @@
   Application& application_;
   Journal& journal_;
   CoreSettings settings_;
-  std::uint64_t entropy_;
+  std::uint64_t incarnation_;
   ServerId own_;
   bool dismissed_ = false;
   std::unique_ptr<SequencedGroup> group_;
--- a/src/engine/replication_engine.cpp
+++ b/src/engine/replication_engine.cpp
@@ -513,10 +513,18 @@
   if (action.type == ActionType::persistentLeave) {
     if (greenLines_.contains(action.subject)) leave(action.subject);
   } else if (!greenLines_.contains(action.subject) && !left_.contains(action.subject)) {
-    for (const auto& server : members())
-      if (server.address == action.subject.address) leave(server);
-    greenLines_[action.subject] = greenLine();
-    if (!replaying_) journal_.line("joined " + text(action.subject));
+    bool outdated = false;
+    for (const auto& server : members()) {
+      if (server.address != action.subject.address) continue;
+      outdated = server.incarnation > action.subject.incarnation;
+      if (!outdated) leave(server);
+    }
+    if (outdated) {
+      left_.insert(action.subject);
+    } else {
+      greenLines_[action.subject] = greenLine();
+      if (!replaying_) journal_.line("joined " + text(action.subject));
+    }
   }
   recordMeta();
 }
--- a/src/programs/replica.cpp
+++ b/src/programs/replica.cpp
@@ -28,7 +28,7 @@
   daemon.web.take(detours);
   TcpLink link(daemon.context, daemon.clock, daemon.journal, settings.address, detours);
   FileStore store(daemon.clock, folder);
-  ReplicaNode node(daemon.clock, link, store, daemon.web, daemon.journal, settings, freshEntropy());
+  ReplicaNode node(daemon.clock, link, store, daemon.web, daemon.journal, settings, freshIncarnation());
   if (auto fault = node.start()) return complain("replica", *fault);
   OperatorDoor door(node, daemon.clock);
   if (auto fault = link.listen()) return complain("replica", *fault);
--- a/src/real/program.cpp
+++ b/src/real/program.cpp
@@ -92,6 +92,11 @@
   return std::max<std::uint64_t>(value, 1);
 }
 
+std::uint64_t freshIncarnation() {
+  auto since = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch());
+  return static_cast<std::uint64_t>(since.count()) << 10 | (freshEntropy() & 1023);
+}
+
 int complain(const std::string& program, const std::string& reason) {
   std::cerr << program << ": " << reason << "\n";
   return 2;
--- a/src/real/program.hpp
+++ b/src/real/program.hpp
@@ -31,6 +31,7 @@
 };
 
 std::uint64_t freshEntropy();
+std::uint64_t freshIncarnation();
 int complain(const std::string& program, const std::string& reason);
 
 }  // namespace tamarindshift
--- a/src/simulated/simulated_fleet.cpp
+++ b/src/simulated/simulated_fleet.cpp
@@ -80,7 +80,7 @@
   settings.seeds = {seed(0), seed(1), seed(2)};
   settings.platform = platformAddress;
   settings.timings = shape_.timings;
-  own.node = std::make_unique<ReplicaNode>(*own.clock, *own.link, *own.store, *own.web, *own.journal, settings, entropy());
+  own.node = std::make_unique<ReplicaNode>(*own.clock, *own.link, *own.store, *own.web, *own.journal, settings, world_.incarnation());
   if (auto fault = own.node->start()) {
     slips_.push_back("replica " + std::to_string(index + 1) + " did not start: " + *fault);
     return;
--- a/src/simulated/world.hpp
+++ b/src/simulated/world.hpp
@@ -14,6 +14,7 @@
   void cancel(BeatId id) { beats_.cancel(id); }
   void runUntil(Instant until);
   std::uint64_t below(std::uint64_t bound) { return bound == 0 ? 0 : random_() % bound; }
+  std::uint64_t incarnation() { return static_cast<std::uint64_t>(now_.time_since_epoch().count()) << 10 | below(1024); }
   bool chance(unsigned perThousand) { return below(1000) < perThousand; }
 
  private:
--- a/tests/engine_cluster.cpp
+++ b/tests/engine_cluster.cpp
@@ -39,7 +39,7 @@
   own.store = makeStore(*own.clock, own.disk);
   own.application = std::make_unique<ObservedApplication>(*this, index);
   std::set<Address> seeds{Address{host(0) + ":1"}, Address{host(1) + ":1"}, Address{host(2) + ":1"}};
-  own.core = std::make_unique<Core>(*own.clock, *own.link, *own.store, *own.application, *own.journal, CoreSettings{address, seeds, GroupTimings{}, bounds}, world.below(std::uint64_t{1} << 60) + 1);
+  own.core = std::make_unique<Core>(*own.clock, *own.link, *own.store, *own.application, *own.journal, CoreSettings{address, seeds, GroupTimings{}, bounds}, world.incarnation());
   if (auto fault = own.core->start()) faults.push_back("did not start: " + *fault);
 }
 
