--- a/src/simulated/never_list.cpp
+++ b/src/simulated/never_list.cpp
@@ -5,7 +5,8 @@
 
 std::vector<std::string> NeverList::check() {
   gatherHistories();
-  faults_ = fleet_.slips();
+  for (const auto& slip : fleet_.slips())
+    if (faults_.size() < 5) faults_.push_back(slip);
   HistoryChecks checks(fleet_.callers().operations(), fleet_.shape().callers, fleet_.start(), [this](std::string text) { fault(std::move(text)); });
   checks.writesOnce(kept());
   checks.readsFresh();
--- a/src/simulated/scenario.cpp
+++ b/src/simulated/scenario.cpp
@@ -193,6 +193,7 @@
   else if (verb == "thaw") own.clock->thaw();
   else if (verb == "slow") own.clock->slowBy(20ms);
   else if (verb == "fast") own.clock->slowBy(0ms);
+  else if (verb == "break-clock") own.clock->runSlower(20);
   else return false;
   return true;
 }
@@ -209,11 +210,13 @@
   else if (verb == "freeze") own.clock->freeze();
   else if (verb == "thaw") own.clock->thaw();
   else if (verb == "slow") own.node->slow(durationText(options["work"]).value_or(500ms));
+  else if (verb == "lie") own.node->lieAboutContact();
   else if (verb == "faults") {
     WebFaults faults;
     faults.loseRequest = static_cast<unsigned>(number(options["request"]));
     faults.loseReply = static_cast<unsigned>(number(options["reply"]));
     faults.resetBefore = static_cast<unsigned>(number(options["before"]));
+    faults.twice = static_cast<unsigned>(number(options["twice"]));
     fleet.web().faults(own.settings.address, faults);
   } else return false;
   return true;
--- a/src/simulated/simulated_clock.cpp
+++ b/src/simulated/simulated_clock.cpp
@@ -18,6 +18,11 @@
   return own;
 }
 
+void SimulatedClock::runSlower(int times) {
+  rateFrom_ = world_.now();
+  slowdown_ = times;
+}
+
 void SimulatedClock::cancel(BeatId beat) {
   if (auto found = pending_.find(beat); found != pending_.end()) {
     world_.cancel(found->second);
--- a/src/simulated/simulated_clock.hpp
+++ b/src/simulated/simulated_clock.hpp
@@ -11,18 +11,21 @@
  public:
   explicit SimulatedClock(World& world) : world_(world) {}
   ~SimulatedClock() override;
-  Instant now() const override { return world_.now(); }
+  Instant now() const override { return rateFrom_ + (world_.now() - rateFrom_) / slowdown_; }
   BeatId after(Duration duration, std::function<void()> beat) override;
   void cancel(BeatId beat) override;
   void freeze() { frozen_ = true; }
   void thaw();
   bool frozen() const { return frozen_; }
   void slowBy(Duration delay) { slowness_ = delay; }
+  void runSlower(int times);
 
  private:
   World& world_;
   bool frozen_ = false;
   Duration slowness_{};
+  int slowdown_ = 1;
+  Instant rateFrom_{};
   std::uint64_t last_ = 0;
   std::unordered_map<BeatId, BeatId> pending_;
   std::deque<std::pair<BeatId, std::function<void()>>> held_;
--- a/src/simulated/simulated_web.hpp
+++ b/src/simulated/simulated_web.hpp
@@ -12,6 +12,7 @@
   unsigned loseRequest = 0;
   unsigned loseReply = 0;
   unsigned resetBefore = 0;
+  unsigned twice = 0;
 };
 
 class SimulatedWeb {
--- a/src/simulated/standin_database.hpp
+++ b/src/simulated/standin_database.hpp
@@ -59,6 +59,7 @@
   void restore(StandinDatabaseDisk disk);
   void slow(Duration work) { settings_.work = work; }
   void comeBack() { leaving_ = false; }
+  void lieAboutContact() { lies_ = true; }
   bool leaving() const { return leaving_; }
   Task<bool> detach();
   const std::vector<StandinHistoryEntry>& history() const { return history_; }
@@ -103,6 +104,7 @@
   std::uint32_t mostConnections_ = 0;
   std::uint64_t beatNumber_ = 0;
   bool leaving_ = false;
+  bool lies_ = false;
   std::optional<Instant> contactAt_;
   std::string lastSource_;
   std::vector<StandinHistoryEntry> history_;
--- /dev/null
+++ b/tests/checkers_test.cpp
@@ -0,0 +1,65 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include "simulated/scenario.hpp"
+#include "tests/engine_cluster.hpp"
+
+using namespace tamarindshift;
+using namespace tamarindshift::testing;
+
+namespace {
+
+bool notices(const std::string& file, const std::string& expected) {
+  Scenario scenario;
+  REQUIRE(scenario.load(std::string(BROKEN_FOLDER) + "/" + file));
+  scenario.run(1);
+  for (const auto& fault : scenario.faults()) UNSCOPED_INFO(fault);
+  return std::any_of(scenario.faults().begin(), scenario.faults().end(),
+                     [&](const auto& fault) { return fault.find(expected) != std::string::npos; });
+}
+
+class LyingStore : public SimulatedStore {
+ public:
+  LyingStore(Clock& clock, SimulatedDisk& disk) : SimulatedStore(clock, disk, Duration{400ms}), clock_(clock) {}
+  void sync(std::function<void()> synced) override {
+    SimulatedStore::sync([] {});
+    clock_.after(Duration::zero(), std::move(synced));
+  }
+
+ private:
+  Clock& clock_;
+};
+
+std::size_t faultsWithLies(std::uint64_t seed) {
+  EngineCluster cluster(3, seed);
+  cluster.makeStore = [](Clock& clock, SimulatedDisk& disk) { return std::make_unique<LyingStore>(clock, disk); };
+  for (std::size_t index = 0; index < 3; ++index) cluster.start(index);
+  cluster.run(3s);
+  for (int round = 0; round < 6; ++round) {
+    for (std::size_t index = 0; index < 3; ++index) cluster.submit(index);
+    cluster.run(50ms);
+    for (std::size_t index = 0; index < 3; ++index) cluster.kill(index);
+    for (std::size_t index = 0; index < 3; ++index) cluster.start(index);
+    cluster.run(4s);
+  }
+  cluster.judge();
+  return cluster.faults.size();
+}
+
+}  // namespace
+
+TEST_CASE("the checkers notice a machine that ignores the end of its lease") {
+  CHECK(notices("clock.txt", "is older than 3 s"));
+  CHECK(notices("clock.txt", "acknowledged and gone"));
+}
+
+TEST_CASE("the checkers notice a write that ran twice") { CHECK(notices("twice.txt", "twice")); }
+
+TEST_CASE("the checkers notice a read that is too old") { CHECK(notices("stale.txt", "missed")); }
+
+TEST_CASE("the checkers notice a store that says synced before it is") {
+  std::size_t faults = 0;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) faults += faultsWithLies(seed);
+  CHECK(faults > 0);
+}
