--- a/src/control/plan_reader.cpp
+++ b/src/control/plan_reader.cpp
@@ -17,10 +17,17 @@
     return std::nullopt;
   }
   Tree tree;
-  if (!nlohmann::json::accept(text)) {
-    fault("", "not JSON");
+  bool tooDeep = false;
+  auto json = nlohmann::json::parse(text, [&](int depth, auto, auto&) {
+    tooDeep = tooDeep || depth > mostDepth;
+    return !tooDeep;
+  }, false);
+  if (tooDeep || json.is_discarded()) {
+    fault("", tooDeep ? "nested too deep" : "not JSON");
     return std::nullopt;
   }
+  scalarTypes(json, "");
+  if (!faults_.empty()) return std::nullopt;
   try {
     std::istringstream stream(text);
     boost::property_tree::read_json(stream, tree);
@@ -57,6 +64,22 @@
   return plan;
 }
 
+void PlanReader::scalarTypes(const nlohmann::json& json, const std::string& path) {
+  static const std::set<std::string> numbers{"mark", "cap", "connections", "order", "weight", "floor"};
+  if (json.is_array())
+    for (const auto& child : json) child.is_string() ? void() : fault(path, "must be a list of strings");
+  if (!json.is_object()) return;
+  for (const auto& [key, child] : json.items()) {
+    auto own = path.empty() ? key : path + "." + key;
+    if (child.is_structured())
+      scalarTypes(child, own);
+    else if (numbers.contains(key) && !child.is_number_integer())
+      fault(own, "must be a whole number");
+    else if (!numbers.contains(key) && !child.is_string())
+      fault(own, "must be a string, a list or an object");
+  }
+}
+
 bool PlanReader::keys(const Tree& tree, const std::string& path, const std::set<std::string>& required,
                       const std::set<std::string>& optional) {
   auto before = faults_.size();
--- a/src/control/plan_reader.hpp
+++ b/src/control/plan_reader.hpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include <boost/property_tree/ptree_fwd.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 #include "control/plan.hpp"
 #include "control/plan_fault.hpp"
@@ -13,6 +14,7 @@
 class PlanReader {
  public:
   static constexpr std::size_t mostBytes = 256 * 1024;
+  static constexpr int mostDepth = 32;
 
   std::optional<Plan> read(const std::string& text);
   const std::vector<PlanFault>& faults() const { return faults_; }
@@ -20,6 +22,7 @@
  private:
   using Tree = boost::property_tree::ptree;
   void fault(const std::string& path, const std::string& reason) { faults_.push_back(PlanFault{path, reason}); }
+  void scalarTypes(const nlohmann::json& json, const std::string& path);
   bool keys(const Tree& tree, const std::string& path, const std::set<std::string>& required, const std::set<std::string>& optional);
   std::uint32_t number(const Tree& tree, const std::string& path, std::uint32_t least, std::uint32_t most);
   std::string name(const std::string& text, const std::string& path);
--- /dev/null
+++ b/tests/plan_test.cpp
@@ -0,0 +1,129 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "control/plan_check.hpp"
+#include "control/plan_reader.hpp"
+#include "control/share_cut.hpp"
+
+using namespace tamarindshift;
+using Json = nlohmann::json;
+
+namespace {
+
+Json sound() {
+  return Json::parse(R"({"mark":4,
+    "services":{"s1":{"databases":{"d1":{"address":"10.0.0.1:1","cap":60,"labels":["big"]},"d2":{"address":"10.0.0.2:1","cap":60}},
+      "quota":{"connections":50,"branches":{"counter":{"connections":30,"order":1,"floor":2},
+        "low":{"connections":20,"order":2,"branches":{"lookups":{"connections":12},"status":{"connections":8,"weight":2}}}}}}},
+    "machines":{"10.1.0.1:1":["old"],"10.1.0.2:1":["new","fast"]},
+    "kinds":{"counter":{"service":"s1","branch":"counter","consistency":"primary","labels":["desk"]},
+      "lookup":{"service":"s1","branch":"lookups","consistency":"lookups","machines":["new"],"databases":["big"]}}})");
+}
+
+bool faulted(const Json& plan, const std::string& path) {
+  PlanReader reader;
+  auto read = reader.read(plan.dump());
+  for (const auto& fault : reader.faults()) UNSCOPED_INFO(fault.path << ": " << fault.reason);
+  return !read && std::any_of(reader.faults().begin(), reader.faults().end(), [&](const auto& fault) { return fault.path == path; });
+}
+
+}  // namespace
+
+TEST_CASE("a sound plan is read whole") {
+  auto plan = PlanReader{}.read(sound().dump());
+  REQUIRE(plan);
+  CHECK(plan->mark == PlanMark{4});
+  const auto& service = plan->services.at(ServiceName{"s1"});
+  CHECK(service.branches.size() == 3);
+  CHECK(service.branches.at(BranchName{"lookups"}).order == 2);
+  CHECK(service.branches.at(BranchName{"status"}).weight == 2);
+  CHECK(plan->kinds.at(KindName{"lookup"}).consistency == Consistency::lookups);
+}
+
+TEST_CASE("a broken plan is refused with the path of each fault") {
+  auto broken = [](auto&& change) {
+    auto plan = sound();
+    change(plan);
+    return plan;
+  };
+  auto& quota = "services.s1.quota";
+  CHECK(faulted(broken([](Json& plan) { plan["surprise"] = 1; }), "surprise"));
+  CHECK(faulted(broken([](Json& plan) { plan.erase("kinds"); }), "kinds"));
+  CHECK(faulted(broken([](Json& plan) { plan["mark"] = "four"; }), "mark"));
+  CHECK(faulted(broken([](Json& plan) { plan["mark"] = 0; }), "mark"));
+  CHECK(faulted(broken([](Json& plan) { plan["mark"] = "4"; }), "mark"));
+  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["databases"]["d1"]["cap"] = true; }), "services.s1.databases.d1.cap"));
+  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["service"] = 1; }), "kinds.lookup.service"));
+  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["quota"]["branches"]["counter"]["connections"] = 40; }), std::string(quota) + ".branches"));
+  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["quota"]["branches"]["low"]["branches"]["status"]["connections"] = 9; }), std::string(quota) + ".branches.low.branches"));
+  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["quota"]["connections"] = 61; }), std::string(quota) + ".connections"));
+  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["quota"]["branches"]["counter"]["weight"] = 0; }), std::string(quota) + ".branches.counter.weight"));
+  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["databases"]["d1"]["cap"] = -1; }), "services.s1.databases.d1.cap"));
+  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["databases"]["d2"]["address"] = "10.0.0.1:1"; }), "services.s1.databases.d2.address"));
+  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["databases"]["d1"]["address"] = "nowhere"; }), "services.s1.databases.d1.address"));
+  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["machines"] = {"gone"}; }), "kinds.lookup.machines"));
+  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["databases"] = {"gone"}; }), "kinds.lookup.databases"));
+  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["branch"] = "low"; }), "kinds.lookup.branch"));
+  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["service"] = "s2"; }), "kinds.lookup.service"));
+  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["consistency"] = "soon"; }), "kinds.lookup.consistency"));
+  CHECK(faulted(broken([](Json& plan) { plan["services"] = 7; }), "services"));
+}
+
+TEST_CASE("what is not one JSON object, or names a thing twice, or is too large is refused") {
+  PlanReader reader;
+  CHECK_FALSE(reader.read("{\"mark\":1"));
+  CHECK_FALSE(reader.read(""));
+  CHECK_FALSE(reader.read("[]"));
+  CHECK_FALSE(reader.read(std::string(PlanReader::mostBytes + 1, ' ')));
+  auto text = sound().dump();
+  text.insert(1, "\"mark\":5,");
+  CHECK_FALSE(reader.read(text));
+  std::string deep;
+  for (int depth = 0; depth < 100000; ++depth) deep += "[";
+  CHECK_FALSE(reader.read(deep));
+  CHECK_FALSE(reader.read(deep + std::string(deep.size(), ']')));
+}
+
+TEST_CASE("shares never sum past a branch, give the floor first and then by want") {
+  PlanService service;
+  service.branches[BranchName{"b"}] = PlanBranch{20, 2, 1, 1};
+  Wanted wanted;
+  wanted[Address{"a:1"}][BranchName{"b"}] = 30;
+  wanted[Address{"b:1"}][BranchName{"b"}] = 3;
+  wanted[Address{"c:1"}][BranchName{"b"}] = 0;
+  auto grants = cutShares(service, wanted);
+  auto given = [&](const char* node) { return grants[Address{node}][BranchName{"b"}]; };
+  CHECK(given("a:1") + given("b:1") + given("c:1") == 20);
+  CHECK(given("c:1") == 2);
+  CHECK(given("b:1") == 3);
+  CHECK(given("a:1") == 15);
+  wanted.clear();
+  for (int node = 0; node < 25; ++node) wanted[Address{"n" + std::to_string(node) + ":1"}][BranchName{"b"}] = 4;
+  std::uint32_t sum = 0;
+  for (const auto& [node, branches] : cutShares(service, wanted)) sum += branches.at(BranchName{"b"});
+  CHECK(sum == 20);
+}
+
+TEST_CASE("a plan is compared with the fleet as it is") {
+  auto plan = *PlanReader{}.read(sound().dump());
+  auto status = Json::parse(R"({"nodes":{"10.1.0.1:1":{"draining":false}},"services":{"s1":{"primary":"d9","databases":{"d1":{}}}}})");
+  auto check = checkPlan(plan, plan, status);
+  auto has = [](const std::vector<std::string>& lines, const std::string& part) {
+    return std::any_of(lines.begin(), lines.end(), [&](const auto& line) { return line.find(part) != std::string::npos; });
+  };
+  CHECK(check.changes.empty());
+  CHECK(has(check.misfits, "kind lookup selects no machine"));
+  CHECK(has(check.warnings, "10.1.0.2:1 is not in the fleet"));
+  CHECK(has(check.warnings, "s1/d2 has sent no beat"));
+  CHECK(has(check.warnings, "s1/d9 is not in the plan"));
+  auto other = sound();
+  other["kinds"].erase("lookup");
+  check = checkPlan(*PlanReader{}.read(other.dump()), plan, status);
+  CHECK(has(check.changes, "removes kind lookup"));
+  CHECK(has(check.misfits, "held with other content"));
+  other["mark"] = 3;
+  CHECK(has(checkPlan(*PlanReader{}.read(other.dump()), plan, status).misfits, "older"));
+}
