--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -228,13 +228,15 @@
   auto service = state_.services().at(name);
   auto& duty = duties_[name];
   Wanted wanted;
+  Weights weights;
   for (const auto& [address, node] : state_.nodes()) {
     auto heard = access_.nodes().find(address);
     if (node.draining || heard == access_.nodes().end() || clock_.now() - heard->second.heardAt > timings_.nodeSilence) continue;
     auto own = heard->second.report.services.find(name);
+    weights[address] = state_.plan()->weightOf(address);
     wanted[address] = own == heard->second.report.services.end() ? std::map<BranchName, std::uint32_t>{} : own->second.wanted;
   }
-  auto target = cutShares(state_.plan()->services.at(name), wanted);
+  auto target = cutShares(state_.plan()->services.at(name), wanted, weights);
   if (target == service.grants) co_return;
   auto lower = lowered(service.grants, target);
   bool newNode = target.size() != service.grants.size();
--- a/src/control/plan.hpp
+++ b/src/control/plan.hpp
@@ -27,8 +27,7 @@
   std::uint32_t connections = 0;
   std::uint32_t floor = 0;
   std::uint32_t order = 0;
-  std::uint32_t weight = 1;
-  MSGPACK_DEFINE(connections, floor, order, weight)
+  MSGPACK_DEFINE(connections, floor, order)
 };
 
 struct PlanService {
@@ -53,7 +52,9 @@
   std::map<Address, std::set<Label>> machines;
   std::map<KindName, PlanKind> kinds;
   std::map<KindName, std::set<Label>> kindLabels;
-  MSGPACK_DEFINE(mark, services, machines, kinds, kindLabels)
+  std::map<Label, std::uint32_t> weights;
+  std::uint32_t weightOf(const Address& machine) const;
+  MSGPACK_DEFINE(mark, services, machines, kinds, kindLabels, weights)
 };
 
 }  // namespace tamarindshift
--- a/src/control/plan_reader.cpp
+++ b/src/control/plan_reader.cpp
@@ -36,7 +36,7 @@
     return std::nullopt;
   }
   Plan plan;
-  if (!keys(tree, "", {"mark", "services", "kinds"}, {"machines"})) return std::nullopt;
+  if (!keys(tree, "", {"mark", "services", "kinds"}, {"machines", "weights"})) return std::nullopt;
   auto markText = tree.get<std::string>("mark", "");
   std::uint64_t mark = 0;
   auto [stop, error] = std::from_chars(markText.data(), markText.data() + markText.size(), mark);
@@ -59,13 +59,18 @@
       if (!splitAddress(Address{key})) fault(path, "must be an address of the form ip:port");
       if (!plan.machines.emplace(Address{key}, labels(child, path)).second) fault(path, "duplicate name");
     }
+  if (auto weights = tree.get_child_optional("weights"))
+    for (const auto& [key, child] : *weights) {
+      auto path = "weights." + key;
+      if (!plan.weights.emplace(Label{name(key, path)}, number(child, path, 1, 1000)).second) fault(path, "duplicate name");
+    }
   if (faults_.empty()) crossCheck(plan);
   if (!faults_.empty()) return std::nullopt;
   return plan;
 }
 
 void PlanReader::scalarTypes(const nlohmann::json& json, const std::string& path) {
-  static const std::set<std::string> numbers{"mark", "cap", "connections", "order", "weight", "floor"};
+  static const std::set<std::string> numbers{"mark", "cap", "connections", "order", "floor"};
   if (json.is_array())
     for (const auto& child : json) child.is_string() ? void() : fault(path, "must be a list of strings");
   if (!json.is_object()) return;
@@ -73,9 +78,9 @@
     auto own = path.empty() ? key : path + "." + key;
     if (child.is_structured())
       scalarTypes(child, own);
-    else if (numbers.contains(key) && !child.is_number_integer())
+    else if ((numbers.contains(key) || path == "weights") && !child.is_number_integer())
       fault(own, "must be a whole number");
-    else if (!numbers.contains(key) && !child.is_string())
+    else if (!numbers.contains(key) && path != "weights" && !child.is_string())
       fault(own, "must be a string, a list or an object");
   }
 }
@@ -164,12 +169,11 @@
 void PlanReader::branch(const Tree& tree, const std::string& path, std::uint32_t order, std::uint32_t depth,
                         std::set<std::string>& seen, PlanService& service) {
   if (depth > 8) return fault(path, "the tree is deeper than 8");
-  if (!keys(tree, path, {"connections"}, {"order", "weight", "floor", "branches"})) return;
+  if (!keys(tree, path, {"connections"}, {"order", "floor", "branches"})) return;
   PlanBranch own;
   own.connections = number(tree.get_child("connections"), path + ".connections", 1, 100000);
   own.order = order;
   if (auto given = tree.get_child_optional("order")) own.order = number(*given, path + ".order", 1, 1000);
-  if (auto given = tree.get_child_optional("weight")) own.weight = number(*given, path + ".weight", 1, 1000);
   if (auto given = tree.get_child_optional("floor")) own.floor = number(*given, path + ".floor", 0, 100000);
   if (own.floor > own.connections) fault(path + ".floor", "more than the branch's connections");
   auto children = tree.get_child_optional("branches");
@@ -217,6 +221,9 @@
       auto [other, fresh] = addresses.emplace(database.address, path);
       if (!fresh) fault(path + ".address", "also the address of " + other->second);
     }
+  for (const auto& [label, weight] : plan.weights)
+    if (std::none_of(plan.machines.begin(), plan.machines.end(), [&](const auto& machine) { return machine.second.contains(label); }))
+      fault("weights." + label.get(), "no machine has this label");
   auto selects = [](const std::set<Label>& selector, const std::set<Label>& labels) {
     return std::includes(labels.begin(), labels.end(), selector.begin(), selector.end());
   };
--- a/src/control/share_cut.cpp
+++ b/src/control/share_cut.cpp
@@ -1,50 +1,40 @@
 #include "control/share_cut.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace tamarindshift {
 
 namespace {
 
-std::map<Address, std::uint32_t> cutBranch(const PlanBranch& branch, const std::map<Address, std::uint32_t>& wanted) {
+std::map<Address, std::uint32_t> cutBranch(const PlanBranch& branch, const std::map<Address, std::uint32_t>& wanted, const Weights& weights) {
   std::map<Address, std::uint32_t> given;
   if (wanted.empty()) return given;
   auto nodes = static_cast<std::uint32_t>(wanted.size());
-  std::uint32_t left = branch.connections;
-  auto floor = std::min(std::max(branch.floor, 1u), left / nodes);
-  for (const auto& [node, want] : wanted) {
-    given[node] = floor;
-    left -= floor;
-  }
-  for (bool moved = true; moved && left > 0;) {
-    moved = false;
-    std::vector<Address> hungry;
-    for (const auto& [node, want] : wanted)
-      if (given[node] < want) hungry.push_back(node);
-    if (hungry.empty()) break;
-    auto each = std::max<std::uint32_t>(1, left / static_cast<std::uint32_t>(hungry.size()));
-    for (const auto& node : hungry) {
-      auto more = std::min({each, wanted.at(node) - given[node], left});
-      given[node] += more;
-      left -= more;
-      moved = moved || more > 0;
-    }
-  }
-  auto spare = left / nodes;
-  auto odd = left % nodes;
-  for (auto& [node, amount] : given) {
-    amount += spare;
-    if (odd > 0) {
-      ++amount;
-      --odd;
+  auto floor = std::min(std::max(branch.floor, 1u), branch.connections / nodes);
+  auto left = branch.connections - floor * nodes;
+  for (const auto& [node, want] : wanted) given[node] = floor;
+  auto weight = [&](const Address& node) {
+    auto found = weights.find(node);
+    return found == weights.end() ? 1u : found->second;
+  };
+  auto giveOne = [&](bool onlyHungry) {
+    std::optional<Address> least;
+    for (const auto& [node, amount] : given) {
+      if (onlyHungry && amount >= wanted.at(node)) continue;
+      if (!least || std::uint64_t{amount} * weight(*least) < std::uint64_t{given[*least]} * weight(node)) least = node;
     }
-  }
+    if (least) ++given[*least];
+    return least.has_value();
+  };
+  while (left > 0 && giveOne(true)) --left;
+  while (left > 0 && giveOne(false)) --left;
   return given;
 }
 
 }  // namespace
 
-Grants cutShares(const PlanService& service, const Wanted& wanted) {
+Grants cutShares(const PlanService& service, const Wanted& wanted, const Weights& weights) {
   Grants grants;
   for (const auto& [name, branch] : service.branches) {
     std::map<Address, std::uint32_t> wants;
@@ -52,7 +42,7 @@
       auto found = branches.find(name);
       wants[node] = found == branches.end() ? 0 : found->second;
     }
-    for (const auto& [node, amount] : cutBranch(branch, wants)) grants[node][name] = amount;
+    for (const auto& [node, amount] : cutBranch(branch, wants, weights)) grants[node][name] = amount;
   }
   return grants;
 }
--- a/src/control/share_cut.hpp
+++ b/src/control/share_cut.hpp
@@ -7,7 +7,9 @@
 
 using Wanted = std::map<Address, std::map<BranchName, std::uint32_t>>;
 
-Grants cutShares(const PlanService& service, const Wanted& wanted);
+using Weights = std::map<Address, std::uint32_t>;
+
+Grants cutShares(const PlanService& service, const Wanted& wanted, const Weights& weights);
 Grants lowered(const Grants& held, const Grants& target);
 
 }  // namespace tamarindshift
--- a/tests/plan_test.cpp
+++ b/tests/plan_test.cpp
@@ -17,7 +17,8 @@
   return Json::parse(R"({"mark":4,
     "services":{"s1":{"databases":{"d1":{"address":"10.0.0.1:1","cap":60,"labels":["big"]},"d2":{"address":"10.0.0.2:1","cap":60}},
       "quota":{"connections":50,"branches":{"counter":{"connections":30,"order":1,"floor":2},
-        "low":{"connections":20,"order":2,"branches":{"lookups":{"connections":12},"status":{"connections":8,"weight":2}}}}}}},
+        "low":{"connections":20,"order":2,"branches":{"lookups":{"connections":12},"status":{"connections":8}}}}}}},
+    "weights":{"fast":3},
     "machines":{"10.1.0.1:1":["old"],"10.1.0.2:1":["new","fast"]},
     "kinds":{"counter":{"service":"s1","branch":"counter","consistency":"primary","labels":["desk"]},
       "lookup":{"service":"s1","branch":"lookups","consistency":"lookups","machines":["new"],"databases":["big"]}}})");
@@ -39,7 +40,8 @@
   const auto& service = plan->services.at(ServiceName{"s1"});
   CHECK(service.branches.size() == 3);
   CHECK(service.branches.at(BranchName{"lookups"}).order == 2);
-  CHECK(service.branches.at(BranchName{"status"}).weight == 2);
+  CHECK(plan->weightOf(Address{"10.1.0.2:1"}) == 3);
+  CHECK(plan->weightOf(Address{"10.1.0.1:1"}) == 1);
   CHECK(plan->kinds.at(KindName{"lookup"}).consistency == Consistency::lookups);
 }
 
@@ -60,7 +62,7 @@
   CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["quota"]["branches"]["counter"]["connections"] = 40; }), std::string(quota) + ".branches"));
   CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["quota"]["branches"]["low"]["branches"]["status"]["connections"] = 9; }), std::string(quota) + ".branches.low.branches"));
   CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["quota"]["connections"] = 61; }), std::string(quota) + ".connections"));
-  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["quota"]["branches"]["counter"]["weight"] = 0; }), std::string(quota) + ".branches.counter.weight"));
+  CHECK(faulted(broken([](Json& plan) { plan["weights"]["fast"] = 0; }), "weights.fast"));
   CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["databases"]["d1"]["cap"] = -1; }), "services.s1.databases.d1.cap"));
   CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["databases"]["d2"]["address"] = "10.0.0.1:1"; }), "services.s1.databases.d2.address"));
   CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["databases"]["d1"]["address"] = "nowhere"; }), "services.s1.databases.d1.address"));
@@ -69,6 +71,7 @@
   CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["branch"] = "low"; }), "kinds.lookup.branch"));
   CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["service"] = "s2"; }), "kinds.lookup.service"));
   CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["consistency"] = "soon"; }), "kinds.lookup.consistency"));
+  CHECK(faulted(broken([](Json& plan) { plan["weights"]["gone"] = 2; }), "weights.gone"));
   CHECK(faulted(broken([](Json& plan) { plan["services"] = 7; }), "services"));
 }
 
@@ -89,21 +92,25 @@
 
 TEST_CASE("shares never sum past a branch, give the floor first and then by want") {
   PlanService service;
-  service.branches[BranchName{"b"}] = PlanBranch{20, 2, 1, 1};
+  service.branches[BranchName{"b"}] = PlanBranch{20, 2, 1};
   Wanted wanted;
   wanted[Address{"a:1"}][BranchName{"b"}] = 30;
   wanted[Address{"b:1"}][BranchName{"b"}] = 3;
   wanted[Address{"c:1"}][BranchName{"b"}] = 0;
-  auto grants = cutShares(service, wanted);
+  auto grants = cutShares(service, wanted, {});
   auto given = [&](const char* node) { return grants[Address{node}][BranchName{"b"}]; };
   CHECK(given("a:1") + given("b:1") + given("c:1") == 20);
   CHECK(given("c:1") == 2);
   CHECK(given("b:1") == 3);
   CHECK(given("a:1") == 15);
+  wanted[Address{"b:1"}][BranchName{"b"}] = 30;
+  grants = cutShares(service, wanted, {{Address{"a:1"}, 2}});
+  CHECK(given("a:1") == 12);
+  CHECK(given("b:1") == 6);
   wanted.clear();
   for (int node = 0; node < 25; ++node) wanted[Address{"n" + std::to_string(node) + ":1"}][BranchName{"b"}] = 4;
   std::uint32_t sum = 0;
-  for (const auto& [node, branches] : cutShares(service, wanted)) sum += branches.at(BranchName{"b"});
+  for (const auto& [node, branches] : cutShares(service, wanted, {})) sum += branches.at(BranchName{"b"});
   CHECK(sum == 20);
 }
 
