Opening to a database that fails is tried by one request at a time, ever less often

Cause: each waiting request tried to open a connection to a dead primary, four at once, every 100 ms per machine, until the recovery was followed. A success ends the pause at once.

--- a/src/pool/connection_pool.cpp
+++ b/src/pool/connection_pool.cpp
@@ -70,7 +70,8 @@
 
 bool ConnectionPool::mayOpen(const Guide::ServiceView& view, const ServiceName& service, const DatabaseName& database) {
   auto& shelf = shelves_[{service, database}];
-  return shelf.total() < allowed(view) && shelf.opening < mostOpening && clock_.now() >= shelf.openAfter;
+  auto most = shelf.openPause > Duration::zero() ? 1 : mostOpening;
+  return shelf.total() < allowed(view) && shelf.opening < most && clock_.now() >= shelf.openAfter;
 }
 
 Task<std::shared_ptr<PooledConnection>> ConnectionPool::open(ServiceName service, DatabaseName database, BranchName branch, Address address, Instant deadline) {
@@ -82,10 +83,12 @@
   --shelf.opening;
   if (!web) {
     --shelf.busy[branch];
-    shelf.openAfter = clock_.now() + 100ms;
+    shelf.openPause = std::clamp(2 * shelf.openPause, leastOpenPause, mostOpenPause);
+    shelf.openAfter = clock_.now() + shelf.openPause;
     journal_.count("pool.opens_failed");
     co_return nullptr;
   }
+  shelf.openPause = Duration::zero();
   auto connection = std::make_shared<PooledConnection>();
   connection->service = std::move(service);
   connection->database = std::move(database);
--- a/src/pool/connection_pool.hpp
+++ b/src/pool/connection_pool.hpp
@@ -35,11 +35,14 @@
     std::map<BranchName, std::uint32_t> busy;
     std::uint32_t opening = 0;
     Instant openAfter{};
+    Duration openPause{};
     std::uint32_t total() const;
   };
   static std::uint32_t allowed(const Guide::ServiceView& view);
   static std::uint32_t allowed(const Guide::ServiceView& view, const BranchName& branch);
   static constexpr std::uint32_t mostOpening = 4;
+  static constexpr Duration leastOpenPause = 100ms;
+  static constexpr Duration mostOpenPause = 1s;
 
   Clock& clock_;
   WebLink& link_;
