--- a/src/runner/fleet_runner.cpp
+++ b/src/runner/fleet_runner.cpp
@@ -196,6 +196,8 @@
     if (!co_await act(event.words)) fault("event not understood or failed: " + event.words[0]);
   }
   if (startedAt_ + script_.until() > daemon_.clock.now()) co_await sleep(daemon_.clock, startedAt_ + script_.until() - daemon_.clock.now());
+  auto patience = daemon_.clock.now() + 60s;
+  while (!allServing() && daemon_.clock.now() < patience) co_await sleep(daemon_.clock, 100ms);
   callers_->stop();
   auto deadline = daemon_.clock.now() + 20s;
   while (callers_->running() > 0 && daemon_.clock.now() < deadline) co_await sleep(daemon_.clock, 20ms);
@@ -312,17 +314,27 @@
   for (const auto& words : script_.expectations()) expect(words);
 }
 
+std::optional<Duration> FleetRunner::servedAfter(const std::string& kind, Duration after) const {
+  auto from = startedAt_ + after;
+  std::optional<Duration> first;
+  for (const auto& each : callers_->operations())
+    if (each.kind.get() == kind && each.outcome == "done" && each.startedAt >= from) first = std::min(first.value_or(Duration::max()), each.endedAt - from);
+  return first;
+}
+
+bool FleetRunner::allServing() const {
+  return std::all_of(script_.expectations().begin(), script_.expectations().end(), [this](const auto& words) {
+    return words[0] != "serving" || words.size() != 6 || servedAfter(words[1], durationText(words[5]).value_or(0s));
+  });
+}
+
 void FleetRunner::expect(const std::vector<std::string>& words) {
   std::string line;
   for (const auto& word : words) line += " " + word;
   const auto& operations = callers_->operations();
   if (words[0] == "serving" && words.size() == 6) {
-    auto within = durationText(words[3]);
-    auto after = durationText(words[5]);
-    Instant first = Instant::max();
-    for (const auto& each : operations)
-      if (each.kind.get() == words[1] && each.outcome == "done" && each.startedAt >= startedAt_ + *after) first = std::min(first, each.endedAt);
-    if (first == Instant::max() || first - (startedAt_ + *after) > *within) fault("expected" + line);
+    auto seen = servedAfter(words[1], durationText(words[5]).value_or(0s));
+    if (!seen || *seen > durationText(words[3]).value_or(0s)) fault("expected" + line + "; seen " + (seen ? std::to_string(milliseconds(*seen).count()) + "ms" : "nothing"));
   } else if (words.size() == 4) {
     auto amount = std::count_if(operations.begin(), operations.end(), [&](const auto& each) { return each.kind.get() == words[1] && each.outcome == words[0]; });
     auto bound = std::stoll(words[3]);
--- a/src/runner/fleet_runner.hpp
+++ b/src/runner/fleet_runner.hpp
@@ -39,6 +39,8 @@
   Task<bool> waitReady();
   Task<void> judge();
   Task<void> collectKept();
+  std::optional<Duration> servedAfter(const std::string& kind, Duration after) const;
+  bool allServing() const;
   void expect(const std::vector<std::string>& words);
   void say(const std::string& text);
   void fault(const std::string& text);
