--- a/src/pool/proxy_node.hpp
+++ b/src/pool/proxy_node.hpp
@@ -18,6 +18,7 @@
   Task<RequestReply> run(std::shared_ptr<Session> session, KindName kind, DatabaseRequest request);
   void gone(ConnectionId door);
 
+  void change(ProxySettings settings) { settings_ = std::move(settings); }
   void drain();
   bool draining() const { return drainingSince_.has_value(); }
   bool stopped() const;
--- a/src/programs/proxy.cpp
+++ b/src/programs/proxy.cpp
@@ -31,6 +31,19 @@
   SessionDoor door(node);
   if (auto fault = link.listen()) return complain("proxy", *fault);
   if (auto fault = daemon.serve(http, door)) return complain("proxy", *fault);
-  return daemon.run([&] { node.drain(); }, [&] { daemon.journal.line("settings of a proxy change at its next start"); },
+  auto reread = [&] {
+    auto held = settings;
+    auto places = std::tuple(own, http, held.agent);
+    auto fault = program.reread() ? settings.timings.fault() : program.lastReason();
+    if (!fault && places != std::tuple(own, http, settings.agent)) fault = "addresses change at the next start only";
+    if (fault) {
+      settings = held;
+      std::tie(own, http, settings.agent) = places;
+      return daemon.journal.line("settings refused, the old ones stay: " + *fault);
+    }
+    node.change(settings);
+    daemon.journal.line("settings read again");
+  };
+  return daemon.run([&] { node.drain(); }, reread,
                     [&]() -> std::optional<int> { return node.stopped() ? std::optional{0} : std::nullopt; });
 }
