--- /dev/null
+++ b/tests/construct_test.cpp
@@ -0,0 +1,87 @@
+#include <catch2/catch.hpp>
+
+#include "tests/engine_cluster.hpp"
+
+using namespace tamarindshift;
+using namespace tamarindshift::testing;
+
+namespace {
+
+constexpr std::size_t nobody = 99;
+
+bool someoneIs(EngineCluster& cluster, EngineState state) {
+  for (const auto& node : cluster.nodes)
+    if (node->core && node->core->engine().state() == state) return true;
+  return false;
+}
+
+void runInto(EngineCluster& cluster, EngineState state) {
+  for (int step = 0; step < 40'000 && !someoneIs(cluster, state); ++step) cluster.run(100us);
+  REQUIRE(someoneIs(cluster, state));
+}
+
+std::vector<std::string> crashInConstruct(std::uint64_t seed, Duration offset, std::size_t survivor, std::size_t emptied) {
+  EngineCluster cluster(3, seed);
+  for (std::size_t index = 0; index < 3; ++index) cluster.start(index);
+  cluster.run(2s);
+  for (std::size_t index = 0; index < 3; ++index) cluster.submit(index);
+  cluster.run(100ms);
+  cluster.kill(2);
+  cluster.run(1s);
+  for (std::size_t index = 0; index < 2; ++index) cluster.submit(index);
+  cluster.run(4ms);
+  cluster.start(2);
+  cluster.run(50ms);
+  runInto(cluster, EngineState::construct);
+  cluster.run(offset);
+  for (std::size_t index = 0; index < 3; ++index) {
+    cluster.submit(index);
+    if (index != survivor) cluster.kill(index);
+  }
+  if (emptied != nobody) cluster.nodes[emptied]->disk.empty();
+  cluster.run(700ms);
+  for (std::size_t index = 0; index < 3; ++index) cluster.start(index);
+  cluster.run(6s);
+  for (std::size_t index = 0; index < 3; ++index) cluster.submit(index);
+  cluster.run(2s);
+  cluster.judge();
+  if (cluster.inPrimary() != 3) cluster.faults.push_back("only " + std::to_string(cluster.inPrimary()) + " are back in a primary component");
+  return cluster.faults;
+}
+
+}  // namespace
+
+TEST_CASE("a group that crashes in Construct is back, also with one disk lost") {
+  for (std::uint64_t seed = 1; seed <= 2; ++seed)
+    for (auto offset = Duration{0}; offset <= 16ms; offset += 700us)
+      for (std::size_t survivor : {nobody, std::size_t{0}, std::size_t{1}})
+        for (std::size_t emptied : {nobody, std::size_t{0}, std::size_t{1}, std::size_t{2}}) {
+          if (emptied == survivor && emptied != nobody) continue;
+          auto faults = crashInConstruct(seed, offset, survivor, emptied);
+          INFO("seed " << seed << " offset " << offset.count() << " survivor " << survivor << " emptied " << emptied);
+          for (const auto& fault : faults) UNSCOPED_INFO(fault);
+          REQUIRE(faults.empty());
+        }
+}
+
+TEST_CASE("a vulnerable member whose partners are out of reach stays blocked") {
+  EngineCluster cluster(3, 5);
+  for (std::size_t index = 0; index < 3; ++index) cluster.start(index);
+  cluster.run(2s);
+  cluster.kill(2);
+  cluster.run(1s);
+  cluster.start(2);
+  cluster.run(50ms);
+  runInto(cluster, EngineState::construct);
+  cluster.run(6ms);
+  bool vulnerable = true;
+  for (std::size_t index = 0; index < 3; ++index) vulnerable = vulnerable && cluster.nodes[index]->core->engine().vulnerable().valid;
+  REQUIRE(vulnerable);
+  for (std::size_t index = 0; index < 3; ++index) cluster.kill(index);
+  cluster.start(1);
+  cluster.run(5s);
+  CHECK(cluster.inPrimary() == 0);
+  for (std::size_t index = 0; index < 3; ++index) cluster.start(index);
+  cluster.run(5s);
+  CHECK(cluster.inPrimary() == 3);
+}
