Only replicated commits are acknowledged, and databases are ranked by epoch first

Cause: a proxy cut off with the primary acknowledged commits that the primary had not replicated, and the core, which cannot hear of them, promoted a database without them. Also a returned primary with commits of an ended epoch outranked one of the current epoch by position alone, and reads could be sent to it. Ruled out: leases; all acknowledgements fell inside a valid lease. After: a database says when a commit is kept by it alone, which we report as unknown; places are compared by epoch, then position; a database that fell silent together with the primary is waited for.

--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -17,6 +17,7 @@
   Duration report = 200ms;
   Duration duty = 100ms;
   Duration databaseSilence = 1500ms;
+  Duration databaseOut = 5s;
   Duration statusPatience = 500ms;
   Duration promotePatience = 1500ms;
   Duration nodeSilence = 2500ms;
--- a/src/control/access_messages.hpp
+++ b/src/control/access_messages.hpp
@@ -7,7 +7,7 @@
 struct ServiceReport {
   std::uint64_t followed = 0;
   Epoch epoch;
-  Position acknowledged;
+  Place acknowledged;
   std::map<BranchName, std::uint32_t> wanted;
   std::map<BranchName, std::uint32_t> held;
   MSGPACK_DEFINE(followed, epoch, acknowledged, wanted, held)
--- a/src/control/access_tables.cpp
+++ b/src/control/access_tables.cpp
@@ -29,9 +29,9 @@
   return signs;
 }
 
-Position AccessTables::acknowledged(const ServiceName& service) const {
+Place AccessTables::acknowledged(const ServiceName& service) const {
   auto found = acknowledged_.find(service);
-  return found == acknowledged_.end() ? Position{} : found->second;
+  return found == acknowledged_.end() ? Place{} : found->second;
 }
 
 void AccessTables::forgetNodesBefore(Instant before) {
--- a/src/control/access_tables.hpp
+++ b/src/control/access_tables.hpp
@@ -21,13 +21,13 @@
   const std::map<Address, Node>& nodes() const { return nodes_; }
   const Database* database(const ServiceName& service, const DatabaseName& database) const;
   std::vector<DatabaseSign> signs(const ServiceName& service, Instant now) const;
-  Position acknowledged(const ServiceName& service) const;
+  Place acknowledged(const ServiceName& service) const;
   void forgetNodesBefore(Instant before);
 
  private:
   std::map<Address, Node> nodes_;
   std::map<std::pair<ServiceName, DatabaseName>, Database> databases_;
-  std::map<ServiceName, Position> acknowledged_;
+  std::map<ServiceName, Place> acknowledged_;
 };
 
 }  // namespace tamarindshift
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -9,6 +9,12 @@
 
 namespace tamarindshift {
 
+namespace {
+
+Place placeOf(const DatabaseStanding& standing) { return Place{standing.epoch, standing.position}; }
+
+}  // namespace
+
 Duties::Duties(Clock& clock, Journal& journal, const Timings& timings, ReplicationEngine& engine, const ControlState& state,
                AccessTables& access, WebLink& databases, Address platform, ServerId own)
     : clock_(clock), journal_(journal), timings_(timings), engine_(engine), state_(state), access_(access), databases_(databases), platform_(std::move(platform)), own_(std::move(own)) {
@@ -38,7 +44,14 @@
   for (const auto& [name, service] : state_.services()) {
     auto& duty = duties_[name];
     auto now = clock_.now();
-    if (duty.seenAt == Instant{} || duty.epoch != service.epoch) duty = ServiceDuty{service.epoch, now, false, {}, {}, duty.sharesAt, duty.sharesSeenAt, duty.sharesMovedAt, {}, duty.busy};
+    if (duty.seenAt == Instant{} || duty.epoch != service.epoch) {
+      if (duty.takenAt == Instant{}) duty.takenAt = now;
+      duty.epoch = service.epoch;
+      duty.seenAt = now;
+      duty.demoted = false;
+      duty.finalPlace = {};
+      duty.demoteAskedAt = duty.silentSince = {};
+    }
     if (duty.sharesAt != service.sharesAt || duty.sharesSeenAt == Instant{}) {
       duty.sharesAt = service.sharesAt;
       duty.sharesSeenAt = now;
@@ -112,13 +125,30 @@
     if (database != besides && !state_.services().at(name).drained.contains(database)) names.push_back(database);
   for (const auto& database : names) {
     auto standing = co_await status(name, database);
-    if (!standing) continue;
-    auto rank = [](const DatabaseStanding& each) { return std::pair(each.position, each.role == "primary"); };
+    if (!standing) {
+      if (diedWithPrimary(name, database)) {
+        wait(name, "database " + database.get() + " fell silent with the primary and may hold more");
+        co_return std::nullopt;
+      }
+      continue;
+    }
+    auto rank = [](const DatabaseStanding& each) { return std::pair(placeOf(each), each.role == "primary"); };
     if (!best || rank(*standing) > rank(best->standing)) best = Candidate{database, *standing};
   }
+  if (!best) wait(name, "no database can become primary");
   co_return best;
 }
 
+bool Duties::diedWithPrimary(const ServiceName& name, const DatabaseName& database) const {
+  const auto& service = state_.services().at(name);
+  if (database == service.primary || service.epoch == Epoch{}) return false;
+  const auto* own = access_.database(name, database);
+  const auto* primary = access_.database(name, service.primary);
+  if (!own) return clock_.now() - duties_.at(name).takenAt < timings_.databaseOut;
+  auto primaryHeardAt = primary ? primary->heardAt : clock_.now();
+  return primaryHeardAt - own->heardAt < timings_.databaseOut;
+}
+
 Task<bool> Duties::order(ControlMatter matter, std::string body) {
   ControlUpdate update{matter, engine_.primComponent().primIndex, std::move(body)};
   auto outcome = co_await engine_.order(packed(update), clock_.now() + timings_.orderPatience);
@@ -133,8 +163,8 @@
   std::optional<DatabaseName> besides;
   if (service.epoch != Epoch{} && reason != "primary says it is none") besides = service.primary;
   auto best = co_await candidate(name, besides);
-  if (!best) co_return wait(name, "no database can become primary");
-  if (!leaves && best->standing.position < access_.acknowledged(name))
+  if (!best) co_return;
+  if (!leaves && placeOf(best->standing) < access_.acknowledged(name))
     co_return wait(name, "no database holds all that was acknowledged");
   if (!onDuty()) co_return;
   journal_.line("service " + name.get() + " recovers to " + best->database.get() + ": " + reason);
@@ -152,7 +182,7 @@
   if (!standing) co_return;
   auto& duty = duties_[name];
   duty.demoted = true;
-  duty.finalPosition = std::max(duty.finalPosition, standing->position);
+  duty.finalPlace = std::max(duty.finalPlace, placeOf(*standing));
 }
 
 Task<void> Duties::demoteStray(ServiceName name) {
@@ -189,10 +219,11 @@
       co_await recover(name, "chosen database is silent");
     co_return;
   }
-  auto needed = std::max(access_.acknowledged(name), duties_[name].finalPosition);
-  if (standing->position < needed) {
+  auto needed = access_.acknowledged(name);
+  if (!leasesOver) needed = std::max(needed, duties_[name].finalPlace);
+  if (placeOf(*standing) < needed) {
     auto best = co_await candidate(name, std::nullopt);
-    if (best && best->standing.position >= needed && best->database != service.primary && leasesOver &&
+    if (best && placeOf(best->standing) >= needed && best->database != service.primary && leasesOver &&
         clock_.now() - duties_[name].seenAt > 2 * timings_.lease)
       co_return co_await recover(name, "another database holds more");
     co_return wait(name, "the chosen database has not all that was acknowledged");
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -21,8 +21,9 @@
   struct ServiceDuty {
     Epoch epoch;
     Instant seenAt{};
+    Instant takenAt{};
     bool demoted = false;
-    Position finalPosition;
+    Place finalPlace;
     Instant demoteAskedAt{};
     std::uint64_t sharesAt = 0;
     Instant sharesSeenAt{};
@@ -49,6 +50,7 @@
   Task<void> shares(ServiceName name);
   Task<void> nodes();
   Task<void> returns(ServiceName name);
+  bool diedWithPrimary(const ServiceName& name, const DatabaseName& database) const;
   bool everyNodeFollows(const ServiceName& name, std::uint64_t position, Instant since) const;
   void wait(const ServiceName& name, const std::string& reason);
   const PlanDatabase* planned(const ServiceName& service, const DatabaseName& database) const;
--- a/src/control/names.hpp
+++ b/src/control/names.hpp
@@ -11,6 +11,14 @@
 using PlanMark = Strong<struct PlanMarkTag, std::uint64_t>;
 using Epoch = Strong<struct EpochTag, std::uint64_t>;
 using Position = Strong<struct PositionTag, std::uint64_t>;
+struct Place {
+  Epoch epoch;
+  Position position;
+  auto operator<=>(const Place&) const = default;
+  bool operator==(const Place&) const = default;
+  MSGPACK_DEFINE(epoch, position)
+};
+
 using ServiceName = Strong<struct ServiceNameTag, std::string>;
 using DatabaseName = Strong<struct DatabaseNameTag, std::string>;
 using KindName = Strong<struct KindNameTag, std::string>;
--- a/src/pool/database_json.cpp
+++ b/src/pool/database_json.cpp
@@ -69,12 +69,13 @@
 std::string replyToJson(const DatabaseReply& reply) {
   Json json{{"done", reply.done}, {"result", reply.result}, {"standing", standingJson(reply.standing)}};
   if (!reply.reason.empty()) json["reason"] = reply.reason;
+  if (!reply.replicated) json["replicated"] = false;
   return json.dump();
 }
 
 std::optional<DatabaseReply> replyFromJson(const std::string& body) {
   return guarded(body, [](const Json& json) {
-    return DatabaseReply{json.at("done").get<bool>(), json.value("reason", ""), json.at("result").get<std::string>(),
+    return DatabaseReply{json.at("done").get<bool>(), json.value("replicated", true), json.value("reason", ""), json.at("result").get<std::string>(),
                          standingOf(json.at("standing"))};
   });
 }
--- a/src/pool/database_messages.hpp
+++ b/src/pool/database_messages.hpp
@@ -27,6 +27,7 @@
 
 struct DatabaseReply {
   bool done = false;
+  bool replicated = true;
   std::string reason;
   std::string result;
   DatabaseStanding standing;
--- a/src/pool/proxy_node.cpp
+++ b/src/pool/proxy_node.cpp
@@ -256,7 +256,7 @@
     if (planned == view.service->plan->service.databases.end() || name == view.service->primary.primary) continue;
     if (view.service->drained.contains(name) || record->avoid.contains(name)) continue;
     if (!labelled(planned->second.labels, view.kind->databases)) continue;
-    if (sign.role != "replica" || sign.age > bound || Position{sign.position} < needed) continue;
+    if (sign.role != "replica" || Epoch{sign.epoch} != view.service->primary.epoch || sign.age > bound || Position{sign.position} < needed) continue;
     auto load = pool_.load(record->service, name);
     if (!best || load < least) {
       best = Choice{name, planned->second.address, view.service->primary.epoch};
@@ -400,9 +400,16 @@
     record->avoid.insert(connection->database);
     return again(record);
   }
+  if (keptNow && !reply.replicated) {
+    auto& position = session->own[record->service];
+    position = std::max(position, reply.standing.position);
+    if (operation == Operation::commit) session->inTransaction = false;
+    retire(record, connection);
+    return unknown(record, "kept by the primary alone");
+  }
   if (record->request.reads && !atPrimary) {
     auto own = session->own.find(record->service);
-    bool behind = own != session->own.end() && reply.standing.position < own->second;
+    bool behind = reply.standing.epoch != connection->epoch || (own != session->own.end() && reply.standing.position < own->second);
     bool stale = reply.standing.contactAge > stalenessBound(view.kind->consistency);
     if (behind || stale) {
       journal_.count("reads.too_stale");
@@ -418,7 +425,7 @@
     auto& own = session->own[record->service];
     own = std::max(own, reply.standing.position);
     auto& acknowledged = acknowledged_[record->service];
-    acknowledged = std::max(acknowledged, reply.standing.position);
+    acknowledged = std::max(acknowledged, Place{reply.standing.epoch, reply.standing.position});
   }
   if (operation == Operation::begin && reply.done) session->inTransaction = true;
   if (operation == Operation::commit || operation == Operation::rollback) session->inTransaction = false;
--- a/src/pool/proxy_node.hpp
+++ b/src/pool/proxy_node.hpp
@@ -76,7 +76,7 @@
   RequestTable requests_;
   std::map<SessionId, std::shared_ptr<Session>> sessions_;
   std::map<ServiceName, std::uint64_t> followed_;
-  std::map<ServiceName, Position> acknowledged_;
+  std::map<ServiceName, Place> acknowledged_;
   std::map<std::pair<ServiceName, BranchName>, double> demand_;
   std::map<ServiceName, double> meanTaken_;
   std::optional<Instant> drainingSince_;
