--- a/src/base/backlog.hpp
+++ b/src/base/backlog.hpp
@@ -21,7 +21,6 @@
     commands_.pop_front();
     co_return command;
   }
-  std::size_t size() const { return commands_.size(); }
 
  private:
   std::deque<Command> commands_;
--- a/src/base/journal.hpp
+++ b/src/base/journal.hpp
@@ -11,7 +11,6 @@
   virtual ~Journal() = default;
   virtual void line(const std::string& text) = 0;
   void count(const std::string& name, std::uint64_t amount = 1) { counters_[name] += amount; }
-  void gauge(const std::string& name, std::uint64_t value) { counters_[name] = value; }
   const std::map<std::string, std::uint64_t>& counters() const { return counters_; }
 
  private:
--- a/src/base/task_scope.hpp
+++ b/src/base/task_scope.hpp
@@ -14,7 +14,6 @@
   TaskScope& operator=(const TaskScope&) = delete;
   void spawn(Task<void> task);
   void clear() { tasks_.clear(); }
-  std::size_t size() const { return tasks_.size(); }
 
  private:
   void sweep();
--- a/src/control/plan.hpp
+++ b/src/control/plan.hpp
@@ -27,7 +27,8 @@
   std::uint32_t connections = 0;
   std::uint32_t floor = 0;
   std::uint32_t order = 0;
-  MSGPACK_DEFINE(connections, floor, order)
+  std::set<Label> takes;
+  MSGPACK_DEFINE(connections, floor, order, takes)
 };
 
 struct PlanService {
@@ -43,7 +44,8 @@
   Consistency consistency = Consistency::primary;
   std::set<Label> machines;
   std::set<Label> databases;
-  MSGPACK_DEFINE(service, branch, consistency, machines, databases)
+  std::set<Label> labels;
+  MSGPACK_DEFINE(service, branch, consistency, machines, databases, labels)
 };
 
 struct Plan {
@@ -51,10 +53,9 @@
   std::map<ServiceName, PlanService> services;
   std::map<Address, std::set<Label>> machines;
   std::map<KindName, PlanKind> kinds;
-  std::map<KindName, std::set<Label>> kindLabels;
   std::map<Label, std::uint32_t> weights;
   std::uint32_t weightOf(const Address& machine) const;
-  MSGPACK_DEFINE(mark, services, machines, kinds, kindLabels, weights)
+  MSGPACK_DEFINE(mark, services, machines, kinds, weights)
 };
 
 }  // namespace tamarindshift
--- a/src/control/plan_reader.cpp
+++ b/src/control/plan_reader.cpp
@@ -50,7 +50,6 @@
   for (const auto& [key, child] : tree.get_child("kinds")) {
     auto path = "kinds." + key;
     if (!plan.kinds.emplace(KindName{name(key, path)}, kind(child, path)).second) fault(path, "duplicate name");
-    if (auto own = child.get_child_optional("labels")) plan.kindLabels[KindName{key}] = labels(*own, path + ".labels");
   }
   if (tree.get_child("kinds").empty()) fault("kinds", "must name at least one kind of work");
   if (auto machines = tree.get_child_optional("machines"))
@@ -64,6 +63,7 @@
       auto path = "weights." + key;
       if (!plan.weights.emplace(Label{name(key, path)}, number(child, path, 1, 1000)).second) fault(path, "duplicate name");
     }
+  if (faults_.empty()) placeKinds(plan);
   if (faults_.empty()) crossCheck(plan);
   if (!faults_.empty()) return std::nullopt;
   return plan;
@@ -169,12 +169,13 @@
 void PlanReader::branch(const Tree& tree, const std::string& path, std::uint32_t order, std::uint32_t depth,
                         std::set<std::string>& seen, PlanService& service) {
   if (depth > 8) return fault(path, "the tree is deeper than 8");
-  if (!keys(tree, path, {"connections"}, {"order", "floor", "branches"})) return;
+  if (!keys(tree, path, {"connections"}, {"order", "floor", "takes", "branches"})) return;
   PlanBranch own;
   own.connections = number(tree.get_child("connections"), path + ".connections", 1, 100000);
   own.order = order;
   if (auto given = tree.get_child_optional("order")) own.order = number(*given, path + ".order", 1, 1000);
   if (auto given = tree.get_child_optional("floor")) own.floor = number(*given, path + ".floor", 0, 100000);
+  if (auto given = tree.get_child_optional("takes")) own.takes = labels(*given, path + ".takes");
   if (own.floor > own.connections) fault(path + ".floor", "more than the branch's connections");
   auto children = tree.get_child_optional("branches");
   if (!children) {
@@ -196,9 +197,10 @@
 
 PlanKind PlanReader::kind(const Tree& tree, const std::string& path) {
   PlanKind kind;
-  if (!keys(tree, path, {"service", "branch", "consistency"}, {"machines", "databases", "labels"})) return kind;
+  if (!keys(tree, path, {"service", "consistency"}, {"branch", "machines", "databases", "labels"})) return kind;
   kind.service = ServiceName{tree.get<std::string>("service")};
-  kind.branch = BranchName{tree.get<std::string>("branch")};
+  kind.branch = BranchName{tree.get<std::string>("branch", "")};
+  if (auto given = tree.get_child_optional("labels")) kind.labels = labels(*given, path + ".labels");
   auto consistency = tree.get<std::string>("consistency");
   if (consistency == "primary")
     kind.consistency = Consistency::primary;
@@ -213,6 +215,20 @@
   return kind;
 }
 
+void PlanReader::placeKinds(Plan& plan) {
+  for (auto& [kindName, kind] : plan.kinds) {
+    auto service = plan.services.find(kind.service);
+    if (service == plan.services.end() || !kind.branch.get().empty()) continue;
+    std::vector<BranchName> taking;
+    for (const auto& [name, branch] : service->second.branches)
+      if (!branch.takes.empty() && std::includes(kind.labels.begin(), kind.labels.end(), branch.takes.begin(), branch.takes.end())) taking.push_back(name);
+    if (taking.size() == 1)
+      kind.branch = taking.front();
+    else
+      fault("kinds." + kindName.get() + ".branch", taking.empty() ? "missing, and no branch takes the kind's labels" : "missing, and several branches take the kind's labels");
+  }
+}
+
 void PlanReader::crossCheck(const Plan& plan) {
   std::map<Address, std::string> addresses;
   for (const auto& [serviceName, service] : plan.services)
--- a/src/control/plan_reader.hpp
+++ b/src/control/plan_reader.hpp
@@ -30,6 +30,7 @@
   PlanService service(const Tree& tree, const std::string& path);
   void branch(const Tree& tree, const std::string& path, std::uint32_t order, std::uint32_t depth, std::set<std::string>& seen, PlanService& service);
   PlanKind kind(const Tree& tree, const std::string& path);
+  void placeKinds(Plan& plan);
   void crossCheck(const Plan& plan);
 
   std::vector<PlanFault> faults_;
--- a/src/group/sequenced_group.hpp
+++ b/src/group/sequenced_group.hpp
@@ -28,9 +28,6 @@
   std::vector<Address> joinedPartners() const;
   const std::set<Address>& known() const { return known_; }
   const ViewId& view() const { return view_; }
-  bool flushing() const { return flushing_; }
-  std::vector<Member> viewMembers() const { return {members_.begin(), members_.end()}; }
-  std::uint64_t safe() const { return safe_; }
 
  private:
   struct Partner {
--- a/src/pool/proxy_node.cpp
+++ b/src/pool/proxy_node.cpp
@@ -16,7 +16,7 @@
 
 ProxyNode::ProxyNode(Clock& clock, PartnerLink& link, WebLink& databases, Journal& journal, ProxySettings settings,
                      std::uint64_t entropy)
-    : clock_(clock), databases_(databases), journal_(journal), settings_(std::move(settings)), boot_(entropy), desk_(clock, link), guide_(clock, desk_, journal, settings_.timings, settings_.agent, settings_.node), pool_(clock, databases, journal) {
+    : clock_(clock), journal_(journal), settings_(std::move(settings)), boot_(entropy), desk_(clock, link), guide_(clock, desk_, journal, settings_.timings, settings_.agent, settings_.node), pool_(clock, databases, journal) {
   scope_.spawn(work());
   scope_.spawn(tick());
   scope_.spawn(report());
--- a/src/pool/proxy_node.hpp
+++ b/src/pool/proxy_node.hpp
@@ -66,7 +66,6 @@
   void noteDone(const ServiceName& service, Duration taken);
 
   Clock& clock_;
-  WebLink& databases_;
   Journal& journal_;
   ProxySettings settings_;
   std::uint64_t boot_;
--- a/src/real/http_web_link.cpp
+++ b/src/real/http_web_link.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http.hpp>
 
 #include "real/completion.hpp"
+#include "real/endpoint.hpp"
 
 namespace tamarindshift {
 
@@ -91,19 +92,17 @@
 }  // namespace
 
 Task<std::unique_ptr<WebConnection>> HttpWebLink::open(Address address, Instant deadline) {
-  auto split = splitAddress(detoured(detours_, address));
-  if (!split) co_return nullptr;
-  Error error;
-  auto host = boost::asio::ip::make_address(split->host, error);
-  if (error) co_return nullptr;
+  auto found = endpointOf(detoured(detours_, address));
+  if (!found) co_return nullptr;
+  auto endpoint = *found;
   auto line = std::make_shared<Line>(context_);
   line->stream.expires_at(deadline);
-  boost::asio::ip::tcp::endpoint endpoint{host, split->port};
   auto [connectError] = co_await Completion<Error>([&](auto done) {
     line->stream.async_connect(endpoint, [line, done](Error failure) { done(failure); });
   });
   if (connectError) co_return nullptr;
-  line->stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), error);
+  Error ignored;
+  line->stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
   Line::watch(line);
   co_return std::make_unique<HttpWebConnection>(line, address.get());
 }
--- a/src/real/tcp_link.cpp
+++ b/src/real/tcp_link.cpp
@@ -3,6 +3,7 @@
 #include <cstring>
 
 #include "real/completion.hpp"
+#include "real/endpoint.hpp"
 
 namespace tamarindshift {
 
@@ -20,15 +21,6 @@
   return frame;
 }
 
-std::optional<tcp::endpoint> endpointOf(const Address& address) {
-  auto split = splitAddress(address);
-  if (!split) return std::nullopt;
-  Error error;
-  auto host = boost::asio::ip::make_address(split->host, error);
-  if (error) return std::nullopt;
-  return tcp::endpoint{host, split->port};
-}
-
 }  // namespace
 
 TcpLink::TcpLink(boost::asio::io_context& context, Clock& clock, Journal& journal, Address own, Detours detours)
--- a/src/runner/child_process.cpp
+++ b/src/runner/child_process.cpp
@@ -17,7 +17,6 @@
 
 bool ChildProcess::start() {
   if (running()) return true;
-  exitCode_.reset();
   std::vector<char*> words{program_.data()};
   for (auto& argument : arguments_) words.push_back(argument.data());
   words.push_back(nullptr);
@@ -35,7 +34,6 @@
   if (process_ < 0) return false;
   int status = 0;
   if (::waitpid(process_, &status, WNOHANG) == 0) return true;
-  exitCode_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
   process_ = -1;
   return false;
 }
@@ -50,7 +48,6 @@
   ::kill(process_, SIGKILL);
   int status = 0;
   ::waitpid(process_, &status, 0);
-  exitCode_ = 128 + SIGKILL;
   process_ = -1;
 }
 
--- a/src/runner/child_process.hpp
+++ b/src/runner/child_process.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,14 +14,12 @@
   bool running();
   void signal(int number);
   void kill();
-  std::optional<int> exitCode() const { return exitCode_; }
 
  private:
   std::string program_;
   std::vector<std::string> arguments_;
   std::string logFile_;
   int process_ = -1;
-  std::optional<int> exitCode_;
 };
 
 }  // namespace tamarindshift
--- a/src/runner/relay.cpp
+++ b/src/runner/relay.cpp
@@ -3,30 +3,23 @@
 #include <array>
 
 #include "real/completion.hpp"
+#include "real/endpoint.hpp"
 
 namespace tamarindshift {
 
 using boost::asio::ip::tcp;
 using Error = boost::system::error_code;
 
-namespace {
-
-tcp::endpoint endpointOf(const Address& address) {
-  auto split = splitAddress(address).value_or(HostAndPort{"127.0.0.1", 0});
-  return tcp::endpoint{boost::asio::ip::make_address(split.host), split.port};
-}
-
-}  // namespace
-
 Relay::Relay(boost::asio::io_context& context, Clock& clock, Address own, Address target)
     : context_(context), clock_(clock), own_(std::move(own)), target_(std::move(target)), acceptor_(context) {}
 
 bool Relay::listen() {
   Error error;
   auto endpoint = endpointOf(own_);
-  acceptor_.open(endpoint.protocol(), error);
+  if (!endpoint) return false;
+  acceptor_.open(endpoint->protocol(), error);
   acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  acceptor_.bind(endpoint, error);
+  acceptor_.bind(*endpoint, error);
   if (!error) acceptor_.listen(tcp::acceptor::max_listen_connections, error);
   if (error) return false;
   scope_.spawn(accept());
@@ -45,7 +38,7 @@
 Task<void> Relay::join(std::shared_ptr<Socket> near) {
   while (cut_) co_await sleep(clock_, 20ms);
   auto far = std::make_shared<Socket>(context_);
-  auto endpoint = endpointOf(target_);
+  auto endpoint = endpointOf(target_).value_or(tcp::endpoint{});
   auto [error] = co_await Completion<Error>([&](auto done) { far->async_connect(endpoint, [far, done](Error failure) { done(failure); }); });
   Error ignored;
   if (error) {
--- a/src/simulated/simulated_disk.hpp
+++ b/src/simulated/simulated_disk.hpp
@@ -8,7 +8,6 @@
 struct SimulatedDisk {
   std::vector<std::string> synced;
   std::vector<std::string> unsynced;
-  bool keepsOnlySynced = true;
   void crash() { unsynced.clear(); }
   void empty() {
     synced.clear();
--- a/src/simulated/standin_database.hpp
+++ b/src/simulated/standin_database.hpp
@@ -60,12 +60,10 @@
   void slow(Duration work) { settings_.work = work; }
   void comeBack() { leaving_ = false; }
   void lieAboutContact() { lies_ = true; }
-  bool leaving() const { return leaving_; }
   Task<bool> detach();
   const std::vector<StandinHistoryEntry>& history() const { return history_; }
   const std::map<std::string, std::string>& data() const { return data_; }
   std::uint32_t mostConnections() const { return mostConnections_; }
-  std::size_t connections() const { return connections_.size(); }
   const StandinDatabaseSettings& settings() const { return settings_; }
 
  private:
--- a/tests/plan_test.cpp
+++ b/tests/plan_test.cpp
@@ -70,11 +70,24 @@
   CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["databases"] = {"gone"}; }), "kinds.lookup.databases"));
   CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["branch"] = "low"; }), "kinds.lookup.branch"));
   CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["service"] = "s2"; }), "kinds.lookup.service"));
+  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["counter"].erase("branch"); }), "kinds.counter.branch"));
   CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["consistency"] = "soon"; }), "kinds.lookup.consistency"));
   CHECK(faulted(broken([](Json& plan) { plan["weights"]["gone"] = 2; }), "weights.gone"));
   CHECK(faulted(broken([](Json& plan) { plan["services"] = 7; }), "services"));
 }
 
+TEST_CASE("a kind without a branch goes to the one that takes its labels") {
+  auto json = sound();
+  json["kinds"]["counter"].erase("branch");
+  auto& branches = json["services"]["s1"]["quota"]["branches"];
+  branches["counter"]["takes"] = {"desk"};
+  auto plan = PlanReader{}.read(json.dump());
+  REQUIRE(plan);
+  CHECK(plan->kinds.at(KindName{"counter"}).branch == BranchName{"counter"});
+  branches["low"]["branches"]["status"]["takes"] = {"desk"};
+  CHECK(faulted(json, "kinds.counter.branch"));
+}
+
 TEST_CASE("what is not one JSON object, or names a thing twice, or is too large is refused") {
   PlanReader reader;
   CHECK_FALSE(reader.read("{\"mark\":1"));
@@ -92,7 +105,7 @@
 
 TEST_CASE("shares never sum past a branch, give the floor first and then by want") {
   PlanService service;
-  service.branches[BranchName{"b"}] = PlanBranch{20, 2, 1};
+  service.branches[BranchName{"b"}] = PlanBranch{20, 2, 1, {}};
   Wanted wanted;
   wanted[Address{"a:1"}][BranchName{"b"}] = 30;
   wanted[Address{"b:1"}][BranchName{"b"}] = 3;
