A silent primary is asked for its STATUS after 1 s, and replaced a second sooner

Cause: a crashed primary was replaced 5.16 s after its end: 1.5 s of silence, another 0.75 s of doubt although STATUS decides, and 2.2 s for old leases. Ruled out: the order of the recovery (5 ms) and the promote call (100 ms). The rest is the lease, which cannot go without a confirmed DEMOTE. A holder that has just taken the duties still waits as long as the silence before it judges a database it has not heard of.

--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -16,7 +16,7 @@
   Duration newsPatience = 300ms;
   Duration report = 200ms;
   Duration duty = 100ms;
-  Duration databaseSilence = 1500ms;
+  Duration databaseSilence = 1s;
   Duration databaseOut = 5s;
   Duration statusPatience = 500ms;
   Duration promotePatience = 1500ms;
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -90,7 +90,8 @@
     co_return;
   }
   if (duty.silentSince == Instant{}) duty.silentSince = now;
-  if (now - std::max(duty.silentSince, duty.seenAt) < timings_.databaseSilence / 2) co_return;
+  auto since = silent ? duty.takenAt : std::max(duty.silentSince, duty.seenAt);
+  if (now - since < timings_.databaseSilence) co_return;
   auto standing = co_await status(name, primary);
   if (standing && standing->role == "primary") co_return wait(name, "no beats from the primary, yet STATUS is well");
   co_await recover(name, standing ? "primary says it is none" : "primary is silent");
