--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -91,10 +91,8 @@
   if (!plan_->services.at(update.service).databases.contains(update.chosen)) return "no such database";
   auto& state = service->second;
   state.epoch = Epoch{state.epoch.get() + 1};
-  state.formerPrimary = state.primary;
   state.primary = update.chosen;
   state.promoted = false;
-  state.recoveryAt = position_;
   return "held";
 }
 
@@ -102,6 +100,7 @@
   auto service = services_.find(update.service);
   if (service == services_.end() || service->second.epoch != update.epoch) return "other epoch";
   service->second.promoted = true;
+  service->second.servedBy = service->second.primary;
   return "held";
 }
 
--- a/src/control/control_state.hpp
+++ b/src/control/control_state.hpp
@@ -19,12 +19,11 @@
   Epoch epoch;
   DatabaseName primary;
   bool promoted = false;
-  DatabaseName formerPrimary;
-  std::uint64_t recoveryAt = 0;
+  DatabaseName servedBy;
   std::map<DatabaseName, DrainMark> drained;
   Grants grants;
   std::uint64_t sharesAt = 0;
-  MSGPACK_DEFINE(epoch, primary, promoted, formerPrimary, recoveryAt, drained, grants, sharesAt)
+  MSGPACK_DEFINE(epoch, primary, promoted, servedBy, drained, grants, sharesAt)
 };
 
 struct NodeState {
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -142,9 +142,9 @@
 
 bool Duties::diedWithPrimary(const ServiceName& name, const DatabaseName& database) const {
   const auto& service = state_.services().at(name);
-  if (database == service.primary || service.epoch == Epoch{}) return false;
+  if (service.servedBy.get().empty() || database == service.servedBy) return false;
   const auto* own = access_.database(name, database);
-  const auto* primary = access_.database(name, service.primary);
+  const auto* primary = access_.database(name, service.servedBy);
   if (!own) return clock_.now() - duties_.at(name).takenAt < timings_.databaseOut;
   auto primaryHeardAt = primary ? primary->heardAt : clock_.now();
   return primaryHeardAt - own->heardAt < timings_.databaseOut;
@@ -204,11 +204,11 @@
   auto service = state_.services().at(name);
   if (!planned(name, service.primary) || service.drained.contains(service.primary))
     co_return co_await recover(name, "chosen database is gone");
-  bool first = service.formerPrimary.get().empty();
-  if (!first && service.formerPrimary != service.primary && !duties_[name].demoted &&
+  bool first = service.servedBy.get().empty();
+  if (!first && service.servedBy != service.primary && !duties_[name].demoted &&
       clock_.now() - duties_[name].demoteAskedAt > timings_.statusPatience) {
     duties_[name].demoteAskedAt = clock_.now();
-    co_await demote(name, service.formerPrimary);
+    co_await demote(name, service.servedBy);
   }
   if (!state_.services().contains(name) || state_.services().at(name).epoch != service.epoch) co_return;
   auto& duty = duties_[name];
