A commit counts as acknowledged at its own place, not at where its database was

Cause: the place a proxy reported as acknowledged was the position of the database when it replied, which includes later commits that were not yet replicated. After a crash no replica seemed to hold all that was acknowledged, and the recovery waited for the dead primary.

--- a/src/pool/database_json.cpp
+++ b/src/pool/database_json.cpp
@@ -70,13 +70,15 @@
   Json json{{"done", reply.done}, {"result", reply.result}, {"standing", standingJson(reply.standing)}};
   if (!reply.reason.empty()) json["reason"] = reply.reason;
   if (!reply.replicated) json["replicated"] = false;
+  if (reply.keptAt != Position{}) json["kept_at"] = reply.keptAt.get();
   return json.dump();
 }
 
 std::optional<DatabaseReply> replyFromJson(const std::string& body) {
   return guarded(body, [](const Json& json) {
-    return DatabaseReply{json.at("done").get<bool>(), json.value("replicated", true), json.value("reason", ""), json.at("result").get<std::string>(),
-                         standingOf(json.at("standing"))};
+    auto standing = standingOf(json.at("standing"));
+    Position keptAt{json.value("kept_at", standing.position.get())};
+    return DatabaseReply{json.at("done").get<bool>(), json.value("replicated", true), json.value("reason", ""), json.at("result").get<std::string>(), standing, keptAt};
   });
 }
 
--- a/src/pool/database_messages.hpp
+++ b/src/pool/database_messages.hpp
@@ -31,6 +31,7 @@
   std::string reason;
   std::string result;
   DatabaseStanding standing;
+  Position keptAt;
 };
 
 }  // namespace tamarindshift
--- a/src/pool/proxy_node.cpp
+++ b/src/pool/proxy_node.cpp
@@ -402,7 +402,7 @@
   }
   if (keptNow && !reply.replicated) {
     auto& position = session->own[record->service];
-    position = std::max(position, reply.standing.position);
+    position = std::max(position, reply.keptAt);
     if (operation == Operation::commit) session->inTransaction = false;
     retire(record, connection);
     return unknown(record, "kept by the primary alone");
@@ -423,9 +423,9 @@
   }
   if (keptNow) {
     auto& own = session->own[record->service];
-    own = std::max(own, reply.standing.position);
+    own = std::max(own, reply.keptAt);
     auto& acknowledged = acknowledged_[record->service];
-    acknowledged = std::max(acknowledged, Place{reply.standing.epoch, reply.standing.position});
+    acknowledged = std::max(acknowledged, Place{reply.standing.epoch, reply.keptAt});
   }
   if (operation == Operation::begin && reply.done) session->inTransaction = true;
   if (operation == Operation::commit || operation == Operation::rollback) session->inTransaction = false;
@@ -437,7 +437,7 @@
   answer.reason = reply.reason;
   answer.result = std::move(reply.result);
   answer.database = connection->database;
-  answer.position = reply.standing.position;
+  answer.position = keptNow ? reply.keptAt : reply.standing.position;
   journal_.count(reply.done ? "requests.done" : "requests.failed");
   requests_.reply(record, std::move(answer));
 }
--- a/src/simulated/standin_database.cpp
+++ b/src/simulated/standin_database.cpp
@@ -80,7 +80,7 @@
 
 Task<DatabaseReply> StandinDatabase::runRequest(ConnectionId key, DatabaseRequest request) {
   co_await sleep(clock_, settings_.work);
-  auto fail = [this](const std::string& reason) { return DatabaseReply{false, true, reason, {}, standing()}; };
+  auto fail = [this](const std::string& reason) { return DatabaseReply{false, true, reason, {}, standing(), {}}; };
   auto found = connections_.find(key);
   if (found == connections_.end()) co_return fail("connection is gone");
   auto& connection = found->second;
@@ -92,24 +92,25 @@
     case Operation::begin:
       connection.inTransaction = true;
       connection.pending.clear();
-      co_return DatabaseReply{true, true, {}, {}, standing()};
+      co_return DatabaseReply{true, true, {}, {}, standing(), {}};
     case Operation::rollback:
       connection.inTransaction = false;
       connection.pending.clear();
-      co_return DatabaseReply{true, true, {}, {}, standing()};
+      co_return DatabaseReply{true, true, {}, {}, standing(), {}};
     case Operation::commit: {
       auto writes = std::exchange(connection.pending, {});
       connection.inTransaction = false;
-      auto kept = writes.empty() ? Kept::replicated : co_await keep(std::move(writes));
-      if (kept == Kept::no) co_return fail("not primary");
-      co_return DatabaseReply{true, kept == Kept::replicated, {}, {}, standing()};
+      Kept kept;
+      if (!writes.empty()) kept = co_await keep(std::move(writes));
+      if (!kept.kept) co_return fail("not primary");
+      co_return DatabaseReply{true, kept.replicated, {}, {}, standing(), kept.at};
     }
     case Operation::prepare:
       connection.prepared[request.name] = request.text;
-      co_return DatabaseReply{true, true, {}, {}, standing()};
+      co_return DatabaseReply{true, true, {}, {}, standing(), {}};
     case Operation::set:
       connection.values[request.name] = request.text;
-      co_return DatabaseReply{true, true, {}, {}, standing()};
+      co_return DatabaseReply{true, true, {}, {}, standing(), {}};
     case Operation::execute: {
       auto prepared = connection.prepared.find(request.name);
       if (prepared == connection.prepared.end()) co_return fail("no such prepared statement");
@@ -127,13 +128,13 @@
   std::string result;
   bool within = connection.inTransaction;
   if (auto fault = apply(connection, text, request.reads, result)) co_return fail(*fault);
-  auto kept = Kept::replicated;
+  Kept kept;
   if (!within && !connection.pending.empty()) {
     auto writes = std::exchange(connection.pending, {});
     kept = co_await keep(std::move(writes));
-    if (kept == Kept::no) co_return fail("not primary");
+    if (!kept.kept) co_return fail("not primary");
   }
-  co_return DatabaseReply{true, kept == Kept::replicated, {}, result, standing()};
+  co_return DatabaseReply{true, kept.replicated, {}, result, standing(), kept.at};
 }
 
 std::string StandinDatabase::value(const Connection& connection, const std::string& key) const {
@@ -168,7 +169,9 @@
 }
 
 Task<StandinDatabase::Kept> StandinDatabase::keep(std::map<std::string, std::string> writes) {
-  if (role_ != "primary") co_return Kept::no;
+  Kept kept;
+  kept.kept = role_ == "primary";
+  if (!kept.kept) co_return kept;
   for (const auto& [key, value] : writes) data_[key] = value;
   auto position = ++position_;
   changes_.push_back(StandinChange{position, std::move(writes)});
@@ -176,9 +179,10 @@
   changed_.open();
   auto deadline = clock_.now() + settings_.semiSync;
   while (replicated_ < position && clock_.now() < deadline && role_ == "primary") co_await acked_.wait(clock_, deadline);
-  if (replicated_ >= position) co_return Kept::replicated;
-  journal_.count("commits.not_replicated");
-  co_return Kept::alone;
+  kept.at = Position{position};
+  kept.replicated = replicated_ >= position;
+  if (!kept.replicated) journal_.count("commits.not_replicated");
+  co_return kept;
 }
 
 Task<DoorReply> StandinDatabase::pull(std::string body) {
--- a/src/simulated/standin_database.hpp
+++ b/src/simulated/standin_database.hpp
@@ -78,7 +78,11 @@
   Task<DatabaseReply> runRequest(ConnectionId key, DatabaseRequest request);
   std::optional<std::string> apply(Connection& connection, const std::string& text, bool reads, std::string& result);
   std::string value(const Connection& connection, const std::string& key) const;
-  enum class Kept { no, alone, replicated };
+  struct Kept {
+    bool kept = true;
+    bool replicated = true;
+    Position at;
+  };
   Task<Kept> keep(std::map<std::string, std::string> writes);
   Task<DoorReply> pull(std::string body);
   std::string pullAsk() const;
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -20,3 +20,5 @@
   add_test(NAME day.${name} COMMAND scenario --seeds 1 ${day})
   set_tests_properties(day.${name} PROPERTIES TIMEOUT 900)
 endforeach()
+
+add_test(NAME scenario.proxy-frozen.seed-1004 COMMAND scenario --seed 1004 ${CMAKE_SOURCE_DIR}/tests/scenarios/proxy-frozen.txt)
