--- a/src/simulated/fleet_shape.hpp
+++ b/src/simulated/fleet_shape.hpp
@@ -11,6 +11,7 @@
   std::size_t districts = 3;
   std::size_t services = 1;
   std::size_t databases = 3;
+  std::size_t beatTargets = 9;
   std::uint32_t cap = 60;
   std::uint32_t connections = 50;
   Duration work = 2ms;
--- a/src/simulated/scenario.cpp
+++ b/src/simulated/scenario.cpp
@@ -56,6 +56,7 @@
       else if (key == "districts") shape_.districts = number(value);
       else if (key == "services") shape_.services = number(value);
       else if (key == "databases") shape_.databases = number(value);
+      else if (key == "beat-targets") shape_.beatTargets = number(value);
       else if (key == "cap") shape_.cap = static_cast<std::uint32_t>(number(value));
       else if (key == "connections") shape_.connections = static_cast<std::uint32_t>(number(value));
       else if (key == "work") shape_.work = durationText(value).value_or(shape_.work);
--- a/src/simulated/simulated_fleet.cpp
+++ b/src/simulated/simulated_fleet.cpp
@@ -35,7 +35,7 @@
       own.settings.cap = shape_.cap;
       own.settings.work = shape_.work;
       own.settings.primary = number == 1;
-      for (std::size_t index = 0; index < shape_.machines; ++index)
+      for (std::size_t index = 0; index < std::min(shape_.machines, shape_.beatTargets); ++index)
         own.settings.beatsTo.push_back(at("10.1.0." + std::to_string((index + number + service) % shape_.machines + 1), 4));
       own.settings.beatsTo.push_back(at("10.0.0.1", 2));
       if (number == 1) platform_->setPrimary(own.settings.service, own.settings.address);
