A scenario in which only the check at the reply keeps a lost write from being done

Leaving out the check of lease and epoch at the reply was noticed by no scenario: a lease that ends closes its connections, and the stand-in says when it has not replicated. Here the proxy is frozen with writes underway and the database says nothing of replication.

--- a/src/simulated/scenario.cpp
+++ b/src/simulated/scenario.cpp
@@ -212,6 +212,7 @@
   else if (verb == "thaw") own.clock->thaw();
   else if (verb == "slow") own.node->slow(durationText(options["work"]).value_or(500ms));
   else if (verb == "lie") own.node->lieAboutContact();
+  else if (verb == "hide-replication") own.node->hideReplication();
   else if (verb == "faults") {
     WebFaults faults;
     faults.loseRequest = static_cast<unsigned>(number(options["request"]));
--- a/src/simulated/standin_database.cpp
+++ b/src/simulated/standin_database.cpp
@@ -180,8 +180,8 @@
   auto deadline = clock_.now() + settings_.semiSync;
   while (replicated_ < position && clock_.now() < deadline && role_ == "primary") co_await acked_.wait(clock_, deadline);
   kept.at = Position{position};
-  kept.replicated = replicated_ >= position;
-  if (!kept.replicated) journal_.count("commits.not_replicated");
+  kept.replicated = hides_ || replicated_ >= position;
+  if (replicated_ < position) journal_.count("commits.not_replicated");
   co_return kept;
 }
 
--- a/src/simulated/standin_database.hpp
+++ b/src/simulated/standin_database.hpp
@@ -60,6 +60,7 @@
   void slow(Duration work) { settings_.work = work; }
   void comeBack() { leaving_ = false; }
   void lieAboutContact() { lies_ = true; }
+  void hideReplication() { hides_ = true; }
   Task<bool> detach();
   const std::vector<StandinHistoryEntry>& history() const { return history_; }
   const std::map<std::string, std::string>& data() const { return data_; }
@@ -108,6 +109,7 @@
   std::uint64_t beatNumber_ = 0;
   bool leaving_ = false;
   bool lies_ = false;
+  bool hides_ = false;
   std::optional<Instant> contactAt_;
   std::string lastSource_;
   std::vector<StandinHistoryEntry> history_;
