A user agent that leaves while its request runs leaves no pin and no state behind

Ruled out: reuse by others, the pin stayed with its session. Before: one connection held, the session went on without its values. After: closed at the reply, and the session is told its state is lost.

--- a/src/pool/proxy_node.cpp
+++ b/src/pool/proxy_node.cpp
@@ -102,6 +102,7 @@
   for (const auto& [id, session] : sessions_)
     if (session->door == door && (session->inTransaction || session->busy)) {
       journal_.count("sessions.walked_away");
+      session->left = session->busy;
       if (session->inTransaction) session->transactionLost = true;
       if (session->stateful) session->stateLost = true;
       session->inTransaction = session->stateful = false;
@@ -134,6 +135,7 @@
 void ProxyNode::enrolPass(const Record& record) {
   const auto& session = record->session;
   auto operation = record->request.operation;
+  session->left = false;
   if (std::exchange(session->transactionLost, false)) return refuse(record, "transaction lost, nothing was kept", 410);
   if (session->stateLost) return refuse(record, "session state lost, open a new session", 410);
   bool ends = operation == Operation::commit || operation == Operation::rollback;
@@ -445,16 +447,15 @@
 void ProxyNode::retire(const Record& record, const std::shared_ptr<PooledConnection>& connection) {
   const auto& session = record->session;
   bool holds = session->inTransaction || session->stateful;
-  bool abandoned = session->closing || session->transactionLost || session->stateLost || record->stage == RequestStage::replied;
+  bool abandoned = session->closing || session->left || session->transactionLost || session->stateLost || record->stage == RequestStage::replied;
   if (holds && !abandoned && !connection->doomed) {
     session->pinned = connection;
     return;
   }
-  bool wasPinned = session->pinned == connection;
-  if (wasPinned) session->pinned.reset();
-  bool dirty = abandoned || (wasPinned && session->stateful);
-  if (dirty) {
-    if (holds) session->transactionLost = session->inTransaction;
+  if (session->pinned == connection) session->pinned.reset();
+  if (holds) {
+    if (session->inTransaction) session->transactionLost = true;
+    if (session->stateful) session->stateLost = true;
     session->inTransaction = session->stateful = false;
     pool_.drop(connection);
   } else {
--- a/src/pool/session.hpp
+++ b/src/pool/session.hpp
@@ -22,6 +22,7 @@
   bool stateLost = false;
   bool transactionLost = false;
   bool busy = false;
+  bool left = false;
   bool closing = false;
   Instant usedAt{};
 };
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -122,6 +122,21 @@
     for (const auto& entry : database->node->history()) CHECK(entry.request.operation != Operation::rollback);
 }
 
+TEST_CASE("a user agent that leaves while its request runs leaves no pin and no state behind") {
+  OneProxy proxy;
+  auto session = proxy.open();
+  std::optional<DoorReply> reply;
+  TaskScope scope;
+  scope.spawn(proxy.serve(DoorRequest{"POST", session + "/run", R"({"operation":"set","name":"who","text":"gone"})", ConnectionId{8}}, reply));
+  for (int step = 0; step < 100 && proxy.fleet.databases()[0]->node->history().empty(); ++step) proxy.fleet.run(1ms);
+  REQUIRE_FALSE(reply);
+  proxy.fleet.machines()[0]->door->gone(ConnectionId{8});
+  proxy.fleet.run(1s);
+  CHECK(proxy.fleet.machines()[0]->proxy->pool().load(ServiceName{"s1"}, DatabaseName{"d1"}) == 0);
+  CHECK(proxy.run(proxy.open(), {{"text", "show who"}, {"reads", true}})["result"] == "");
+  CHECK(proxy.run(session, {{"text", "show who"}, {"reads", true}}, 410)["outcome"] == "lost");
+}
+
 TEST_CASE("sessions that pin connections cannot take the whole branch") {
   OneProxy proxy;
   std::size_t pinned = 0;
