Reread: one way to end a simulated line, and state that nothing read is gone

SimulatedWeb::reset did what end does; a connection's idleSince and a report's held connections were written and never read.

--- a/src/control/access_messages.hpp
+++ b/src/control/access_messages.hpp
@@ -9,8 +9,7 @@
   Epoch epoch;
   Place acknowledged;
   std::map<BranchName, std::uint32_t> wanted;
-  std::map<BranchName, std::uint32_t> held;
-  MSGPACK_DEFINE(followed, epoch, acknowledged, wanted, held)
+  MSGPACK_DEFINE(followed, epoch, acknowledged, wanted)
 };
 
 struct NodeReport {
--- a/src/pool/connection_pool.cpp
+++ b/src/pool/connection_pool.cpp
@@ -103,7 +103,6 @@
   auto& shelf = shelves_[{connection->service, connection->database}];
   --shelf.busy[connection->branch];
   busy_.erase(connection);
-  connection->idleSince = clock_.now();
   shelf.idle.push_back(connection);
 }
 
--- a/src/pool/pooled_connection.hpp
+++ b/src/pool/pooled_connection.hpp
@@ -12,7 +12,6 @@
   std::unique_ptr<DatabaseConnection> link;
   bool running = false;
   bool doomed = false;
-  Instant idleSince{};
 };
 
 }  // namespace tamarindshift
--- a/src/pool/proxy_node.cpp
+++ b/src/pool/proxy_node.cpp
@@ -61,7 +61,6 @@
         auto& demand = demand_[{name, branch}];
         demand = std::max(now, demand * 0.9);
         own.wanted[branch] = draining() ? 0 : static_cast<std::uint32_t>(demand + 1.5);
-        own.held[branch] = held;
       }
     }
     desk_.tell(settings_.agent, "report", packed(report));
--- a/src/simulated/simulated_web.cpp
+++ b/src/simulated/simulated_web.cpp
@@ -22,12 +22,12 @@
     DoorRequest request{std::move(method), std::move(path), std::move(body), line->id};
     auto& world = web_.network_.world();
     if (web_.unlucky(faults.loseRequest))
-      web_.reset(line);
+      web_.end(line);
     else
       world.at(world.now() + web_.network_.latency(), [&web = web_, line, exchange, request] {
         auto host = web.hosts_.find(line->to);
         if (!line->open) return;
-        if (host == web.hosts_.end()) return web.reset(line);
+        if (host == web.hosts_.end()) return web.end(line);
         if (!web.network_.connected(line->from, line->to)) return;
         host->second.clock->after(Duration::zero(), [&web, line, exchange, request] {
           auto found = web.hosts_.find(line->to);
@@ -63,7 +63,7 @@
   found->second.scope.reset();
   auto lines = found->second.lines;
   hosts_.erase(found);
-  for (const auto& line : lines) reset(line);
+  for (const auto& line : lines) end(line);
 }
 
 Task<void> SimulatedWeb::serve(Address to, std::shared_ptr<Line> line, std::shared_ptr<Exchange> exchange, DoorRequest request) {
@@ -71,7 +71,7 @@
   WebOutcome outcome{PassFate::replied, reply.status, std::move(reply.body)};
   auto& world = network_.world();
   if (unlucky(faults_[to].loseReply)) {
-    world.at(world.now() + network_.latency(), [this, line] { reset(line); });
+    world.at(world.now() + network_.latency(), [this, line] { end(line); });
     co_return;
   }
   world.at(world.now() + network_.latency(), [this, line, exchange, outcome] {
@@ -81,14 +81,6 @@
   });
 }
 
-void SimulatedWeb::reset(const std::shared_ptr<Line>& line) {
-  if (line->underway && !line->underway->outcome) {
-    line->underway->outcome = WebOutcome{PassFate::lost, 0, {}};
-    line->underway->gate.open();
-  }
-  end(line);
-}
-
 void SimulatedWeb::end(const std::shared_ptr<Line>& line) {
   if (!line->open) return;
   line->open = false;
--- a/src/simulated/simulated_web.hpp
+++ b/src/simulated/simulated_web.hpp
@@ -45,7 +45,6 @@
   };
 
   Task<void> serve(Address to, std::shared_ptr<Line> line, std::shared_ptr<Exchange> exchange, DoorRequest request);
-  void reset(const std::shared_ptr<Line>& line);
   void end(const std::shared_ptr<Line>& line);
   bool unlucky(unsigned perThousand) { return network_.world().chance(perThousand); }
 
