Pins, caps and addresses follow a new plan; a closed connection is closed at once

Now what a plan takes away goes on for planFollowed - lease - margin (0.8 s) and is closed then; a pin whose kind moved is booked on its new branch if there is room. Requests of a session that holds a connection skip the backlog's bounds. A share move waits 10 s for pins before it closes them. The pool closes what it drops itself.

Ruled out: stale news (the marks were followed in time), the stand-in's count (the lines were open).

--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -12,6 +12,7 @@
   Duration lease = 2s;
   Duration leaseMargin = 200ms;
   Duration planFollowed = 3s;
+  Duration sharesFollowed = 10s;
   Duration newsWait = 100ms;
   Duration newsPatience = 300ms;
   Duration report = 200ms;
@@ -29,6 +30,7 @@
   Duration stopTransactions = 3s;
   Duration detach = 7s;
 
+  Duration planGrace() const { return planFollowed - lease - leaseMargin; }
   std::optional<std::string> fault() const;
 };
 
--- a/src/pool/connection_pool.cpp
+++ b/src/pool/connection_pool.cpp
@@ -12,6 +12,11 @@
   return sum;
 }
 
+void ConnectionPool::shut(const std::shared_ptr<PooledConnection>& connection) {
+  connection->link.reset();
+  journal_.count("pool.closed");
+}
+
 std::uint32_t ConnectionPool::allowed(const Guide::ServiceView& view) {
   std::uint32_t sum = 0;
   for (const auto& [branch, most] : view.share.most) sum += most;
@@ -57,10 +62,12 @@
     auto connection = shelf.idle.back();
     shelf.idle.pop_back();
     if (connection->doomed || !connection->link->usable()) {
-      journal_.count("pool.closed_stale");
+      journal_.count("pool.stale");
+      shut(connection);
       continue;
     }
     connection->branch = branch;
+    connection->misfitSince.reset();
     ++shelf.busy[branch];
     busy_.insert(connection);
     return connection;
@@ -79,7 +86,7 @@
   ++shelf.opening;
   ++shelf.busy[branch];
   journal_.count("pool.opens");
-  auto web = co_await link_.open(std::move(address), deadline);
+  auto web = co_await link_.open(address, deadline);
   --shelf.opening;
   if (!web) {
     --shelf.busy[branch];
@@ -92,6 +99,7 @@
   auto connection = std::make_shared<PooledConnection>();
   connection->service = std::move(service);
   connection->database = std::move(database);
+  connection->address = std::move(address);
   connection->branch = std::move(branch);
   connection->link = std::make_unique<DatabaseConnection>(std::move(web));
   busy_.insert(connection);
@@ -110,16 +118,15 @@
   if (!connection->link) return;
   connection->doomed = true;
   if (connection->running) return connection->link->close();
-  connection->link.reset();
   busy_.erase(connection);
   --shelves_[{connection->service, connection->database}].busy[connection->branch];
-  journal_.count("pool.closed");
+  shut(connection);
 }
 
 void ConnectionPool::closeAll(const ServiceName& service) {
   for (auto& [key, shelf] : shelves_)
     if (key.first == service) {
-      journal_.count("pool.closed", shelf.idle.size());
+      for (const auto& connection : shelf.idle) shut(connection);
       shelf.idle.clear();
     }
   auto busy = busy_;
@@ -144,18 +151,48 @@
   auto most = allowed(view);
   for (auto& [key, shelf] : shelves_) {
     if (key.first != service) continue;
-    bool gone = !view.plan || !view.plan->service.databases.contains(key.second) || view.drained.contains(key.second);
-    while (!shelf.idle.empty() && (gone || shelf.total() > most)) {
+    const PlanDatabase* planned = nullptr;
+    if (view.plan && !view.drained.contains(key.second))
+      if (auto found = view.plan->service.databases.find(key.second); found != view.plan->service.databases.end()) planned = &found->second;
+    std::erase_if(shelf.idle, [&](const auto& connection) {
+      bool gone = !planned || connection->address != planned->address;
+      if (gone) shut(connection);
+      return gone;
+    });
+    while (!shelf.idle.empty() && shelf.total() > most) {
+      shut(shelf.idle.front());
       shelf.idle.pop_front();
-      journal_.count("pool.closed");
     }
   }
 }
 
+std::vector<std::shared_ptr<PooledConnection>> ConnectionPool::surplus(const ServiceName& service, const Guide::ServiceView& view) const {
+  std::vector<std::shared_ptr<PooledConnection>> surplus;
+  std::map<std::pair<DatabaseName, BranchName>, std::uint32_t> seen;
+  for (bool running : {true, false})
+    for (const auto& connection : busy_)
+      if (connection->service == service && connection->running == running && !connection->doomed &&
+          ++seen[{connection->database, connection->branch}] > allowed(view, connection->branch))
+        surplus.push_back(connection);
+  return surplus;
+}
+
 bool ConnectionPool::within(const ServiceName& service, const Guide::ServiceView& view) const {
-  auto most = allowed(view);
-  for (const auto& [key, shelf] : shelves_)
-    if (key.first == service && shelf.total() > most) return false;
+  for (const auto& [key, shelf] : shelves_) {
+    if (key.first != service) continue;
+    if (shelf.total() > allowed(view)) return false;
+    for (const auto& [branch, busy] : shelf.busy)
+      if (busy > allowed(view, branch)) return false;
+  }
+  return true;
+}
+
+bool ConnectionPool::rebook(const std::shared_ptr<PooledConnection>& connection, const Guide::ServiceView& view, const BranchName& branch) {
+  if (!mayHold(view, connection->service, connection->database, branch)) return false;
+  auto& shelf = shelves_[{connection->service, connection->database}];
+  --shelf.busy[connection->branch];
+  ++shelf.busy[branch];
+  connection->branch = branch;
   return true;
 }
 
--- a/src/pool/connection_pool.hpp
+++ b/src/pool/connection_pool.hpp
@@ -22,7 +22,10 @@
   void closeBusyBefore(const ServiceName& service, Epoch epoch);
   void closeAllBesides(const std::map<ServiceName, Guide::ServiceView>& services);
   void trim(const ServiceName& service, const Guide::ServiceView& view);
+  std::vector<std::shared_ptr<PooledConnection>> surplus(const ServiceName& service, const Guide::ServiceView& view) const;
   bool within(const ServiceName& service, const Guide::ServiceView& view) const;
+  bool rebook(const std::shared_ptr<PooledConnection>& connection, const Guide::ServiceView& view, const BranchName& branch);
+  const std::set<std::shared_ptr<PooledConnection>>& busyConnections() const { return busy_; }
   std::uint32_t busy(const ServiceName& service, const DatabaseName& database, const BranchName& branch) const;
   std::uint32_t busiest(const ServiceName& service, const BranchName& branch) const;
   std::uint32_t openConnections(const ServiceName& service, const DatabaseName& database) const;
@@ -38,6 +41,7 @@
     Duration openPause{};
     std::uint32_t total() const;
   };
+  void shut(const std::shared_ptr<PooledConnection>& connection);
   static std::uint32_t allowed(const Guide::ServiceView& view);
   static std::uint32_t allowed(const Guide::ServiceView& view, const BranchName& branch);
   static constexpr std::uint32_t mostOpening = 4;
--- a/src/pool/guide.cpp
+++ b/src/pool/guide.cpp
@@ -39,6 +39,7 @@
 void Guide::readService(const ServiceName& name, const NewsBoard::Entry& entry) {
   auto& view = services_[name];
   if (view.mark == entry.mark) return;
+  auto drainedBefore = std::move(view.drained);
   view = ServiceView{};
   view.mark = entry.mark;
   static const std::string drainedPrefix = "drained/";
@@ -47,9 +48,11 @@
       view.plan = unpacked<ServiceNews>(value);
     else if (key == "primary")
       view.primary = unpacked<PrimaryNews>(value).value_or(PrimaryNews{});
-    else if (key.starts_with(drainedPrefix))
-      view.drained.insert(DatabaseName{key.substr(drainedPrefix.size())});
-    else if (key == "share/" + node_.get())
+    else if (key.starts_with(drainedPrefix)) {
+      DatabaseName database{key.substr(drainedPrefix.size())};
+      auto before = drainedBefore.find(database);
+      view.drained[database] = before == drainedBefore.end() ? clock_.now() : before->second;
+    } else if (key == "share/" + node_.get())
       view.share = unpacked<ShareNews>(value).value_or(ShareNews{});
   }
 }
--- a/src/pool/guide.hpp
+++ b/src/pool/guide.hpp
@@ -14,7 +14,7 @@
     std::uint64_t mark = 0;
     std::optional<ServiceNews> plan;
     PrimaryNews primary;
-    std::set<DatabaseName> drained;
+    std::map<DatabaseName, Instant> drained;
     ShareNews share;
   };
   struct KindView {
--- a/src/pool/proxy_node.cpp
+++ b/src/pool/proxy_node.cpp
@@ -36,7 +36,8 @@
     backlog_.put([this] {
       guide_.refresh();
       careServices();
-      carePins();
+      careBusy();
+      careIdleSessions();
     });
   }
 }
@@ -142,11 +143,17 @@
   if (operation == Operation::begin && session->inTransaction) return refuse(record, "a transaction is open already", 409);
   if (operation == Operation::execute && !session->stateful) return refuse(record, "nothing is prepared in this session", 409);
   if (draining() && !session->inTransaction) return refuse(record, "this node is leaving");
+  if (session->pinned && session->pinned->kind == record->kind) {
+    record->service = session->pinned->service;
+    record->branch = session->pinned->branch;
+    return requests_.enrol(record);
+  }
   auto view = guide_.kind(record->kind);
   if (!view.kind) return refuse(record, view.refusal, view.refusal == "unknown kind of work" && guide_.anyLease() ? 403 : 503);
   record->service = view.kind->service;
   record->branch = view.kind->branch;
   record->order = view.service->plan->service.branches.at(record->branch).order;
+  if (session->pinned) return requests_.enrol(record);
   auto waiting = requests_.waitingOn(record->service, record->branch);
   if (waiting >= settings_.backlog) return refuse(record, "backlog is full");
   auto granted = view.service->share.most.find(record->branch);
@@ -178,10 +185,10 @@
 }
 
 void ProxyNode::placeOne(const Record& record) {
+  if (record->session->pinned) return placePinned(record);
   auto view = guide_.kind(record->kind);
   if (!view.kind || view.kind->service != record->service) return refuse(record, view.kind ? "the plan changed" : view.refusal);
   if (!guide_.leased(record->service)) return refuse(record, "no current lease");
-  if (record->session->pinned) return placePinned(record);
   if (record->session->inTransaction) return transactionLost(record);
   if (record->session->stateful) {
     record->session->stateLost = true;
@@ -268,12 +275,30 @@
 }
 
 bool ProxyNode::mayPass(const Record& record, const PooledConnection& connection) const {
-  auto view = guide_.kind(record->kind);
-  if (!view.kind || view.kind->service != record->service || !guide_.leased(record->service)) return false;
-  if (connection.epoch != view.service->primary.epoch) return false;
+  if (!guide_.leased(record->service)) return false;
+  const auto* service = guide_.service(record->service);
+  if (!service || connection.epoch != service->primary.epoch || leavesTooLate(connection, record->session->inTransaction)) return false;
+  bool fits = !misfit(record->kind, connection);
+  bool stillHeld = record->session->pinned.get() == &connection && connection.kind == record->kind &&
+                   (!connection.misfitSince || clock_.now() - *connection.misfitSince <= settings_.timings.planGrace());
+  return fits || stillHeld;
+}
+
+std::optional<std::string> ProxyNode::misfit(const KindName& kind, const PooledConnection& connection) const {
+  auto view = guide_.kind(kind);
+  if (!view.kind) return view.refusal;
+  if (view.kind->service != connection.service) return "the plan changed";
   const auto& databases = view.service->plan->service.databases;
-  if (!databases.contains(connection.database)) return false;
-  return record->session->inTransaction || !view.service->drained.contains(connection.database);
+  auto planned = databases.find(connection.database);
+  if (planned == databases.end() || planned->second.address != connection.address) return "the plan has no such database";
+  if (!labelled(planned->second.labels, view.kind->databases)) return "the database is not selected for the kind";
+  return std::nullopt;
+}
+
+bool ProxyNode::leavesTooLate(const PooledConnection& connection, bool inTransaction) const {
+  const auto* service = guide_.service(connection.service);
+  auto drained = service->drained.find(connection.database);
+  return drained != service->drained.end() && (!inTransaction || clock_.now() - drained->second > settings_.timings.stopTransactions);
 }
 
 Task<void> ProxyNode::passOn(Record record, std::shared_ptr<PooledConnection> connection, Choice choice) {
@@ -287,6 +312,7 @@
     }
   }
   connection->epoch = choice.epoch;
+  if (record->session->pinned != connection) connection->kind = record->kind;
   if (record->stage == RequestStage::replied || record->session->closing || !mayPass(record, *connection)) {
     if (record->session->pinned == connection)
       dropPin(record->session);
@@ -375,9 +401,9 @@
   const auto& session = record->session;
   auto view = guide_.kind(record->kind);
   auto operation = record->request.operation;
-  bool atPrimary = view.service && view.service->primary.primary == connection->database;
-  bool current = view.kind && view.kind->service == record->service && guide_.leased(record->service) &&
-                 view.service->primary.epoch == connection->epoch;
+  const auto* service = guide_.service(record->service);
+  bool atPrimary = service && service->primary.primary == connection->database;
+  bool current = service && guide_.leased(record->service) && service->primary.epoch == connection->epoch && (atPrimary || view.kind);
   if (current && atPrimary) current = reply.standing.role == "primary" && reply.standing.epoch == connection->epoch;
   bool inTransaction = session->inTransaction && session->pinned == connection;
   bool keptNow = reply.done && keeps(record->request) &&
@@ -449,6 +475,7 @@
   bool abandoned = session->closing || session->left || session->transactionLost || session->stateLost || record->stage == RequestStage::replied;
   if (holds && !abandoned && !connection->doomed) {
     session->pinned = connection;
+    connection->pinnedBy = session;
     return;
   }
   if (session->pinned == connection) session->pinned.reset();
@@ -469,30 +496,62 @@
   return amount;
 }
 
-void ProxyNode::carePins() {
+void ProxyNode::loseHold(const std::shared_ptr<PooledConnection>& connection) {
+  auto session = connection->pinnedBy.lock();
+  if (connection->running || !session || session->pinned != connection) return pool_.drop(connection);
+  journal_.count("sessions.pins_closed");
+  if (session->inTransaction) session->transactionLost = true;
+  if (session->stateful) session->stateLost = true;
+  session->inTransaction = false;
+  dropPin(session);
+}
+
+void ProxyNode::careBusy() {
   auto now = clock_.now();
-  std::vector<std::shared_ptr<Session>> idle;
-  for (const auto& [id, session] : sessions_) {
-    if (!session->busy && now - session->usedAt > settings_.idleSession) idle.push_back(session);
-    if (!session->pinned || session->pinned->running) continue;
-    auto connection = session->pinned;
+  auto busy = pool_.busyConnections();
+  for (const auto& connection : busy) {
+    if (connection->doomed) continue;
+    auto session = connection->pinnedBy.lock();
+    bool pinned = session && session->pinned == connection && !connection->running;
     const auto* service = guide_.service(connection->service);
-    bool lost = !service || !service->plan || !guide_.leased(connection->service) || service->primary.epoch != connection->epoch ||
-                !service->plan->service.databases.contains(connection->database);
-    bool leaving = service && service->drained.contains(connection->database);
-    bool stopping = draining() && now - *drainingSince_ > settings_.timings.stopTransactions;
-    bool late = session->inTransaction && now - session->usedAt > settings_.idleInTransaction;
-    bool leavingLate = leaving && (!session->inTransaction || now - session->usedAt > settings_.timings.stopTransactions);
-    if (!lost && !stopping && !late && !leavingLate) continue;
-    journal_.count("sessions.pins_closed");
-    if (session->inTransaction) session->transactionLost = true;
-    if (session->stateful) session->stateLost = true;
-    session->inTransaction = false;
-    dropPin(session);
+    bool fits = service && service->plan && !misfit(connection->kind, *connection);
+    if (fits && pinned) {
+      const auto& branch = service->plan->kinds.at(connection->kind).branch;
+      fits = branch == connection->branch || pool_.rebook(connection, *service, branch);
+    }
+    if (fits) connection->misfitSince.reset();
+    else if (!connection->misfitSince) connection->misfitSince = now;
+    bool late = connection->misfitSince && now - *connection->misfitSince > settings_.timings.planGrace();
+    if (pinned && !late) {
+      late = !service || !guide_.leased(connection->service) || service->primary.epoch != connection->epoch ||
+             leavesTooLate(*connection, session->inTransaction) ||
+             (draining() && now - *drainingSince_ > settings_.timings.stopTransactions) ||
+             (session->inTransaction && now - session->usedAt > settings_.idleInTransaction);
+    }
+    if (late) loseHold(connection);
   }
+}
+
+void ProxyNode::careIdleSessions() {
+  std::vector<std::shared_ptr<Session>> idle;
+  for (const auto& [id, session] : sessions_)
+    if (!session->busy && clock_.now() - session->usedAt > settings_.idleSession) idle.push_back(session);
   for (const auto& session : idle) closeSession(session);
 }
 
+void ProxyNode::careSurplus(const ServiceName& name, const Guide::ServiceView& view) {
+  if (pool_.within(name, view)) {
+    followed_[name] = view.mark;
+    surplusSince_.erase(name);
+    if (view.plan) withinPlan_[name] = view.plan->mark;
+    return;
+  }
+  auto since = surplusSince_.try_emplace(name, clock_.now()).first->second;
+  bool planned = view.plan && withinPlan_[name] == view.plan->mark;
+  if (clock_.now() - since <= (planned ? settings_.timings.sharesFollowed : settings_.timings.planGrace())) return;
+  for (const auto& connection : pool_.surplus(name, view)) loseHold(connection);
+}
+
 void ProxyNode::careServices() {
   pool_.closeAllBesides(guide_.services());
   for (const auto& [name, view] : guide_.services()) {
@@ -502,7 +561,7 @@
     }
     pool_.trim(name, view);
     pool_.closeBusyBefore(name, view.primary.epoch);
-    if (pool_.within(name, view)) followed_[name] = view.mark;
+    careSurplus(name, view);
   }
 }
 
--- a/src/pool/proxy_node.hpp
+++ b/src/pool/proxy_node.hpp
@@ -60,7 +60,12 @@
   void unknown(const Record& record, const std::string& reason);
   void transactionLost(const Record& record);
   void dropPin(const std::shared_ptr<Session>& session);
-  void carePins();
+  void loseHold(const std::shared_ptr<PooledConnection>& connection);
+  std::optional<std::string> misfit(const KindName& kind, const PooledConnection& connection) const;
+  bool leavesTooLate(const PooledConnection& connection, bool inTransaction) const;
+  void careBusy();
+  void careIdleSessions();
+  void careSurplus(const ServiceName& name, const Guide::ServiceView& view);
   void careServices();
   std::uint32_t pins(const ServiceName& service, const BranchName& branch) const;
   void noteDone(const ServiceName& service, Duration taken);
@@ -75,6 +80,8 @@
   RequestTable requests_;
   std::map<SessionId, std::shared_ptr<Session>> sessions_;
   std::map<ServiceName, std::uint64_t> followed_;
+  std::map<ServiceName, PlanMark> withinPlan_;
+  std::map<ServiceName, Instant> surplusSince_;
   std::map<ServiceName, Place> acknowledged_;
   std::map<std::pair<ServiceName, BranchName>, double> demand_;
   std::map<ServiceName, double> meanTaken_;
--- a/src/simulated/standin_callers.cpp
+++ b/src/simulated/standin_callers.cpp
@@ -202,7 +202,7 @@
   auto outcome = co_await run(caller, begin);
   if (outcome.fate != PassFate::replied || outcome.status != 200) co_return note(caller, std::move(operation), outcome, "refused");
   for (const auto& each : operation.tokens) {
-    co_await sleep(clock_, 5ms);
+    co_await sleep(clock_, caller.kind.idle);
     if (below(1000) < caller.kind.walksAway) {
       caller.connection->close();
       operation.outcome = "refused";
--- a/src/simulated/standin_callers.hpp
+++ b/src/simulated/standin_callers.hpp
@@ -20,6 +20,7 @@
   unsigned transactions = 100;
   unsigned walksAway = 0;
   unsigned ownReads = 300;
+  Duration idle = 5ms;
   bool stateful = false;
   bool primary = true;
 };
