--- a/tests/construct_test.cpp
+++ b/tests/construct_test.cpp
@@ -85,3 +85,45 @@
   cluster.run(5s);
   CHECK(cluster.inPrimary() == 3);
 }
+
+TEST_CASE("what an installer made green before its disk was lost keeps its place in Un") {
+  std::size_t tried = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    EngineCluster cluster(3, seed);
+    auto separate = [&](std::size_t left, std::size_t right) {
+      cluster.network.cut(cluster.host(left), cluster.host(right));
+      cluster.network.cut(cluster.host(right), cluster.host(left));
+    };
+    for (std::size_t index = 0; index < 3; ++index) cluster.start(index);
+    cluster.run(2s);
+    separate(0, 1);
+    separate(0, 2);
+    separate(1, 2);
+    cluster.run(2s);
+    REQUIRE(cluster.inPrimary() == 0);
+    cluster.submit(2);
+    cluster.run(100ms);
+    cluster.network.healAll();
+    runInto(cluster, EngineState::regPrim);
+    const auto& others = {std::size_t{1}, std::size_t{2}};
+    for (auto other : others) REQUIRE(cluster.nodes[other]->core->engine().state() == EngineState::construct);
+    separate(0, 1);
+    separate(0, 2);
+    cluster.kill(0);
+    cluster.nodes[0]->disk.empty();
+    cluster.run(2s);
+    for (auto other : others) REQUIRE(cluster.nodes[other]->core->engine().state() == EngineState::nonPrim);
+    tried += cluster.nodes[1]->core->engine().vulnerable().valid;
+    cluster.submit(1);
+    cluster.run(100ms);
+    cluster.network.healAll();
+    cluster.start(0);
+    cluster.run(6s);
+    cluster.judge();
+    INFO("seed " << seed);
+    for (const auto& fault : cluster.faults) UNSCOPED_INFO(fault);
+    REQUIRE(cluster.faults.empty());
+    REQUIRE(cluster.inPrimary() == 3);
+  }
+  CHECK(tried > 0);
+}
