--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -67,6 +67,7 @@
 }
 
 Task<void> Duties::careFor(ServiceName name) {
+  co_await departures(name);
   co_await returns(name);
   co_await shares(name);
   if (!state_.services().contains(name)) co_return;
@@ -308,7 +309,21 @@
   nodesBusy_ = false;
 }
 
+Task<void> Duties::departures(ServiceName name) {
+  std::vector<DatabaseUpdate> leaving;
+  for (const auto& [database, own] : state_.plan()->services.at(name).databases) {
+    const auto* sign = access_.database(name, database);
+    if (!sign || !sign->beat.leaving || clock_.now() - sign->heardAt > timings_.databaseSilence) continue;
+    if (!state_.services().at(name).drained.contains(database)) leaving.push_back({name, database, sign->beat.boot, sign->beat.number});
+  }
+  for (const auto& update : leaving) {
+    journal_.line("database " + update.database.get() + " leaves, its beats say");
+    co_await order(ControlMatter::drainDatabase, packed(update));
+  }
+}
+
 Task<void> Duties::returns(ServiceName name) {
+  if (!state_.services().contains(name)) co_return;
   std::vector<DatabaseName> returned;
   for (const auto& [database, mark] : state_.services().at(name).drained) {
     const auto* sign = access_.database(name, database);
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -49,6 +49,7 @@
   Task<bool> order(ControlMatter matter, std::string body);
   Task<void> shares(ServiceName name);
   Task<void> nodes();
+  Task<void> departures(ServiceName name);
   Task<void> returns(ServiceName name);
   bool diedWithPrimary(const ServiceName& name, const DatabaseName& database) const;
   bool everyNodeFollows(const ServiceName& name, std::uint64_t position, Instant since) const;
--- a/src/simulated/never_list.cpp
+++ b/src/simulated/never_list.cpp
@@ -100,12 +100,11 @@
 
 void NeverList::leftAlone() {
   for (const auto& database : fleet_.databases()) {
-    if (!database->leftAt) continue;
     auto name = database->settings.service.get() + "/" + database->settings.name.get();
-    for (const auto& entry : histories_[database->settings.address.get()]) {
-      bool back = database->returnedAt && entry.at >= *database->returnedAt;
-      if (entry.at > *database->leftAt + 7s && !back) fault(name + " was sent work at " + clockText(entry.at) + ", it left at " + clockText(*database->leftAt));
-    }
+    for (const auto& leave : database->leaves)
+      for (const auto& entry : histories_[database->settings.address.get()])
+        if (entry.at > leave.at + 7s && entry.at < leave.back)
+          fault(name + " was sent work at " + clockText(entry.at) + ", it left at " + clockText(leave.at));
   }
 }
 
--- a/src/simulated/scenario.cpp
+++ b/src/simulated/scenario.cpp
@@ -88,6 +88,7 @@
       } else if (key == "count") kind.callers = number(value);
       else if (key == "pause") kind.pause = durationText(value).value_or(kind.pause);
       else if (key == "idle") kind.idle = durationText(value).value_or(kind.idle);
+      else if (key == "steps") kind.steps = number(value);
       else if (key == "writes") kind.writes = static_cast<unsigned>(number(value));
       else if (key == "transactions") kind.transactions = static_cast<unsigned>(number(value));
       else if (key == "walks") kind.walksAway = static_cast<unsigned>(number(value));
--- a/src/simulated/simulated_fleet.cpp
+++ b/src/simulated/simulated_fleet.cpp
@@ -240,8 +240,7 @@
 }
 
 void SimulatedFleet::leaveDatabase(Database& database) {
-  database.leftAt = world_.now();
-  database.returnedAt.reset();
+  database.leaves.push_back({world_.now(), Instant::max()});
   scope_.spawn(detach(database));
 }
 
@@ -250,7 +249,7 @@
 }
 
 void SimulatedFleet::returnDatabase(Database& database) {
-  database.returnedAt = world_.now();
+  if (!database.leaves.empty()) database.leaves.back().back = world_.now();
   if (database.node)
     database.node->comeBack();
   else
--- a/src/simulated/simulated_fleet.hpp
+++ b/src/simulated/simulated_fleet.hpp
@@ -67,8 +67,11 @@
     std::unique_ptr<StandinDatabase> node;
     StandinDatabaseDisk disk;
     std::vector<StandinHistoryEntry> history;
-    std::optional<Instant> leftAt;
-    std::optional<Instant> returnedAt;
+    struct Leave {
+      Instant at{};
+      Instant back = Instant::max();
+    };
+    std::vector<Leave> leaves;
     std::vector<StandinOpening> openings;
     std::uint64_t overCap = 0;
   };
--- a/src/simulated/standin_callers.cpp
+++ b/src/simulated/standin_callers.cpp
@@ -193,7 +193,7 @@
 
 Task<bool> StandinCallers::transaction(Caller& caller) {
   CallerOperation operation;
-  operation.tokens = {token(caller), token(caller)};
+  for (std::size_t step = 0; step < caller.kind.steps; ++step) operation.tokens.push_back(token(caller));
   operation.key = writeKey(caller);
   operation.startedAt = clock_.now();
   DatabaseRequest begin, commit;
--- a/src/simulated/standin_callers.hpp
+++ b/src/simulated/standin_callers.hpp
@@ -21,6 +21,7 @@
   unsigned walksAway = 0;
   unsigned ownReads = 300;
   Duration idle = 5ms;
+  std::size_t steps = 2;
   bool stateful = false;
   bool primary = true;
 };
