A service that leaves the plan keeps its epoch for when it is described again

Cause: a removed service's state was erased; described again it began at epoch 0. Its first recovery then asked the platform for an epoch below what database and platform hold, which is refused for ever, and counted as a first start, which skips the wait for old leases.

Now epoch, primary and who served are kept aside and taken up again; shares and drains are not.

--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -57,7 +57,7 @@
   if (plan_ && plan->mark <= plan_->mark) return "older";
   plan_ = std::move(plan);
   planText_ = update.text;
-  std::erase_if(services_, [this](const auto& each) { return !plan_->services.contains(each.first); });
+  retire(*plan_);
   for (const auto& [name, service] : plan_->services) {
     auto& state = services_[name];
     std::erase_if(state.drained, [&](const auto& database) { return !service.databases.contains(database.first); });
@@ -75,6 +75,21 @@
   return "held";
 }
 
+void ControlState::retire(const Plan& plan) {
+  std::erase_if(services_, [&](const auto& each) {
+    const auto& [name, state] = each;
+    if (plan.services.contains(name)) return false;
+    auto& kept = retired_[name];
+    kept.epoch = state.epoch;
+    kept.primary = state.primary;
+    kept.promoted = state.promoted;
+    kept.servedBy = state.servedBy;
+    return true;
+  });
+  for (const auto& [name, service] : plan.services)
+    if (auto back = retired_.extract(name)) services_.insert(std::move(back));
+}
+
 std::string ControlState::applyDatabase(const DatabaseUpdate& update, bool drained) {
   auto service = services_.find(update.service);
   if (service == services_.end() || !plan_->services.at(update.service).databases.contains(update.database)) return "no such database";
@@ -162,23 +177,36 @@
   }
 }
 
-using ControlSnapshot = std::tuple<std::string, std::map<ServiceName, ServiceState>, std::map<Address, NodeState>, std::uint64_t, std::uint64_t>;
+struct ControlSnapshot {
+  std::string planText;
+  std::map<ServiceName, ServiceState> services;
+  std::map<Address, NodeState> nodes;
+  std::uint64_t dutyEpoch = 0;
+  std::uint64_t position = 0;
+  std::map<ServiceName, ServiceState> retired;
+  MSGPACK_DEFINE(planText, services, nodes, dutyEpoch, position, retired)
+};
 
 std::string ControlState::snapshot() const {
-  return packed(ControlSnapshot{planText_, services_, nodes_, dutyEpoch_, position_});
+  return packed(ControlSnapshot{planText_, services_, nodes_, dutyEpoch_, position_, retired_});
 }
 
 bool ControlState::restore(const std::string& snapshot) {
   auto restored = unpacked<ControlSnapshot>(snapshot);
   if (!restored) return false;
-  const auto& text = std::get<0>(*restored);
+  const auto& text = restored->planText;
   std::optional<Plan> plan;
   if (!text.empty()) {
     plan = PlanReader{}.read(text);
     if (!plan) return false;
   }
   plan_ = std::move(plan);
-  std::tie(planText_, services_, nodes_, dutyEpoch_, position_) = *restored;
+  planText_ = text;
+  services_ = restored->services;
+  retired_ = restored->retired;
+  nodes_ = restored->nodes;
+  dutyEpoch_ = restored->dutyEpoch;
+  position_ = restored->position;
   publish();
   return true;
 }
--- a/src/control/control_state.hpp
+++ b/src/control/control_state.hpp
@@ -54,12 +54,14 @@
   std::string applyPromoted(const PromotedUpdate& update);
   std::string applyShares(const SharesUpdate& update);
   std::string applyNode(const NodeUpdate& update, bool draining);
+  void retire(const Plan& plan);
   void publish();
 
   NewsBoard& board_;
   std::optional<Plan> plan_;
   std::string planText_;
   std::map<ServiceName, ServiceState> services_;
+  std::map<ServiceName, ServiceState> retired_;
   std::map<Address, NodeState> nodes_;
   std::uint64_t dutyEpoch_ = 0;
   std::uint64_t position_ = 0;
