Old plans, beats that make no sense and settings read again are refused with reasons

Causes, each seen: a replica that is cut off showed its old plan with 200 as if held (now 503 without proof); negative numbers in beats and standings were taken as huge ones and a negative contact age made a replica look fresher than fresh; a late beat of a database's former boot replaced the newer one's; beats of databases that no plan names were kept for ever. Boots now rise from start to start, and a lower one counts only when the newer fell silent.

Settings: only the proxy read its file again, and a refusal in the middle left values half taken in its table. Now each setting says whether it can change; all three programs take a file whole or refuse it whole.

Noise, cut off bodies and wrong kinds between processes (4000 messages) were tried and change nothing; that suspicion is not confirmed. Before: 'a replica that is cut off' fails with 200 == 503.

--- a/src/base/setting.hpp
+++ b/src/base/setting.hpp
@@ -12,6 +12,12 @@
   std::string standard;
   bool required = false;
   std::function<std::optional<std::string>(const std::string&)> take;
+  bool reread = false;
 };
 
+inline Setting reread(Setting setting) {
+  setting.reread = true;
+  return setting;
+}
+
 }  // namespace tamarindshift
--- a/src/base/timing_settings.cpp
+++ b/src/base/timing_settings.cpp
@@ -14,9 +14,9 @@
       durationSetting("news-patience", "how long a news request may take", timings.newsPatience, 50ms, 2s),
       durationSetting("database-silence", "silence of a primary before STATUS is asked", timings.databaseSilence, 200ms, 60s),
       durationSetting("database-out", "silence before a primary's end after which a replica is not waited for", timings.databaseOut, 1s, 600s),
-      durationSetting("statement-patience", "longest time a database may take for a request", timings.statementPatience, 100ms, 25s),
-      durationSetting("backlog-patience", "longest wait for a connection", timings.backlogPatience, 10ms, 20s),
-      durationSetting("come-back", "when refused callers are told to come back", timings.comeBack, 10ms, 60s),
+      reread(durationSetting("statement-patience", "longest time a database may take for a request", timings.statementPatience, 100ms, 25s)),
+      reread(durationSetting("backlog-patience", "longest wait for a connection", timings.backlogPatience, 10ms, 20s)),
+      reread(durationSetting("come-back", "when refused callers are told to come back", timings.comeBack, 10ms, 60s)),
   };
 }
 
--- a/src/control/access_tables.cpp
+++ b/src/control/access_tables.cpp
@@ -9,10 +9,13 @@
   for (const auto& [service, own] : report.services) acknowledged_[service] = std::max(acknowledged_[service], own.acknowledged);
 }
 
-void AccessTables::noteBeat(const DatabaseBeat& beat, Instant now) {
+bool AccessTables::noteBeat(const DatabaseBeat& beat, Instant now, Duration silence) {
   auto& held = databases_[{beat.service, beat.database}];
-  if (held.beat.boot == beat.boot && beat.number <= held.beat.number) return;
+  bool repeated = held.beat.boot == beat.boot && beat.number <= held.beat.number;
+  bool olderBoot = beat.boot < held.beat.boot && now - held.heardAt <= silence;
+  if (repeated || olderBoot) return false;
   held = Database{beat, now};
+  return true;
 }
 
 const AccessTables::Database* AccessTables::database(const ServiceName& service, const DatabaseName& database) const {
--- a/src/control/access_tables.hpp
+++ b/src/control/access_tables.hpp
@@ -17,7 +17,7 @@
   };
 
   void noteReport(const NodeReport& report, Instant now);
-  void noteBeat(const DatabaseBeat& beat, Instant now);
+  bool noteBeat(const DatabaseBeat& beat, Instant now, Duration silence);
   const std::map<Address, Node>& nodes() const { return nodes_; }
   const Database* database(const ServiceName& service, const DatabaseName& database) const;
   std::vector<DatabaseSign> signs(const ServiceName& service, Instant now) const;
--- a/src/control/beat_json.cpp
+++ b/src/control/beat_json.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/whole_number.hpp"
+
 namespace tamarindshift {
 
 std::optional<DatabaseBeat> beatFromJson(const std::string& body) {
@@ -10,13 +12,14 @@
     DatabaseBeat beat;
     beat.service = ServiceName{json.at("service").get<std::string>()};
     beat.database = DatabaseName{json.at("database").get<std::string>()};
-    beat.boot = json.at("boot").get<std::uint64_t>();
-    beat.number = json.at("number").get<std::uint64_t>();
+    beat.boot = wholeNumber(json.at("boot"));
+    beat.number = wholeNumber(json.at("number"));
     beat.role = json.at("role").get<std::string>();
-    beat.epoch = Epoch{json.at("epoch").get<std::uint64_t>()};
-    beat.position = Position{json.at("position").get<std::uint64_t>()};
-    beat.contactAge = std::chrono::milliseconds{json.at("contact_age_ms").get<std::int64_t>()};
+    beat.epoch = Epoch{wholeNumber(json.at("epoch"))};
+    beat.position = Position{wholeNumber(json.at("position"))};
+    beat.contactAge = std::chrono::milliseconds{std::min(wholeNumber(json.at("contact_age_ms")), mostAge)};
     beat.leaving = json.value("leaving", false);
+    if (beat.role != "primary" && beat.role != "replica") return std::nullopt;
     return beat;
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -15,6 +15,7 @@
          AccessTables& access, WebLink& databases, Address platform, ServerId own);
 
   bool onDuty() const;
+  void change(Address platform) { platform_ = std::move(platform); }
   const std::map<ServiceName, std::string>& waits() const { return waits_; }
 
  private:
--- a/src/control/operator_door.cpp
+++ b/src/control/operator_door.cpp
@@ -11,6 +11,7 @@
   const auto& path = request.path;
   if (path == "/plan") {
     if (request.method == "GET") {
+      if (!replica_.leaseUntil(fleetTopic)) co_return refusal(503, "not in a proved primary component", {}, replica_.settings().timings.comeBack);
       if (!replica_.state().plan()) co_return refusal(404, "no plan is held yet");
       co_return DoorReply{200, replica_.state().planText(), std::nullopt};
     }
@@ -20,9 +21,12 @@
   if (path == "/beat" || path == "/detach") {
     if (request.method != "POST") co_return refusal(405, "wrong method");
     auto beat = beatFromJson(request.body);
-    if (!beat) co_return refusal(400, "not a beat");
+    if (!beat) {
+      replica_.journal().count("beats.malformed");
+      co_return refusal(400, "not a beat");
+    }
     if (path == "/detach") co_return co_await replica_.detach(*beat);
-    replica_.noteBeat(*beat, true);
+    if (!replica_.noteBeat(*beat, true)) co_return refusal(404, "no such database in the plan held here");
     co_return DoorReply{200, "{}", std::nullopt};
   }
   if (path.starts_with("/members/")) {
--- a/src/control/replica_node.cpp
+++ b/src/control/replica_node.cpp
@@ -53,11 +53,28 @@
 
 std::vector<DatabaseSign> ReplicaNode::signs(const Topic& topic) { return access_.signs(ServiceName{topic}, clock_.now()); }
 
-void ReplicaNode::noteBeat(const DatabaseBeat& beat, bool relay) {
-  access_.noteBeat(beat, clock_.now());
-  if (!relay) return;
+bool ReplicaNode::planned(const DatabaseBeat& beat) const {
+  if (!state_.plan()) return false;
+  auto service = state_.plan()->services.find(beat.service);
+  return service != state_.plan()->services.end() && service->second.databases.contains(beat.database);
+}
+
+bool ReplicaNode::noteBeat(const DatabaseBeat& beat, bool relay) {
+  if (!planned(beat)) {
+    journal_.count("beats.unplanned");
+    return false;
+  }
+  if (!access_.noteBeat(beat, clock_.now(), settings_.timings.databaseSilence)) journal_.count("beats.older");
+  if (!relay) return true;
   auto bytes = packed(beat);
   for (const auto& partner : group().joinedPartners()) desk_.tell(partner, "beat", bytes);
+  return true;
+}
+
+void ReplicaNode::change(ReplicaSettings settings) {
+  settings_ = std::move(settings);
+  duties_->change(settings_.platform);
+  engine().change(settings_.bounds);
 }
 
 void ReplicaNode::drain() {
@@ -113,7 +130,7 @@
 
 Task<DoorReply> ReplicaNode::detach(DatabaseBeat beat) {
   beat.leaving = true;
-  noteBeat(beat, true);
+  if (!noteBeat(beat, true) && leaseUntil(fleetTopic)) co_return refusal(404, "no such database");
   auto comeBack = settings_.timings.comeBack;
   if (engine().state() == EngineState::nonPrim || !engine().member()) co_return refusal(503, "no primary component", {}, comeBack);
   if (draining()) co_return refusal(503, "this node is leaving", {}, comeBack);
--- a/src/control/replica_node.hpp
+++ b/src/control/replica_node.hpp
@@ -30,13 +30,15 @@
   void drain();
   bool draining() const { return drainingSince_.has_value(); }
   bool stopped() const;
-  void noteBeat(const DatabaseBeat& beat, bool relay);
+  bool noteBeat(const DatabaseBeat& beat, bool relay);
+  void change(ReplicaSettings settings);
   Task<DoorReply> removeMember(Address address);
 
   std::optional<Instant> leaseUntil(const Topic& topic) override;
   std::vector<DatabaseSign> signs(const Topic& topic) override;
 
  private:
+  bool planned(const DatabaseBeat& beat) const;
   Task<OrderOutcome> order(ControlMatter matter, std::string body);
   void serveDesk();
 
--- a/src/engine/replication_engine.hpp
+++ b/src/engine/replication_engine.hpp
@@ -40,6 +40,7 @@
   Task<OrderOutcome> order(std::string update, Instant deadline);
   void requestJoin(const ServerId& joiner);
   void requestLeave(const ServerId& leaver);
+  void change(EngineBounds bounds) { bounds_ = bounds; }
   bool knows(const ServerId& server) const { return greenLines_.contains(server); }
   std::set<ServerId> members() const;
 
--- a/src/news/agent_node.cpp
+++ b/src/news/agent_node.cpp
@@ -32,6 +32,12 @@
   return *follower;
 }
 
+void AgentNode::change(AgentSettings settings) {
+  for (const auto& seed : settings_.seeds) replicas_.erase(seed);
+  settings_ = std::move(settings);
+  replicas_.insert(settings_.seeds.begin(), settings_.seeds.end());
+}
+
 void AgentNode::drain() {
   if (drainingSince_) return;
   drainingSince_ = clock_.now();
@@ -119,7 +125,10 @@
   if (request.path == "/beat" || request.path == "/detach") {
     if (request.method != "POST") co_return refusal(405, "wrong method");
     auto beat = beatFromJson(request.body);
-    if (!beat) co_return refusal(400, "not a beat");
+    if (!beat) {
+      journal_.count("beats.malformed");
+      co_return refusal(400, "not a beat");
+    }
     if (request.path == "/detach") co_return co_await detach(packed(*beat));
     auto bytes = packed(*beat);
     for (const auto& replica : replicas_) desk_.tell(replica, "beat", bytes);
--- a/src/news/agent_node.hpp
+++ b/src/news/agent_node.hpp
@@ -19,6 +19,7 @@
   Task<DoorReply> serve(DoorRequest request) override;
   void gone(ConnectionId) override {}
   std::vector<Address> sources(const Topic& topic) const;
+  void change(AgentSettings settings);
   void drain();
   bool stopped() const;
 
--- a/src/pool/database_json.cpp
+++ b/src/pool/database_json.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/whole_number.hpp"
+
 namespace tamarindshift {
 
 namespace {
@@ -19,9 +21,8 @@
 }
 
 DatabaseStanding standingOf(const Json& json) {
-  return DatabaseStanding{json.at("role").get<std::string>(), Epoch{json.at("epoch").get<std::uint64_t>()},
-                          Position{json.at("position").get<std::uint64_t>()},
-                          std::chrono::milliseconds{json.at("contact_age_ms").get<std::int64_t>()}};
+  return DatabaseStanding{json.at("role").get<std::string>(), Epoch{wholeNumber(json.at("epoch"))}, Position{wholeNumber(json.at("position"))},
+                          std::chrono::milliseconds{std::min(wholeNumber(json.at("contact_age_ms")), mostAge)}};
 }
 
 template <class Reader>
@@ -77,7 +78,7 @@
 std::optional<DatabaseReply> replyFromJson(const std::string& body) {
   return guarded(body, [](const Json& json) {
     auto standing = standingOf(json.at("standing"));
-    Position keptAt{json.value("kept_at", standing.position.get())};
+    Position keptAt{json.contains("kept_at") ? wholeNumber(json["kept_at"]) : standing.position.get()};
     return DatabaseReply{json.at("done").get<bool>(), json.value("replicated", true), json.value("reason", ""), json.at("result").get<std::string>(), standing, keptAt};
   });
 }
--- a/src/programs/agent.cpp
+++ b/src/programs/agent.cpp
@@ -13,7 +13,7 @@
   program.add(addressSetting("address", "own address towards other processes; names the machine in plans", settings.address));
   program.add(addressSetting("http", "address that databases send beats and Detach to", http));
   program.add(districtSetting(settings.district));
-  program.add(seedsSetting(settings.seeds));
+  program.add(reread(seedsSetting(settings.seeds)));
   program.add(detoursSetting(detours));
   program.add(timingSettings(settings.timings));
   if (auto code = program.read(argumentCount, arguments)) return *code;
@@ -25,6 +25,6 @@
   AgentNode node(daemon.clock, link, daemon.journal, settings);
   if (auto fault = link.listen()) return complain("agent", *fault);
   if (auto fault = daemon.serve(http, node)) return complain("agent", *fault);
-  return daemon.run([&] { node.drain(); }, [&] { daemon.journal.line("settings of an agent change at its next start"); },
+  return daemon.run([&] { node.drain(); }, daemon.rereads(program, [&] { node.change(settings); }),
                     [&]() -> std::optional<int> { return node.stopped() ? std::optional{0} : std::nullopt; });
 }
--- a/src/programs/proxy.cpp
+++ b/src/programs/proxy.cpp
@@ -14,10 +14,10 @@
   program.add(addressSetting("address", "own loopback address towards the agent", own));
   program.add(addressSetting("http", "address that user agents are served on", http));
   program.add(addressSetting("agent", "address of the agent on this machine", settings.agent));
-  program.add(numberSetting("backlog", "most requests that wait in one branch", settings.backlog, 1, 100000));
-  program.add(numberSetting("sessions", "most open sessions", settings.sessions, 1, 1000000));
-  program.add(durationSetting("idle-in-transaction", "longest idle time of an open transaction", settings.idleInTransaction, 100ms, 600s));
-  program.add(durationSetting("idle-session", "longest idle time of a session", settings.idleSession, 1s, 86400s));
+  program.add(reread(numberSetting("backlog", "most requests that wait in one branch", settings.backlog, 1, 100000)));
+  program.add(reread(numberSetting("sessions", "most open sessions", settings.sessions, 1, 1000000)));
+  program.add(reread(durationSetting("idle-in-transaction", "longest idle time of an open transaction", settings.idleInTransaction, 100ms, 600s)));
+  program.add(reread(durationSetting("idle-session", "longest idle time of a session", settings.idleSession, 1s, 86400s)));
   program.add(detoursSetting(detours));
   program.add(timingSettings(settings.timings));
   if (auto code = program.read(argumentCount, arguments)) return *code;
@@ -31,19 +31,6 @@
   SessionDoor door(node);
   if (auto fault = link.listen()) return complain("proxy", *fault);
   if (auto fault = daemon.serve(http, door)) return complain("proxy", *fault);
-  auto reread = [&] {
-    auto held = settings;
-    auto places = std::tuple(own, http, held.agent);
-    auto fault = program.reread() ? settings.timings.fault() : program.lastReason();
-    if (!fault && places != std::tuple(own, http, settings.agent)) fault = "addresses change at the next start only";
-    if (fault) {
-      settings = held;
-      std::tie(own, http, settings.agent) = places;
-      return daemon.journal.line("settings refused, the old ones stay: " + *fault);
-    }
-    node.change(settings);
-    daemon.journal.line("settings read again");
-  };
-  return daemon.run([&] { node.drain(); }, reread,
+  return daemon.run([&] { node.drain(); }, daemon.rereads(program, [&] { node.change(settings); }),
                     [&]() -> std::optional<int> { return node.stopped() ? std::optional{0} : std::nullopt; });
 }
--- a/src/programs/replica.cpp
+++ b/src/programs/replica.cpp
@@ -17,8 +17,8 @@
   program.add(districtSetting(settings.district));
   program.add(seedsSetting(settings.seeds));
   program.add(textSetting("data", "data folder", folder, true));
-  program.add(addressSetting("platform", "address of the platform that carries out promotions", settings.platform));
-  program.add(numberSetting("store-length", "bytes after which the store is rewritten", settings.bounds.storeLength, 65536, 1u << 30));
+  program.add(reread(addressSetting("platform", "address of the platform that carries out promotions", settings.platform)));
+  program.add(reread(numberSetting("store-length", "bytes after which the store is rewritten", settings.bounds.storeLength, 65536, 1u << 30)));
   program.add(detoursSetting(detours));
   program.add(timingSettings(settings.timings));
   if (auto code = program.read(argumentCount, arguments)) return *code;
@@ -34,7 +34,7 @@
   if (auto fault = link.listen()) return complain("replica", *fault);
   if (auto fault = daemon.serve(http, door)) return complain("replica", *fault);
   return daemon.run([&] { node.drain(); },
-                    [&] { daemon.journal.line("settings of a replica change at its next start"); },
+                    daemon.rereads(program, [&] { node.change(settings); }),
                     [&]() -> std::optional<int> {
                       if (node.stopped()) return 0;
                       if (!node.dismissed()) return std::nullopt;
--- a/src/real/daemon.cpp
+++ b/src/real/daemon.cpp
@@ -35,6 +35,14 @@
   }
 }
 
+std::function<void()> Daemon::rereads(Program& program, std::function<void()> change) {
+  return [this, &program, change = std::move(change)] {
+    if (!program.reread()) return journal.line("settings refused, the old ones stay: " + program.lastReason());
+    change();
+    journal.line("settings read again");
+  };
+}
+
 int Daemon::run(std::function<void()> terminate, std::function<void()> reread, std::function<std::optional<int>()> ended) {
   awaitSignal(std::move(terminate), std::move(reread));
   scope_.spawn(watch(std::move(ended)));
--- a/src/real/daemon.hpp
+++ b/src/real/daemon.hpp
@@ -16,6 +16,7 @@
     signals_.add(SIGHUP);
   }
   std::optional<std::string> serve(const Address& address, DoorKeeper& keeper);
+  std::function<void()> rereads(Program& program, std::function<void()> change);
   int run(std::function<void()> terminate, std::function<void()> reread, std::function<std::optional<int>()> ended);
 
   boost::asio::io_context context{1};
--- a/src/real/program.cpp
+++ b/src/real/program.cpp
@@ -59,12 +59,17 @@
   return values;
 }
 
-bool Program::take(const std::map<std::string, std::string>& values) {
+bool Program::known(const std::map<std::string, std::string>& values) {
   for (const auto& [key, value] : values)
     if (std::none_of(settings_.begin(), settings_.end(), [&](const Setting& setting) { return setting.key == key; })) {
       reason_ = "unknown setting " + key;
       return false;
     }
+  return true;
+}
+
+bool Program::take(const std::map<std::string, std::string>& values) {
+  if (!known(values)) return false;
   for (const auto& setting : settings_) {
     auto found = values.find(setting.key);
     if (found == values.end()) {
@@ -77,12 +82,37 @@
       return false;
     }
   }
+  values_ = values;
+  return true;
+}
+
+bool Program::takeAgain(const std::map<std::string, std::string>& from, const std::map<std::string, std::string>& to) {
+  auto valueOf = [](const Setting& setting, const std::map<std::string, std::string>& values) {
+    auto found = values.find(setting.key);
+    return found == values.end() ? setting.standard : found->second;
+  };
+  for (const auto& setting : settings_) {
+    auto value = valueOf(setting, to);
+    if (value == valueOf(setting, from)) continue;
+    auto fault = setting.reread ? setting.take(value) : "changes at the next start only";
+    if (!fault) continue;
+    reason_ = "setting " + setting.key + ": " + *fault;
+    return false;
+  }
   return true;
 }
 
 bool Program::reread() {
   auto values = fileValues();
-  return values && take(*values);
+  if (!values || !known(*values)) return false;
+  if (takeAgain(values_, *values)) {
+    values_ = std::move(*values);
+    return true;
+  }
+  auto reason = reason_;
+  takeAgain(*values, values_);
+  reason_ = reason;
+  return false;
 }
 
 std::uint64_t freshEntropy() {
--- a/src/real/program.hpp
+++ b/src/real/program.hpp
@@ -21,11 +21,14 @@
 
  private:
   bool take(const std::map<std::string, std::string>& values);
+  bool known(const std::map<std::string, std::string>& values);
+  bool takeAgain(const std::map<std::string, std::string>& from, const std::map<std::string, std::string>& to);
   std::optional<std::map<std::string, std::string>> fileValues();
   std::string name_;
   std::string purpose_;
   std::vector<Setting> settings_;
   std::map<std::string, std::string> flagValues_;
+  std::map<std::string, std::string> values_;
   std::string file_;
   std::string reason_;
 };
--- a/src/simulated/simulated_fleet.cpp
+++ b/src/simulated/simulated_fleet.cpp
@@ -214,7 +214,7 @@
   database.clock = std::make_unique<SimulatedClock>(world_);
   database.journal = std::make_unique<SimulatedJournal>("database " + database.settings.service.get() + "/" + database.settings.name.get(), sink());
   database.web = std::make_unique<SimulatedWebLink>(web_, *database.clock, database.settings.address);
-  database.node = std::make_unique<StandinDatabase>(*database.clock, *database.web, *database.journal, database.settings, entropy());
+  database.node = std::make_unique<StandinDatabase>(*database.clock, *database.web, *database.journal, database.settings, world_.incarnation());
   database.node->restore(database.disk);
   web_.attach(database.settings.address, *database.node, *database.clock);
 }
--- a/src/simulated/standin_database.cpp
+++ b/src/simulated/standin_database.cpp
@@ -13,8 +13,8 @@
 
 using Json = nlohmann::json;
 
-StandinDatabase::StandinDatabase(Clock& clock, WebLink& web, Journal& journal, StandinDatabaseSettings settings, std::uint64_t entropy)
-    : clock_(clock), web_(web), journal_(journal), settings_(std::move(settings)), boot_(entropy >> 12), role_(settings_.primary ? "primary" : "replica") {
+StandinDatabase::StandinDatabase(Clock& clock, WebLink& web, Journal& journal, StandinDatabaseSettings settings, std::uint64_t boot)
+    : clock_(clock), web_(web), journal_(journal), settings_(std::move(settings)), boot_(boot), role_(settings_.primary ? "primary" : "replica") {
   scope_.spawn(replicate());
   scope_.spawn(beats());
 }
--- a/src/simulated/standin_database.hpp
+++ b/src/simulated/standin_database.hpp
@@ -53,7 +53,7 @@
 
 class StandinDatabase : public DoorKeeper {
  public:
-  StandinDatabase(Clock& clock, WebLink& web, Journal& journal, StandinDatabaseSettings settings, std::uint64_t entropy);
+  StandinDatabase(Clock& clock, WebLink& web, Journal& journal, StandinDatabaseSettings settings, std::uint64_t boot);
 
   Task<DoorReply> serve(DoorRequest request) override;
   void gone(ConnectionId connection) override;
