--- a/src/base/timing_settings.cpp
+++ b/src/base/timing_settings.cpp
@@ -12,6 +12,7 @@
       durationSetting("lease-margin", "margin added when leases are waited out", timings.leaseMargin, 10ms, 1s),
       durationSetting("news-wait", "how long a news request waits for a change", timings.newsWait, 10ms, 1s),
       durationSetting("news-patience", "how long a news request may take", timings.newsPatience, 50ms, 2s),
+      durationSetting("dead-connections", "how long databases keep connections of a machine that vanished", timings.deadConnections, 0ms, 3600s),
       durationSetting("database-silence", "silence of a primary before STATUS is asked", timings.databaseSilence, 200ms, 60s),
       durationSetting("database-out", "silence before a primary's end after which a replica is not waited for", timings.databaseOut, 1s, 600s),
       reread(durationSetting("statement-patience", "longest time a database may take for a request", timings.statementPatience, 100ms, 25s)),
--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -22,6 +22,7 @@
   Duration statusPatience = 500ms;
   Duration promotePatience = 1500ms;
   Duration nodeSilence = 2500ms;
+  Duration deadConnections = 10s;
   Duration orderPatience = 4s;
   Duration statementPatience = 10s;
   Duration backlogPatience = 2s;
@@ -30,6 +31,7 @@
   Duration stopTransactions = 3s;
   Duration detach = 7s;
 
+  Duration shareHold() const { return lease + leaseMargin + deadConnections; }
   Duration planGrace() const { return planFollowed - lease - leaseMargin; }
   std::optional<std::string> fault() const;
 };
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -44,6 +44,9 @@
     case ControlMatter::drainNode:
       apply([this](const auto& body) { return applyNode(body, true); }, unpacked<NodeUpdate>(update->body));
       break;
+    case ControlMatter::removeNode:
+      apply([this](const auto& body) { return removeNode(body); }, unpacked<NodeUpdate>(update->body));
+      break;
   }
   publish();
   return reply;
@@ -63,14 +66,16 @@
     std::erase_if(state.drained, [&](const auto& database) { return !service.databases.contains(database.first); });
     state.sharesAt = position_;
     std::map<BranchName, std::uint32_t> sums;
-    for (auto& [node, branches] : state.grants) {
+    auto fit = [&](std::map<BranchName, std::uint32_t>& branches) {
       std::erase_if(branches, [&](const auto& branch) { return !service.branches.contains(branch.first); });
       for (auto& [branch, amount] : branches) {
         auto& sum = sums[branch];
         amount = std::min(amount, service.branches.at(branch).connections - sum);
         sum += amount;
       }
-    }
+    };
+    for (auto& [node, share] : state.reserved) fit(share.most);
+    for (auto& [node, branches] : state.grants) fit(branches);
   }
   return "held";
 }
@@ -84,6 +89,8 @@
     kept.primary = state.primary;
     kept.promoted = state.promoted;
     kept.servedBy = state.servedBy;
+    kept.reserved = state.reserved;
+    for (const auto& [node, most] : state.grants) kept.reserved[node] = ReservedShare{position_, state.sharesAt, most};
     return true;
   });
   for (const auto& [name, service] : plan.services)
@@ -124,11 +131,17 @@
   if (service == services_.end() || service->second.sharesAt != update.basis) return "other basis";
   const auto& branches = plan_->services.at(update.service).branches;
   std::map<BranchName, std::uint64_t> sums;
-  for (const auto& [node, grants] : update.grants)
-    for (const auto& [branch, amount] : grants) {
-      if (!branches.contains(branch)) return "no such branch";
-      if ((sums[branch] += amount) > branches.at(branch).connections) return "over the branch";
-    }
+  for (const auto& shares : {update.grants, update.reserved})
+    for (const auto& [node, grants] : shares)
+      for (const auto& [branch, amount] : grants) {
+        if (!branches.contains(branch)) return "no such branch";
+        if ((sums[branch] += amount) > branches.at(branch).connections) return "over the branch";
+      }
+  auto& reserved = service->second.reserved;
+  std::erase_if(reserved, [&](const auto& each) { return !update.reserved.contains(each.first); });
+  for (const auto& [node, most] : update.reserved)
+    if (auto [held, fresh] = reserved.try_emplace(node, ReservedShare{position_, update.basis, most}); !fresh) held->second.most = most;
+  if (service->second.grants == update.grants) return "held";
   service->second.grants = update.grants;
   service->second.sharesAt = position_;
   return "held";
@@ -145,6 +158,15 @@
   return "held";
 }
 
+std::string ControlState::removeNode(const NodeUpdate& update) {
+  auto found = nodes_.find(update.node);
+  if (found == nodes_.end() || found->second.boot != update.boot) return "other boot";
+  for (const auto& [name, service] : services_)
+    if (service.holds(update.node)) return "holds shares";
+  nodes_.erase(found);
+  return "held";
+}
+
 void ControlState::publish() {
   NewsTable fleet;
   for (const auto& [address, node] : nodes_) {
--- a/src/control/control_state.hpp
+++ b/src/control/control_state.hpp
@@ -15,6 +15,13 @@
   MSGPACK_DEFINE(boot, number)
 };
 
+struct ReservedShare {
+  std::uint64_t at = 0;
+  std::uint64_t basis = 0;
+  std::map<BranchName, std::uint32_t> most;
+  MSGPACK_DEFINE(at, basis, most)
+};
+
 struct ServiceState {
   Epoch epoch;
   DatabaseName primary;
@@ -23,7 +30,9 @@
   std::map<DatabaseName, DrainMark> drained;
   Grants grants;
   std::uint64_t sharesAt = 0;
-  MSGPACK_DEFINE(epoch, primary, promoted, servedBy, drained, grants, sharesAt)
+  std::map<Address, ReservedShare> reserved;
+  bool holds(const Address& node) const { return grants.contains(node) || reserved.contains(node); }
+  MSGPACK_DEFINE(epoch, primary, promoted, servedBy, drained, grants, sharesAt, reserved)
 };
 
 struct NodeState {
@@ -54,6 +63,7 @@
   std::string applyPromoted(const PromotedUpdate& update);
   std::string applyShares(const SharesUpdate& update);
   std::string applyNode(const NodeUpdate& update, bool draining);
+  std::string removeNode(const NodeUpdate& update);
   void retire(const Plan& plan);
   void publish();
 
--- a/src/control/control_update.hpp
+++ b/src/control/control_update.hpp
@@ -13,6 +13,7 @@
   shares = 6,
   enrolNode = 7,
   drainNode = 8,
+  removeNode = 9,
 };
 
 struct ControlUpdate {
@@ -55,7 +56,8 @@
   ServiceName service;
   std::uint64_t basis = 0;
   Grants grants;
-  MSGPACK_DEFINE(service, basis, grants)
+  Grants reserved;
+  MSGPACK_DEFINE(service, basis, grants, reserved)
 };
 
 struct NodeUpdate {
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -30,6 +30,7 @@
     co_await sleep(clock_, timings_.duty);
     if (onDuty() != wasOnDuty_) {
       wasOnDuty_ = onDuty();
+      takenAt_ = clock_.now();
       duties_.clear();
       waits_.clear();
       journal_.line(wasOnDuty_ ? "takes the duties" : "lays the duties down");
@@ -52,10 +53,6 @@
       duty.finalPlace = {};
       duty.demoteAskedAt = duty.silentSince = {};
     }
-    if (duty.sharesAt != service.sharesAt || duty.sharesSeenAt == Instant{}) {
-      duty.sharesAt = service.sharesAt;
-      duty.sharesSeenAt = now;
-    }
     if (!duty.busy) scope_.spawn(care(name));
   }
 }
@@ -241,21 +238,61 @@
   co_await order(ControlMatter::promoted, packed(update));
 }
 
-bool Duties::everyNodeFollows(const ServiceName& name, std::uint64_t position, Instant since) const {
-  auto now = clock_.now();
+const AccessTables::Node* Duties::heard(const Address& node) const {
+  auto found = access_.nodes().find(node);
+  return found == access_.nodes().end() ? nullptr : &found->second;
+}
+
+bool Duties::silent(const Address& node) const {
+  const auto* known = heard(node);
+  return clock_.now() - std::max(known ? known->heardAt : Instant{}, takenAt_) > timings_.nodeSilence;
+}
+
+std::uint64_t Duties::followed(const ServiceName& name, const Address& node) const {
+  const auto* known = heard(node);
+  if (!known) return 0;
+  auto own = known->report.services.find(name);
+  return own == known->report.services.end() ? 0 : own->second.followed;
+}
+
+bool Duties::overdue(const ServiceName& name, const Address& node) const {
+  const auto& seen = duties_.at(name).reservedSeenAt;
+  auto found = seen.find(node);
+  return found != seen.end() && clock_.now() - found->second.second > timings_.shareHold();
+}
+
+bool Duties::everyNodeFollows(const ServiceName& name, const ServiceState& service) const {
   for (const auto& [address, node] : state_.nodes()) {
-    auto heard = access_.nodes().find(address);
-    bool silent = heard == access_.nodes().end() || now - heard->second.heardAt > timings_.nodeSilence;
-    if (silent) {
-      if (now - since < timings_.nodeSilence + timings_.lease) return false;
-      continue;
-    }
-    auto own = heard->second.report.services.find(name);
-    if (own == heard->second.report.services.end() || own->second.followed < position) return false;
+    auto reserved = service.reserved.find(address);
+    bool silentButCounted = silent(address) && (!service.holds(address) || (reserved != service.reserved.end() &&
+                                                (followed(name, address) >= reserved->second.basis || overdue(name, address))));
+    if (!silentButCounted && followed(name, address) < service.sharesAt) return false;
   }
   return true;
 }
 
+Grants Duties::reserve(const ServiceName& name, const ServiceState& service) {
+  auto& seen = duties_[name].reservedSeenAt;
+  std::erase_if(seen, [&](const auto& each) { return !service.reserved.contains(each.first); });
+  Grants reserved;
+  for (const auto& [node, share] : service.reserved) {
+    auto& [at, since] = seen[node];
+    if (std::exchange(at, share.at) != share.at || !silent(node)) since = clock_.now();
+    bool released = silent(node) ? overdue(name, node) : followed(name, node) >= share.at;
+    if (!released) reserved[node] = share.most;
+  }
+  for (const auto& [node, branches] : service.grants) {
+    auto known = state_.nodes().find(node);
+    bool leaves = known == state_.nodes().end() || known->second.draining || silent(node);
+    if (!leaves) continue;
+    for (const auto& [branch, amount] : branches) {
+      auto& most = reserved[node][branch];
+      most = std::max(most, amount);
+    }
+  }
+  return reserved;
+}
+
 Task<void> Duties::shares(ServiceName name) {
   if (!state_.services().contains(name)) co_return;
   auto service = state_.services().at(name);
@@ -263,18 +300,21 @@
   Wanted wanted;
   Weights weights;
   for (const auto& [address, node] : state_.nodes()) {
-    auto heard = access_.nodes().find(address);
-    if (node.draining || heard == access_.nodes().end() || clock_.now() - heard->second.heardAt > timings_.nodeSilence) continue;
-    auto own = heard->second.report.services.find(name);
+    if (node.draining || silent(address)) continue;
+    const auto* known = heard(address);
+    if (!known) co_return;
+    auto own = known->report.services.find(name);
     weights[address] = state_.plan()->weightOf(address);
-    wanted[address] = own == heard->second.report.services.end() ? std::map<BranchName, std::uint32_t>{} : own->second.wanted;
+    wanted[address] = own == known->report.services.end() ? std::map<BranchName, std::uint32_t>{} : own->second.wanted;
   }
-  auto target = cutShares(state_.plan()->services.at(name), wanted, weights);
-  if (target == service.grants) co_return;
+  auto reserved = reserve(name, service);
+  Grants reservedBefore;
+  for (const auto& [node, share] : service.reserved) reservedBefore[node] = share.most;
+  auto target = cutShares(without(state_.plan()->services.at(name), reserved), wanted, weights);
+  if (target == service.grants && reserved == reservedBefore) co_return;
   auto lower = lowered(service.grants, target);
-  bool newNode = target.size() != service.grants.size();
-  if (lower != service.grants) {
-    bool pressing = newNode;
+  if (lower != service.grants || reserved != reservedBefore) {
+    bool pressing = reserved != reservedBefore || target.size() != service.grants.size();
     for (const auto& [node, branches] : wanted)
       for (const auto& [branch, want] : branches) {
         auto held = service.grants.find(node);
@@ -283,12 +323,12 @@
       }
     if (!pressing || clock_.now() - duty.sharesMovedAt < timings_.lease / 2) co_return;
     duty.sharesMovedAt = clock_.now();
-    SharesUpdate update{name, service.sharesAt, lower};
+    SharesUpdate update{name, service.sharesAt, lower, reserved};
     co_await order(ControlMatter::shares, packed(update));
     co_return;
   }
-  if (!everyNodeFollows(name, service.sharesAt, duty.sharesSeenAt)) co_return;
-  SharesUpdate update{name, service.sharesAt, target};
+  if (!everyNodeFollows(name, service)) co_return;
+  SharesUpdate update{name, service.sharesAt, target, reserved};
   co_await order(ControlMatter::shares, packed(update));
 }
 
@@ -306,6 +346,15 @@
     else if (same && report.draining && !known->second.draining)
       co_await order(ControlMatter::drainNode, packed(update));
   }
+  std::vector<NodeUpdate> gone;
+  for (const auto& [address, node] : state_.nodes()) {
+    bool holds = std::any_of(state_.services().begin(), state_.services().end(), [&](const auto& each) { return each.second.holds(address); });
+    if (!holds && silent(address)) gone.push_back(NodeUpdate{address, node.district, node.boot});
+  }
+  for (const auto& update : gone) {
+    journal_.line("node " + update.node.get() + " is let go");
+    co_await order(ControlMatter::removeNode, packed(update));
+  }
   nodesBusy_ = false;
 }
 
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -26,9 +26,8 @@
     bool demoted = false;
     Place finalPlace;
     Instant demoteAskedAt{};
-    std::uint64_t sharesAt = 0;
-    Instant sharesSeenAt{};
     Instant sharesMovedAt{};
+    std::map<Address, std::pair<std::uint64_t, Instant>> reservedSeenAt;
     Instant silentSince{};
     bool busy = false;
   };
@@ -53,7 +52,12 @@
   Task<void> departures(ServiceName name);
   Task<void> returns(ServiceName name);
   bool diedWithPrimary(const ServiceName& name, const DatabaseName& database) const;
-  bool everyNodeFollows(const ServiceName& name, std::uint64_t position, Instant since) const;
+  const AccessTables::Node* heard(const Address& node) const;
+  bool silent(const Address& node) const;
+  std::uint64_t followed(const ServiceName& name, const Address& node) const;
+  bool everyNodeFollows(const ServiceName& name, const ServiceState& service) const;
+  bool overdue(const ServiceName& name, const Address& node) const;
+  Grants reserve(const ServiceName& name, const ServiceState& service);
   void wait(const ServiceName& name, const std::string& reason);
   const PlanDatabase* planned(const ServiceName& service, const DatabaseName& database) const;
 
@@ -70,6 +74,7 @@
   std::map<ServiceName, std::string> waits_;
   bool nodesBusy_ = false;
   bool wasOnDuty_ = false;
+  Instant takenAt_{};
   TaskScope scope_;
 };
 
--- a/src/control/operator_door.cpp
+++ b/src/control/operator_door.cpp
@@ -73,6 +73,8 @@
     for (const auto& [database, mark] : service.drained) own["drained"].push_back(database.get());
     for (const auto& [node, branches] : service.grants)
       for (const auto& [branch, amount] : branches) own["shares"][node.get()][branch.get()] = amount;
+    for (const auto& [node, share] : service.reserved)
+      for (const auto& [branch, amount] : share.most) own["reserved"][node.get()][branch.get()] = amount;
     for (const auto& sign : replica_.access().signs(name, now))
       own["databases"][sign.database] = {{"role", sign.role}, {"epoch", sign.epoch}, {"position", sign.position},
                                          {"contact_ms", milliseconds(sign.contactAge).count()}, {"heard_ms_ago", milliseconds(sign.age).count()}};
--- a/src/control/share_cut.cpp
+++ b/src/control/share_cut.cpp
@@ -47,6 +47,14 @@
   return grants;
 }
 
+PlanService without(PlanService service, const Grants& reserved) {
+  for (const auto& [node, branches] : reserved)
+    for (const auto& [name, amount] : branches)
+      if (auto branch = service.branches.find(name); branch != service.branches.end())
+        branch->second.connections -= std::min(amount, branch->second.connections);
+  return service;
+}
+
 Grants lowered(const Grants& held, const Grants& target) {
   Grants lower;
   for (const auto& [node, branches] : held) {
--- a/src/control/share_cut.hpp
+++ b/src/control/share_cut.hpp
@@ -10,6 +10,7 @@
 using Weights = std::map<Address, std::uint32_t>;
 
 Grants cutShares(const PlanService& service, const Wanted& wanted, const Weights& weights);
+PlanService without(PlanService service, const Grants& reserved);
 Grants lowered(const Grants& held, const Grants& target);
 
 }  // namespace tamarindshift
--- a/src/simulated/simulated_fleet.cpp
+++ b/src/simulated/simulated_fleet.cpp
@@ -283,6 +283,12 @@
 Task<void> SimulatedFleet::probe() {
   for (;;) {
     co_await sleep(clock_, 50ms);
+    for (const auto& database : databases_)
+      web_.keepAlive(database->settings.address, shape_.timings.deadConnections - 500ms, [this](const Address& from) {
+        for (const auto& machine : machines_)
+          if (SimulatedNetwork::host(from) == machine->host) return machine->clock && !machine->clock->frozen();
+        return true;
+      });
     probeMachines();
     probeCaps();
     probeAbility();
--- a/src/simulated/simulated_web.cpp
+++ b/src/simulated/simulated_web.cpp
@@ -102,8 +102,12 @@
     line->underway->outcome = WebOutcome{PassFate::lost, 0, {}};
     line->underway->gate.open();
   }
+  if (network_.connected(line->from, line->to)) tell(line);
+}
+
+void SimulatedWeb::tell(const std::shared_ptr<Line>& line) {
   auto host = hosts_.find(line->to);
-  if (host == hosts_.end()) return;
+  if (host == hosts_.end() || std::exchange(line->told, true)) return;
   host->second.lines.erase(line);
   auto& world = network_.world();
   world.at(world.now() + network_.latency(), [this, to = line->to, id = line->id] {
@@ -115,6 +119,25 @@
   });
 }
 
+void SimulatedWeb::keepAlive(const Address& to, Duration keeps, const std::function<bool(const Address&)>& answers) {
+  auto host = hosts_.find(to);
+  if (host == hosts_.end()) return;
+  auto now = network_.world().now();
+  auto lines = host->second.lines;
+  for (const auto& line : lines) {
+    bool reached = network_.connected(line->from, to) && network_.connected(to, line->from);
+    if (reached && answers(line->from)) {
+      line->deadSince = Instant::max();
+      if (!line->open) tell(line);
+      continue;
+    }
+    line->deadSince = std::min(line->deadSince, now);
+    if (now - line->deadSince < keeps) continue;
+    end(line);
+    tell(line);
+  }
+}
+
 Task<std::unique_ptr<WebConnection>> SimulatedWebLink::open(Address address, Instant deadline) {
   Gate connected;
   auto latency = web_.network_.latency() + web_.network_.latency();
--- a/src/simulated/simulated_web.hpp
+++ b/src/simulated/simulated_web.hpp
@@ -23,6 +23,7 @@
   explicit SimulatedWeb(SimulatedNetwork& network) : network_(network) {}
   void attach(const Address& address, DoorKeeper& keeper, Clock& clock);
   void detach(const Address& address);
+  void keepAlive(const Address& to, Duration keeps, const std::function<bool(const Address&)>& answers);
   void faults(const Address& address, WebFaults faults) { faults_[address] = faults; }
 
  private:
@@ -38,6 +39,8 @@
     Address from;
     Address to;
     bool open = true;
+    bool told = false;
+    Instant deadSince = Instant::max();
     std::shared_ptr<Exchange> underway;
   };
   struct Host {
@@ -50,6 +53,7 @@
   void handOver(const std::shared_ptr<Line>& line, const std::shared_ptr<Exchange>& exchange, DoorRequest request);
   Task<void> serve(Address to, std::shared_ptr<Line> line, std::shared_ptr<Exchange> exchange, DoorRequest request);
   void end(const std::shared_ptr<Line>& line);
+  void tell(const std::shared_ptr<Line>& line);
   bool unlucky(unsigned perThousand) { return perThousand > 0 && network_.world().chance(perThousand); }
 
   SimulatedNetwork& network_;
