Two of three databases lost: reports of all nodes prove what must be held

Cause: a replica that fell silent within 5 s of the primary was waited for in any case, so a service whose primary and one replica are lost for good waited for ever although the third held everything; and where the third is short, a plan without the lost ones did not end the wait.

Now RECOVERY goes to the best database in reach, and before the promotion every node must have reported under the new epoch; a node that is gone since makes the old wait stand. Databases that never sent a beat for the service are no candidates.

--- a/src/control/access_tables.cpp
+++ b/src/control/access_tables.cpp
@@ -5,7 +5,9 @@
 namespace tamarindshift {
 
 void AccessTables::noteReport(const NodeReport& report, Instant now) {
-  nodes_[report.node] = Node{report, now};
+  auto& held = nodes_[report.node];
+  if (held.report.boot != report.boot) lastLost_ = std::max(lastLost_, held.heardAt);
+  held = Node{report, now};
   for (const auto& [service, own] : report.services) acknowledged_[service] = std::max(acknowledged_[service], own.acknowledged);
 }
 
@@ -38,7 +40,11 @@
 }
 
 void AccessTables::forgetNodesBefore(Instant before) {
-  std::erase_if(nodes_, [before](const auto& each) { return each.second.heardAt < before; });
+  std::erase_if(nodes_, [&](const auto& each) {
+    if (each.second.heardAt >= before) return false;
+    lastLost_ = std::max(lastLost_, each.second.heardAt);
+    return true;
+  });
 }
 
 }  // namespace tamarindshift
--- a/src/control/access_tables.hpp
+++ b/src/control/access_tables.hpp
@@ -23,11 +23,13 @@
   std::vector<DatabaseSign> signs(const ServiceName& service, Instant now) const;
   Place acknowledged(const ServiceName& service) const;
   void forgetNodesBefore(Instant before);
+  Instant lastLost() const { return lastLost_; }
 
  private:
   std::map<Address, Node> nodes_;
   std::map<std::pair<ServiceName, DatabaseName>, Database> databases_;
   std::map<ServiceName, Place> acknowledged_;
+  Instant lastLost_{};
 };
 
 }  // namespace tamarindshift
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -122,22 +122,42 @@
   std::optional<Candidate> best;
   for (const auto& [database, own] : state_.plan()->services.at(name).databases)
     if (database != besides && !state_.services().at(name).drained.contains(database)) names.push_back(database);
+  bool allReached = true;
+  std::optional<DatabaseName> mayHoldMore;
   for (const auto& database : names) {
     auto standing = co_await status(name, database);
     if (!standing) {
-      if (diedWithPrimary(name, database)) {
-        wait(name, "database " + database.get() + " fell silent with the primary and may hold more");
-        co_return std::nullopt;
-      }
+      allReached = false;
+      if (diedWithPrimary(name, database)) mayHoldMore = database;
       continue;
     }
+    if (!access_.database(name, database)) continue;
     auto rank = [](const DatabaseStanding& each) { return std::pair(placeOf(each), each.role == "primary"); };
-    if (!best || rank(*standing) > rank(best->standing)) best = Candidate{database, *standing};
+    if (!best || rank(*standing) > rank(best->standing)) best = Candidate{database, *standing, true, std::nullopt};
+  }
+  if (!best) {
+    wait(name, "no database can become primary");
+    co_return best;
   }
-  if (!best) wait(name, "no database can become primary");
+  best->allReached = allReached;
+  best->mayHoldMore = mayHoldMore;
   co_return best;
 }
 
+std::optional<std::string> Duties::unproved(const ServiceName& name) const {
+  const auto& service = state_.services().at(name);
+  const auto* primary = access_.database(name, service.servedBy);
+  if (!primary || access_.lastLost() > primary->heardAt - timings_.databaseOut) return "a node that may have acknowledged more is gone";
+  for (const auto& [address, node] : state_.nodes())
+    if (!heard(address)) return "node " + address.get() + " has not reported";
+  for (const auto& [address, known] : access_.nodes()) {
+    auto own = known.report.services.find(name);
+    bool current = clock_.now() - known.heardAt <= timings_.nodeSilence && own != known.report.services.end() && own->second.epoch >= service.epoch;
+    if (!current && known.heardAt > primary->heardAt - timings_.databaseOut) return "node " + address.get() + " has not reported what it acknowledged";
+  }
+  return std::nullopt;
+}
+
 bool Duties::diedWithPrimary(const ServiceName& name, const DatabaseName& database) const {
   const auto& service = state_.services().at(name);
   if (service.servedBy.get().empty() || database == service.servedBy) return false;
@@ -163,7 +183,8 @@
   if (service.epoch != Epoch{} && reason != "primary says it is none") besides = service.primary;
   auto best = co_await candidate(name, besides);
   if (!best) co_return;
-  if (!leaves && placeOf(best->standing) < access_.acknowledged(name))
+  bool retired = !planned(name, service.servedBy) && best->allReached;
+  if (!leaves && !retired && placeOf(best->standing) < access_.acknowledged(name))
     co_return wait(name, "no database holds all that was acknowledged");
   if (!onDuty()) co_return;
   journal_.line("service " + name.get() + " recovers to " + best->database.get() + ": " + reason);
@@ -220,13 +241,18 @@
   }
   auto needed = access_.acknowledged(name);
   if (!leasesOver) needed = std::max(needed, duties_[name].finalPlace);
+  auto best = co_await candidate(name, std::nullopt);
+  if (!best) co_return;
   if (placeOf(*standing) < needed) {
-    auto best = co_await candidate(name, std::nullopt);
-    if (best && placeOf(best->standing) >= needed && best->database != service.primary && leasesOver &&
-        clock_.now() - duties_[name].seenAt > 2 * timings_.lease)
+    if (placeOf(best->standing) >= needed && best->database != service.primary && leasesOver && clock_.now() - duties_[name].seenAt > 2 * timings_.lease)
       co_return co_await recover(name, "another database holds more");
-    co_return wait(name, "the chosen database has not all that was acknowledged");
+    bool givenUp = !planned(name, service.servedBy) && best->allReached && best->database == service.primary &&
+                   clock_.now() - duties_[name].seenAt > timings_.lease + timings_.leaseMargin + timings_.databaseOut;
+    if (!givenUp) co_return wait(name, "the chosen database has not all that was acknowledged");
+    journal_.line("service " + name.get() + " gives up acknowledged commits that no planned database holds");
   }
+  if (auto why = best->mayHoldMore && !first ? unproved(name) : std::nullopt)
+    co_return wait(name, "database " + best->mayHoldMore->get() + " fell silent with the primary and may hold more: " + *why);
   const auto* chosen = planned(name, service.primary);
   if (!chosen || !onDuty()) co_return;
   nlohmann::json body{{"service", name.get()}, {"database", service.primary.get()}, {"address", chosen->address.get()}, {"epoch", service.epoch.get()}};
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -34,6 +34,8 @@
   struct Candidate {
     DatabaseName database;
     DatabaseStanding standing;
+    bool allReached = true;
+    std::optional<DatabaseName> mayHoldMore;
   };
 
   Task<void> run();
@@ -51,6 +53,7 @@
   Task<void> nodes();
   Task<void> departures(ServiceName name);
   Task<void> returns(ServiceName name);
+  std::optional<std::string> unproved(const ServiceName& name) const;
   bool diedWithPrimary(const ServiceName& name, const DatabaseName& database) const;
   const AccessTables::Node* heard(const Address& node) const;
   bool silent(const Address& node) const;
