--- a/src/simulated/fleet_shape.hpp
+++ b/src/simulated/fleet_shape.hpp
@@ -16,6 +16,7 @@
   std::uint32_t connections = 50;
   Duration work = 2ms;
   Duration diskSync = 3ms;
+  Duration opens{};
   Timings timings;
   std::vector<CallerKind> callers;
 };
--- a/src/simulated/scenario.cpp
+++ b/src/simulated/scenario.cpp
@@ -44,6 +44,10 @@
 bool Scenario::load(const std::string& path) {
   std::ifstream file(path);
   if (!file) return fail("cannot read " + path);
+  return read(file, path);
+}
+
+bool Scenario::read(std::istream& file, const std::string& path) {
   std::size_t line = 0;
   for (std::string text; std::getline(file, text);) {
     ++line;
@@ -72,6 +76,7 @@
       else if (key == "cap") shape_.cap = static_cast<std::uint32_t>(number(value));
       else if (key == "connections") shape_.connections = static_cast<std::uint32_t>(number(value));
       else if (key == "work") shape_.work = durationText(value).value_or(shape_.work);
+      else if (key == "opens") shape_.opens = durationText(value).value_or(shape_.opens);
       else if (key == "disk") shape_.diskSync = durationText(value).value_or(shape_.diskSync);
       else return fail("unknown key " + key);
     }
@@ -150,12 +155,13 @@
 }
 
 void Scenario::noteDisturbance(SimulatedFleet& fleet, const Words& words) {
-  static const std::set<std::string> harmless{"plan", "pace", "add", "fast", "fast-disk", "hide-replication", "boast", "lag", "lie", "move"};
+  static const std::set<std::string> harmless{"plan", "pace", "add", "fast", "fast-disk", "hide-replication", "boast", "lag", "lie", "lie-in-beats", "move"};
   const auto& verb = words[0];
   auto& availability = fleet.availability();
   auto now = fleet.world().now();
   if (verb == "plan" && words.size() > 1 && words[1].starts_with("mark") && fleet.plans().all().empty()) return availability.disturbed(now);
-  if (harmless.contains(verb)) return;
+  bool retires = std::any_of(words.begin(), words.end(), [](const auto& word) { return word.starts_with("without-"); });
+  if (harmless.contains(verb) && !retires) return;
   if (verb == "lose") availability.trouble("all", words.back() != "0");
   bool single = words.size() > 2 && words[1] == "database";
   if (!single) return availability.disturbed(now);
@@ -267,6 +273,7 @@
   else if (verb == "replace") fleet.replaceDatabase(service, place);
   else if (verb == "lag") own.node->lag(durationText(options["by"]).value_or(300ms));
   else if (verb == "boast") own.node->boast(1'000'000);
+  else if (verb == "lie-in-beats") own.node->lieInBeats();
   else if (verb == "lie") own.node->lieAboutContact();
   else if (verb == "hide-replication") own.node->hideReplication();
   else if (verb == "faults") {
--- a/src/simulated/scenario.hpp
+++ b/src/simulated/scenario.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <istream>
 #include <map>
 #include <memory>
 
@@ -10,6 +11,7 @@
 class Scenario {
  public:
   bool load(const std::string& path);
+  bool read(std::istream& text, const std::string& name);
   bool run(std::uint64_t seed);
   const std::string& lastReason() const { return reason_; }
   const std::vector<std::string>& faults() const { return faults_; }
--- a/src/simulated/simulated_fleet.cpp
+++ b/src/simulated/simulated_fleet.cpp
@@ -193,6 +193,7 @@
   for (std::size_t index = 0; index < std::min(shape_.machines, shape_.beatTargets); ++index)
     own.settings.beatsTo.push_back(at("10.1.0." + std::to_string((index + number + service) % shape_.machines + 1), 4));
   own.settings.beatsTo.push_back(at("10.0.0.1", 2));
+  if (shape_.opens > Duration::zero()) web_.opens(own.settings.address, shape_.opens);
   if (primary) platform_->setPrimary(own.settings.service, own.settings.address);
   startDatabase(own);
 }
--- a/src/simulated/simulated_web.cpp
+++ b/src/simulated/simulated_web.cpp
@@ -141,6 +141,7 @@
 Task<std::unique_ptr<WebConnection>> SimulatedWebLink::open(Address address, Instant deadline) {
   Gate connected;
   auto latency = web_.network_.latency() + web_.network_.latency();
+  if (auto cost = web_.opens_.find(address); cost != web_.opens_.end()) latency += cost->second + Duration{web_.network_.world().below(static_cast<std::uint64_t>(3 * cost->second.count()) + 1)};
   co_await connected.wait(clock_, std::min(deadline, clock_.now() + latency));
   if (!web_.network_.connected(from_, address) || !web_.network_.connected(address, from_)) {
     co_await connected.wait(clock_, deadline);
--- a/src/simulated/simulated_web.hpp
+++ b/src/simulated/simulated_web.hpp
@@ -24,6 +24,7 @@
   void attach(const Address& address, DoorKeeper& keeper, Clock& clock);
   void detach(const Address& address);
   void keepAlive(const Address& to, Duration keeps, const std::function<bool(const Address&)>& answers);
+  void opens(const Address& address, Duration cost) { opens_[address] = cost; }
   void faults(const Address& address, WebFaults faults) { faults_[address] = faults; }
 
  private:
@@ -59,6 +60,7 @@
   SimulatedNetwork& network_;
   std::map<Address, Host> hosts_;
   std::map<Address, WebFaults> faults_;
+  std::map<Address, Duration> opens_;
   std::uint64_t last_ = 0;
 };
 
--- a/src/simulated/standin_database.cpp
+++ b/src/simulated/standin_database.cpp
@@ -257,6 +257,7 @@
 
 DatabaseBeat StandinDatabase::beat() {
   auto own = standing();
+  if (liesInBeats_) own.contactAge = Duration::zero();
   return DatabaseBeat{settings_.service, settings_.name, boot_, ++beatNumber_, own.role, own.epoch, own.position, own.contactAge, leaving_};
 }
 
--- a/src/simulated/standin_database.hpp
+++ b/src/simulated/standin_database.hpp
@@ -65,6 +65,7 @@
   void slow(Duration work) { settings_.work = work; }
   void comeBack() { leaving_ = false; }
   void lieAboutContact() { lies_ = true; }
+  void lieInBeats() { liesInBeats_ = true; }
   void hideReplication() { hides_ = true; }
   void boast(std::uint64_t positions) { boast_ = positions; }
   void lag(Duration lag) { lag_ = lag; }
@@ -118,6 +119,7 @@
   std::uint64_t beatNumber_ = 0;
   bool leaving_ = false;
   bool lies_ = false;
+  bool liesInBeats_ = false;
   bool hides_ = false;
   std::uint64_t boast_ = 0;
   Duration lag_{};
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -22,3 +22,6 @@
 endforeach()
 
 add_test(NAME scenario.proxy-frozen.seed-1004 COMMAND scenario --seed 1004 ${CMAKE_SOURCE_DIR}/tests/scenarios/proxy-frozen.txt)
+
+add_test(NAME day.generated COMMAND scenario --days small --seed 1 --seeds 4)
+set_tests_properties(day.generated PROPERTIES TIMEOUT 600)
