--- a/tests/checkers_test.cpp
+++ b/tests/checkers_test.cpp
@@ -70,6 +70,18 @@
 
 TEST_CASE("the checkers notice a rollback that nobody sent") { CHECK(notices("inserted.txt", "rollback")); }
 
+TEST_CASE("the checkers notice a service that could be back and is not") { CHECK(notices("never-back.txt", "was served 0 of")); }
+
+TEST_CASE("the checkers notice more connections than the plans in force allow") {
+  CHECK(notices("cap.txt", "connections at"));
+  CHECK(notices("cap.txt", "was opened connection"));
+}
+
+TEST_CASE("the checkers notice work that no plan allows and work at a database that left") {
+  CHECK(notices("plan.txt", "no plan in force allows"));
+  CHECK(notices("plan.txt", "was sent work"));
+}
+
 TEST_CASE("the checkers notice a store that says synced before it is") {
   std::size_t faults = 0;
   for (std::uint64_t seed = 1; seed <= 5; ++seed) faults += faultsWithLies(seed);
