--- /dev/null
+++ b/src/control/database_control.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/task.hpp"
+#include "pool/database_messages.hpp"
+
+namespace tamarindshift {
+
+struct DatabaseTarget {
+  ServiceName service;
+  DatabaseName database;
+  Address address;
+};
+
+// led: the database is primary now; accepted: it will be, and says so itself; refused: it cannot become primary
+enum class PromotionOutcome { led, accepted, refused, unanswered };
+
+struct DutyHolder {
+  Address node;
+  std::uint64_t fence = 0;
+};
+
+class DatabaseControl {
+ public:
+  virtual ~DatabaseControl() = default;
+  virtual Task<std::optional<DatabaseStanding>> status(DatabaseTarget target, Instant deadline) = 0;
+  // turns a primary of an epoch below `epoch` into a replica; its last standing, or nothing
+  virtual Task<std::optional<DatabaseStanding>> demote(DatabaseTarget target, Epoch epoch, Instant deadline) = 0;
+  virtual Task<PromotionOutcome> promote(DatabaseTarget target, Epoch epoch, DutyHolder holder, Instant deadline) = 0;
+};
+
+}  // namespace tamarindshift
