Pooler of sessions over shared connections, line links and the platform's adapter

The users' platform speaks lines, knows databases only by heartbeats and has far more sessions than connections. The pooler keeps session values and prepared shapes itself and makes a connection conform before use; reads carry the least place that their bound asks for. platform/ only translates.

--- a/src/base/timing_settings.cpp
+++ b/src/base/timing_settings.cpp
@@ -12,6 +12,8 @@
       durationSetting("lease-margin", "margin added when leases are waited out", timings.leaseMargin, 10ms, 1s),
       durationSetting("news-wait", "how long a news request waits for a change", timings.newsWait, 10ms, 1s),
       durationSetting("news-patience", "how long a news request may take", timings.newsPatience, 50ms, 2s),
+      durationSetting("plan-followed", "time within which a plan must be followed everywhere", timings.planFollowed, 500ms, 60s),
+      durationSetting("detach", "time within which no work reaches a database that left", timings.detach, 1s, 600s),
       durationSetting("dead-connections", "how long databases keep connections of a machine that vanished", timings.deadConnections, 0ms, 3600s),
       durationSetting("database-silence", "silence of a primary before STATUS is asked", timings.databaseSilence, 200ms, 60s),
       durationSetting("database-out", "silence before a primary's end after which a replica is not waited for", timings.databaseOut, 1s, 600s),
--- a/src/control/replica_node.cpp
+++ b/src/control/replica_node.cpp
@@ -11,7 +11,7 @@
 
 ReplicaNode::ReplicaNode(Clock& clock, PartnerLink& link, StableStore& store, WebLink& databases, Journal& journal,
                          ReplicaSettings settings, std::uint64_t incarnation)
-    : clock_(clock), databases_(databases), journal_(journal), settings_(std::move(settings)), state_(board_), desk_(clock, link), core_(clock, link, store, state_, journal, CoreSettings{settings_.address, settings_.seeds, settings_.timings.group, settings_.bounds}, incarnation) {}
+    : clock_(clock), databases_(databases), journal_(journal), settings_(std::move(settings)), state_(board_), desk_(clock, link), core_(clock, link, store, state_, journal, CoreSettings{settings_.address, settings_.seeds, settings_.timings.group, settings_.bounds, settings_.mayFound}, incarnation) {}
 
 std::optional<std::string> ReplicaNode::start() {
   if (auto fault = core_.start()) return fault;
--- a/src/control/replica_settings.hpp
+++ b/src/control/replica_settings.hpp
@@ -15,6 +15,7 @@
   Address platform;
   Timings timings;
   EngineBounds bounds;
+  bool mayFound = true;
 };
 
 }  // namespace tamarindshift
--- a/src/edge/door.hpp
+++ b/src/edge/door.hpp
@@ -4,6 +4,8 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "base/strong.hpp"
 #include "base/task.hpp"
@@ -18,6 +20,7 @@
   std::string path;
   std::string body;
   ConnectionId connection;
+  std::vector<std::pair<std::string, std::string>> headers{};
 };
 
 struct DoorReply {
--- a/src/engine/core.cpp
+++ b/src/engine/core.cpp
@@ -68,7 +68,7 @@
     } else if (!joined.empty()) {
       link_.pass(joined[shot++ % joined.size()], Envelope{Matter::joinAsk, packed(own_)});
       co_await sleep(clock_, 2 * settings_.timings.beat);
-    } else if (auto seeds = group_->unjoinedSeeds(); seeds && seeds->contains(own_) && *seeds != identity.foundation) {
+    } else if (auto seeds = settings_.mayFound ? group_->unjoinedSeeds() : std::nullopt; seeds && seeds->contains(own_) && *seeds != identity.foundation) {
       identity.foundation = *seeds;
       Gate synced;
       engine_->writeIdentity(identity, [&synced] { synced.open(); });
--- a/src/engine/core.hpp
+++ b/src/engine/core.hpp
@@ -14,6 +14,7 @@
   std::set<Address> seeds;
   GroupTimings timings;
   EngineBounds bounds;
+  bool mayFound = true;
 };
 
 class Core {
--- /dev/null
+++ b/src/pooler/back_end.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "base/task.hpp"
+#include "base/time.hpp"
+#include "control/database_control.hpp"
+#include "pooler/statement.hpp"
+#include "pooler/statement_fault.hpp"
+#include "pooler/transaction_state.hpp"
+
+namespace tamarindshift {
+
+// unsent: no byte went out; lost: some did and no whole reply came
+enum class BackEndFate { replied, unsent, lost };
+
+struct BackEndReply {
+  BackEndFate fate = BackEndFate::unsent;
+  StatementFault fault = StatementFault::none;
+  std::string reason;
+  std::vector<std::string> rows;
+  std::string stamp;
+  TransactionState state = TransactionState::idle;
+  std::optional<Place> place;
+};
+
+class BackEndConnection {
+ public:
+  virtual ~BackEndConnection() = default;
+  // a statement without id is one of ours; `after` is the least place the database's log must hold.
+  // At the deadline the reply is lost and the connection is no longer usable.
+  virtual Task<BackEndReply> run(Statement statement, std::optional<Place> after, Instant deadline) = 0;
+  virtual bool usable() const = 0;
+  virtual void close() = 0;
+};
+
+struct BackEndOpening {
+  std::unique_ptr<BackEndConnection> connection;
+  StatementFault fault = StatementFault::none;
+  bool answered = false;
+  std::optional<Place> place;
+};
+
+class BackEnds {
+ public:
+  virtual ~BackEnds() = default;
+  virtual Task<BackEndOpening> open(DatabaseTarget target, Instant deadline) = 0;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/pooler/back_end_pool.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <list>
+#include <set>
+
+#include "base/clock.hpp"
+#include "base/journal.hpp"
+#include "base/task_scope.hpp"
+#include "pooler/client_session.hpp"
+
+namespace tamarindshift {
+
+class BackEndPool {
+ public:
+  struct Shelf {
+    std::list<std::shared_ptr<PooledBackEnd>> idle;
+    std::set<std::shared_ptr<PooledBackEnd>> busy;
+    std::uint32_t opening = 0;
+    Instant openAfter{};
+    Duration openPause{};
+    Instant heardAt{};
+    bool suspect = false;
+    Instant trialAt{};
+    Instant behindUntil{};
+    Place place;
+    double meanTaken = 8000;
+    std::uint32_t total() const { return static_cast<std::uint32_t>(idle.size() + busy.size()) + opening; }
+  };
+
+  BackEndPool(Clock& clock, BackEnds& backEnds, Journal& journal, std::function<void()> changed);
+
+  Shelf& shelf(const DatabaseName& database) { return shelves_[database]; }
+  const Shelf* find(const DatabaseName& database) const;
+  const std::map<DatabaseName, Shelf>& shelves() const { return shelves_; }
+  std::shared_ptr<PooledBackEnd> takeIdle(const DatabaseName& database, const ClientSession& session, const std::string& preparedName,
+                                          const PreparedStatement* wantsPrepared);
+  bool mayOpen(const DatabaseName& database, std::uint32_t most);
+  void open(DatabaseTarget target, Duration patience);
+  void release(const std::shared_ptr<PooledBackEnd>& connection);
+  void drop(const std::shared_ptr<PooledBackEnd>& connection);
+  void closeIdle(const DatabaseName& database);
+  void trim(const DatabaseName& database, std::uint32_t most);
+  void forget(const std::set<DatabaseName>& known);
+  void heard(const DatabaseName& database, Duration taken);
+  void unreachable(const DatabaseName& database);
+  // databases that left running work without a word for longer than `patience`
+  void watch(Duration patience);
+  void cutBusy(const DatabaseName& database, bool onlyPrimaryWork, Epoch before);
+  std::size_t connections() const;
+
+ private:
+  Task<void> opening(DatabaseTarget target, Duration patience);
+  static constexpr std::uint32_t mostOpening = 4;
+  static constexpr Duration leastOpenPause = 50ms;
+  static constexpr Duration mostOpenPause = 1s;
+
+  Clock& clock_;
+  BackEnds& backEnds_;
+  Journal& journal_;
+  std::function<void()> changed_;
+  std::map<DatabaseName, Shelf> shelves_;
+  TaskScope scope_;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/pooler/client_session.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <memory>
+
+#include "control/plan.hpp"
+#include "pooler/pooled_back_end.hpp"
+
+namespace tamarindshift {
+
+struct ClientTransaction {
+  Statement begin;
+  KindName kind;
+  bool readOnly = false;
+  bool failed = false;
+  bool wrote = false;
+  bool valuesChanged = false;
+  std::shared_ptr<PooledBackEnd> connection;
+};
+
+struct ClientSession {
+  std::string host;
+  std::map<std::string, std::string> values;
+  std::map<std::string, PreparedStatement> prepared;
+  std::optional<ClientTransaction> transaction;
+  std::map<ServiceName, Place> own;
+  bool busy = false;
+  Instant usedAt{};
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/pooler/pooler.cpp
@@ -0,0 +1,314 @@
+#include "pooler/pooler.hpp"
+
+#include <algorithm>
+
+namespace tamarindshift {
+
+Pooler::Pooler(Clock& clock, Guide& guide, BackEnds& backEnds, Journal& journal, PoolerSettings settings, std::uint64_t boot, Reports reports)
+    : clock_(clock), guide_(guide), journal_(journal), settings_(std::move(settings)), boot_(boot), reports_(std::move(reports)),
+      pool_(clock, backEnds, journal, [this] { serve(); }) {
+  scope_.spawn(watch());
+  scope_.spawn(report());
+}
+
+std::shared_ptr<ClientSession> Pooler::open(const std::string& host, StatementReply& refusal) {
+  if (closing() || sessions_.size() >= settings_.sessions) {
+    refusal = refused(StatementFault::busy, closing() ? "this node is leaving" : "too many sessions");
+    return nullptr;
+  }
+  if (!route(host)) {
+    refusal = guide_.anyLease() ? refused(StatementFault::noDatabase, "no such database") : refused(StatementFault::busy, "no current lease");
+    return nullptr;
+  }
+  auto session = std::make_shared<ClientSession>();
+  session->host = host;
+  session->usedAt = clock_.now();
+  sessions_.insert(session);
+  journal_.count("sessions.opened");
+  return session;
+}
+
+Task<StatementReply> Pooler::run(Session session, Statement statement) {
+  session->busy = true;
+  session->usedAt = clock_.now();
+  StatementReply reply;
+  if (auto fault = invalid(*session, statement)) {
+    auto state = !session->transaction ? TransactionState::idle : session->transaction->failed ? TransactionState::failed : TransactionState::open;
+    reply = refused(*fault, "not possible in this state", state);
+  } else {
+    switch (statement.kind) {
+      case StatementKind::begin:
+      case StatementKind::beginRead:
+        reply = begin(*session, statement);
+        break;
+      case StatementKind::commit:
+        reply = co_await commit(session, std::move(statement));
+        break;
+      case StatementKind::rollback:
+        reply = rollback(session);
+        break;
+      case StatementKind::read:
+      case StatementKind::write:
+      case StatementKind::execute:
+        reply = session->transaction ? co_await runInTransaction(session, std::move(statement)) : co_await runSingle(session, std::move(statement));
+        break;
+      default:
+        reply = keepLocally(*session, statement);
+    }
+  }
+  session->busy = false;
+  session->usedAt = clock_.now();
+  co_return reply;
+}
+
+void Pooler::gone(const Session& session) {
+  if (session->transaction) rollback(session);
+  sessions_.erase(session);
+}
+
+void Pooler::drain() {
+  if (drainingSince_) return;
+  drainingSince_ = clock_.now();
+  journal_.line("leaves");
+  sendReport();
+}
+
+bool Pooler::closing() const { return drainingSince_ && clock_.now() - *drainingSince_ > settings_.drainServes; }
+
+bool Pooler::stopped() const {
+  if (!closing()) return false;
+  auto since = clock_.now() - *drainingSince_;
+  return sessions_.empty() || since > settings_.timings.stop - 700ms;
+}
+
+std::optional<std::string> Pooler::notReady() const {
+  if (draining()) return "this node is leaving";
+  if (!guide_.anyLease()) return "no current lease";
+  bool works = false;
+  for (const auto& [name, view] : guide_.services()) {
+    if (!guide_.leased(name)) return "no current lease";
+    works = works || allowed(view) > 0;
+  }
+  if (!works) return "no share of any service yet";
+  return std::nullopt;
+}
+
+std::uint32_t Pooler::allowed(const Guide::ServiceView& view) const {
+  std::uint32_t sum = 0;
+  for (const auto& [branch, most] : view.share.most) sum += most;
+  return sum;
+}
+
+std::optional<Pooler::Route> Pooler::route(const std::string& host) const {
+  auto found = hosts_.find(host);
+  if (found == hosts_.end()) return std::nullopt;
+  for (const auto& name : found->second)
+    if (auto named = routeNamed(name)) return named;
+  return std::nullopt;
+}
+
+std::optional<Pooler::Route> Pooler::routeNamed(const KindName& name) const {
+  auto view = guide_.kind(name);
+  if (!view.kind) return std::nullopt;
+  return Route{name, view.kind, view.service};
+}
+
+Duration Pooler::statementBound(const KindName& kind) const {
+  auto found = routeNamed(kind);
+  return found && found->kind->statement ? *found->kind->statement : settings_.timings.backlogPatience;
+}
+
+StatementReply Pooler::refused(StatementFault fault, std::string reason, TransactionState state) {
+  journal_.count("statements.refused");
+  journal_.count("refused: " + reason);
+  StatementReply reply;
+  reply.fault = fault;
+  reply.reason = std::move(reason);
+  reply.state = state;
+  if (fault == StatementFault::busy || fault == StatementFault::aborted) reply.comeBack = settings_.timings.comeBack;
+  return reply;
+}
+
+StatementReply Pooler::passed(BackEndReply reply) const {
+  StatementReply given;
+  given.fault = reply.fault;
+  given.reason = std::move(reply.reason);
+  given.rows = std::move(reply.rows);
+  given.stamp = std::move(reply.stamp);
+  given.state = reply.state;
+  return given;
+}
+
+std::optional<StatementFault> Pooler::invalid(const ClientSession& session, const Statement& statement) const {
+  bool ends = statement.kind == StatementKind::commit || statement.kind == StatementKind::rollback;
+  bool begins = statement.kind == StatementKind::begin || statement.kind == StatementKind::beginRead;
+  if (!session.transaction) return ends ? std::optional{StatementFault::malformed} : std::nullopt;
+  if (begins || (session.transaction->failed && !ends)) return StatementFault::malformed;
+  return std::nullopt;
+}
+
+bool Pooler::writes(const ClientSession& session, const Statement& statement) const {
+  if (statement.kind != StatementKind::execute) return statement.kind == StatementKind::write;
+  auto found = session.prepared.find(statement.name);
+  return found != session.prepared.end() && found->second.writes;
+}
+
+StatementReply Pooler::keepLocally(ClientSession& session, const Statement& statement) {
+  StatementReply reply;
+  reply.stamp = "-";
+  reply.state = session.transaction ? TransactionState::open : TransactionState::idle;
+  switch (statement.kind) {
+    case StatementKind::set:
+      session.values[statement.name] = statement.value;
+      if (session.transaction) session.transaction->valuesChanged = true;
+      break;
+    case StatementKind::prepareRead:
+    case StatementKind::prepareWrite:
+      session.prepared[statement.name] = PreparedStatement{statement.kind == StatementKind::prepareWrite, statement.value};
+      break;
+    case StatementKind::discard:
+      if (session.prepared.erase(statement.name) == 0) return refused(StatementFault::unknownName, "no such prepared name", reply.state);
+      break;
+    default:
+      return refused(StatementFault::malformed, "not a statement of clients", reply.state);
+  }
+  return reply;
+}
+
+StatementReply Pooler::begin(ClientSession& session, const Statement& statement) {
+  auto found = route(session.host);
+  if (!found) return refused(guide_.anyLease() ? StatementFault::noDatabase : StatementFault::busy, "no route to this database now");
+  ClientTransaction transaction;
+  transaction.begin = statement;
+  transaction.kind = found->name;
+  transaction.readOnly = statement.kind == StatementKind::beginRead;
+  session.transaction = std::move(transaction);
+  StatementReply reply;
+  reply.stamp = "-";
+  reply.state = TransactionState::open;
+  return reply;
+}
+
+Task<void> Pooler::watch() {
+  for (;;) {
+    auto& changed = guide_.changed();
+    co_await changed.wait(clock_, clock_.now() + 100ms);
+    care();
+  }
+}
+
+void Pooler::care() {
+  guide_.refresh();
+  std::set<DatabaseName> known;
+  bool routesChanged = false;
+  for (const auto& [name, view] : guide_.services()) {
+    for (const auto& [database, news] : view.databases) known.insert(database);
+    routesChanged = routesChanged || hostsAt_[name] != view.mark;
+    hostsAt_[name] = view.mark;
+  }
+  if (std::erase_if(hostsAt_, [&](const auto& each) { return !guide_.services().contains(each.first); }) > 0) routesChanged = true;
+  if (routesChanged) {
+    hosts_.clear();
+    for (const auto& [name, view] : guide_.services()) {
+      if (!view.plan) continue;
+      for (const auto& [kindName, kind] : view.plan->kinds)
+        if (!kind.host.empty()) hosts_[kind.host].push_back(kindName);
+    }
+  }
+  pool_.forget(known);
+  pool_.watch(settings_.suspicion);
+  for (const auto& [name, view] : guide_.services()) careService(name, view);
+  auto now = clock_.now();
+  bool halfOver = drainingSince_ && now - *drainingSince_ > settings_.timings.stopTransactions;
+  for (const auto& session : sessions_) {
+    if (!session->transaction || session->busy || session->transaction->failed) continue;
+    auto rests = guide_.limit("idle-transaction-ms");
+    if (halfOver || (rests && now - session->usedAt > std::chrono::milliseconds{*rests})) {
+      journal_.count("transactions.rested_too_long");
+      failTransaction(*session);
+    }
+  }
+  serve();
+}
+
+void Pooler::careService(const ServiceName& name, const Guide::ServiceView& view) {
+  auto& watch = watches_[name];
+  auto now = clock_.now();
+  if (view.primary.epoch != watch.seen) {
+    bool first = watch.seen == Epoch{};
+    watch.finishUntil = view.primary.planned ? now + settings_.plannedFinish : now;
+    if (!first && !view.primary.planned && watch.primary != view.primary.primary) pool_.closeIdle(watch.primary);
+    watch.seen = view.primary.epoch;
+    watch.primary = view.primary.primary;
+  }
+  if (watch.confirmed != watch.seen) {
+    bool runs = false;
+    for (const auto& [database, shelf] : pool_.shelves())
+      for (const auto& connection : shelf.busy)
+        if (connection->target.service == name && connection->asPrimary && connection->epoch < watch.seen) runs = true;
+    if (runs && now >= watch.finishUntil)
+      for (const auto& [database, news] : view.databases) pool_.cutBusy(database, true, watch.seen);
+    if (!runs) {
+      watch.confirmed = watch.seen;
+      sendReport();
+    }
+  }
+  bool within = true;
+  for (const auto& [database, news] : view.databases) {
+    auto& shelf = pool_.shelf(database);
+    pool_.trim(database, allowed(view));
+    within = within && shelf.total() <= allowed(view);
+    if (shelf.suspect && now - shelf.trialAt > 500ms && pool_.mayOpen(database, allowed(view))) {
+      shelf.trialAt = now;
+      DatabaseTarget target{name, database, news.address};
+      pool_.open(target, 400ms);
+    }
+    if (shelf.suspect && !watch.suspects.contains(database)) {
+      watch.suspects.insert(database);
+      sendReport();
+    } else if (!shelf.suspect) {
+      watch.suspects.erase(database);
+    }
+  }
+  if (within) watch.followed = view.mark;
+}
+
+void Pooler::sendReport() { reportNow_.open(); }
+
+NodeReport Pooler::reportNow() {
+  NodeReport report;
+  report.node = settings_.node;
+  report.district = settings_.zone;
+  report.boot = boot_;
+  report.draining = draining();
+  report.mark = guide_.planMark();
+  auto now = clock_.now();
+  for (const auto& [name, view] : guide_.services()) {
+    if (!view.plan) continue;
+    auto& watch = watches_[name];
+    auto& own = report.services[name];
+    own.followed = watch.followed;
+    own.epoch = watch.confirmed;
+    own.acknowledged = watch.acknowledged;
+    own.suspects = watch.suspects;
+    own.working = now - watch.workedAt < 1s;
+    std::size_t held = 0;
+    for (const auto& [database, news] : view.databases)
+      if (const auto* shelf = pool_.find(database)) held = std::max(held, shelf->busy.size());
+    watch.demand = std::max(static_cast<double>(held), watch.demand * 0.9);
+    if (auto until = guide_.leaseUntil(name)) report.lease = std::max(report.lease, *until - now);
+    for (const auto& [branch, planned] : view.plan->service.branches)
+      own.wanted[branch] = draining() ? 0 : static_cast<std::uint32_t>(watch.demand + 1.5);
+  }
+  return report;
+}
+
+Task<void> Pooler::report() {
+  for (;;) {
+    reports_(reportNow());
+    co_await sleep(clock_, 20ms);
+    co_await reportNow_.wait(clock_, clock_.now() + settings_.timings.report);
+  }
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/pooler/pooler.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "base/journal.hpp"
+#include "control/access_messages.hpp"
+#include "pool/guide.hpp"
+#include "pooler/back_end_pool.hpp"
+#include "pooler/demand_table.hpp"
+#include "pooler/pooler_settings.hpp"
+#include "pooler/service_watch.hpp"
+#include "pooler/statement_reply.hpp"
+
+namespace tamarindshift {
+
+// Sessions of clients over shared connections to databases that allow statements of ours.
+class Pooler {
+ public:
+  using Reports = std::function<void(NodeReport)>;
+
+  Pooler(Clock& clock, Guide& guide, BackEnds& backEnds, Journal& journal, PoolerSettings settings, std::uint64_t boot, Reports reports);
+
+  // nothing, with the fault and reason left in `refusal`, where no session can be had
+  std::shared_ptr<ClientSession> open(const std::string& host, StatementReply& refusal);
+  Task<StatementReply> run(std::shared_ptr<ClientSession> session, Statement statement);
+  void gone(const std::shared_ptr<ClientSession>& session);
+
+  void change(PoolerSettings settings) { settings_ = std::move(settings); }
+  void drain();
+  bool draining() const { return drainingSince_.has_value(); }
+  // idle sessions are closed from then on, and no connection of a client is taken
+  bool closing() const;
+  bool stopped() const;
+  std::optional<std::string> notReady() const;
+  std::size_t sessions() const { return sessions_.size(); }
+  const BackEndPool& pool() const { return pool_; }
+  std::size_t waiting() const { return demands_.size(); }
+
+ private:
+  struct Route {
+    KindName name;
+    const PlanKind* kind = nullptr;
+    const Guide::ServiceView* service = nullptr;
+  };
+  struct Acquired {
+    std::shared_ptr<PooledBackEnd> connection;
+    std::optional<Place> after;
+    StatementFault fault = StatementFault::none;
+    std::string reason;
+  };
+  using Session = std::shared_ptr<ClientSession>;
+  using Connection = std::shared_ptr<PooledBackEnd>;
+
+  Task<void> watch();
+  Task<void> report();
+  void care();
+  void careService(const ServiceName& name, const Guide::ServiceView& view);
+  void sendReport();
+  NodeReport reportNow();
+  std::optional<Route> route(const std::string& host) const;
+  std::optional<Route> routeNamed(const KindName& name) const;
+
+  StatementReply keepLocally(ClientSession& session, const Statement& statement);
+  StatementReply begin(ClientSession& session, const Statement& statement);
+  Task<StatementReply> runSingle(Session session, Statement statement);
+  Task<StatementReply> runInTransaction(Session session, Statement statement);
+  Task<StatementReply> commit(Session session, Statement statement);
+  StatementReply rollback(const Session& session);
+  Task<StatementReply> startTransaction(Session session, Statement next, Instant deadline);
+  Task<Acquired> acquire(Session session, KindName kind, bool atPrimary, const Statement* executes, Instant arrived, Instant deadline, std::set<DatabaseName> avoid);
+  Task<bool> conform(Session session, Connection connection, const Statement* executes, Instant deadline);
+  Task<BackEndReply> runOn(Connection connection, Statement statement, std::optional<Place> after, Instant deadline);
+  Task<void> finishRollback(Connection connection);
+
+  void serve();
+  void serveOne(const DemandTable::Record& demand);
+  std::vector<DatabaseName> candidates(const Demand& demand, const Route& route, std::optional<Place>& after) const;
+  bool mayPass(const Connection& connection, const KindName& kind, bool inTransaction) const;
+  bool mayAcknowledge(const Connection& connection) const;
+  bool writes(const ClientSession& session, const Statement& statement) const;
+  std::optional<StatementFault> invalid(const ClientSession& session, const Statement& statement) const;
+  StatementReply refused(StatementFault fault, std::string reason, TransactionState state = TransactionState::idle);
+  StatementReply passed(BackEndReply reply) const;
+  void noteOwn(ClientSession& session, const Connection& connection, const BackEndReply& reply);
+  void failTransaction(ClientSession& session);
+  std::uint32_t allowed(const Guide::ServiceView& view) const;
+  Duration statementBound(const KindName& kind) const;
+
+  Clock& clock_;
+  Guide& guide_;
+  Journal& journal_;
+  PoolerSettings settings_;
+  std::uint64_t boot_;
+  Reports reports_;
+  BackEndPool pool_;
+  DemandTable demands_;
+  std::map<ServiceName, ServiceWatch> watches_;
+  std::map<std::string, std::vector<KindName>> hosts_;
+  std::map<ServiceName, std::uint64_t> hostsAt_;
+  std::set<Session> sessions_;
+  std::optional<Instant> drainingSince_;
+  std::map<DatabaseName, std::uint32_t> claimed_;
+  bool serving_ = false;
+  bool serveAgain_ = false;
+  Gate reportNow_;
+  TaskScope scope_;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/pooler/pooler_serving.cpp
@@ -0,0 +1,195 @@
+#include <algorithm>
+
+#include "pooler/pooler.hpp"
+
+namespace tamarindshift {
+
+void Pooler::serve() {
+  if (std::exchange(serving_, true)) {
+    serveAgain_ = true;
+    return;
+  }
+  do {
+    serveAgain_ = false;
+    claimed_.clear();
+    if (!demands_.empty())
+      for (const auto& demand : demands_.waiting()) serveOne(demand);
+  } while (serveAgain_);
+  serving_ = false;
+}
+
+void Pooler::serveOne(const DemandTable::Record& demand) {
+  auto found = routeNamed(demand->kind);
+  if (!found) return demands_.refuse(demand, guide_.anyLease() ? StatementFault::noDatabase : StatementFault::busy, "the route is gone");
+  const auto& service = found->kind->service;
+  if (!guide_.leased(service)) return;
+  const auto& view = *found->service;
+  std::optional<Place> after;
+  auto databases = candidates(*demand, *found, after);
+  auto grant = [&](const Connection& connection) {
+    connection->asPrimary = demand->atPrimary || !after;
+    connection->epoch = view.primary.epoch;
+    if (!connection->asPrimary) demand->after = after;
+    demands_.grant(demand, connection);
+  };
+  for (const auto& database : databases)
+    if (pool_.shelf(database).busy.size() < allowed(view))
+      if (auto idle = pool_.takeIdle(database, *demand->session, demand->preparedName, demand->wantsPrepared)) return grant(idle);
+  for (const auto& database : databases) {
+    auto& claimed = claimed_[database];
+    if (claimed < pool_.shelf(database).opening) {
+      ++claimed;
+      return;
+    }
+    if (!pool_.mayOpen(database, allowed(view))) continue;
+    DatabaseTarget target{service, database, view.databases.at(database).address};
+    pool_.open(target, settings_.suspicion * 2);
+    ++claimed;
+    return;
+  }
+}
+
+std::vector<DatabaseName> Pooler::candidates(const Demand& demand, const Route& route, std::optional<Place>& after) const {
+  const auto& view = *route.service;
+  const auto& primary = view.primary.primary;
+  auto usable = [&](const DatabaseName& database) {
+    const auto* shelf = pool_.find(database);
+    return view.databases.contains(database) && !view.drained.contains(database) && !(shelf && shelf->suspect);
+  };
+  bool primaryServes = view.primary.promoted && usable(primary);
+  std::vector<DatabaseName> chosen;
+  if (!demand.atPrimary) {
+    auto watch = watches_.find(route.kind->service);
+    if (watch != watches_.end()) after = watch->second.freshness.covering(demand.arrivedAt - route.kind->stalenessBound());
+    if (auto own = demand.session->own.find(route.kind->service); after && own != demand.session->own.end()) after = std::max(*after, own->second);
+  }
+  if (!after) {
+    if (primaryServes) chosen.push_back(primary);
+    return chosen;
+  }
+  auto now = clock_.now();
+  std::vector<std::pair<double, DatabaseName>> scored;
+  for (const auto& [database, news] : view.databases) {
+    if (!usable(database) || (database == primary && !primaryServes)) continue;
+    const auto* shelf = pool_.find(database);
+    double busy = shelf ? static_cast<double>(shelf->busy.size() + shelf->opening) : 0;
+    double taken = shelf ? std::max(shelf->meanTaken, 1000.0) : 8000;
+    double score = (busy + 1) * taken;
+    if (news.zone != settings_.zone) score += 1000;
+    if (database == primary) score = score * 3 + 5000;
+    if (shelf && shelf->behindUntil > now && shelf->place < *after) score += 1e9;
+    if (demand.avoid.contains(database)) score += 1e10;
+    scored.emplace_back(score, database);
+  }
+  std::sort(scored.begin(), scored.end());
+  for (const auto& [score, database] : scored)
+    if (chosen.empty() || score <= 3 * scored.front().first) chosen.push_back(database);
+  return chosen;
+}
+
+Task<Pooler::Acquired> Pooler::acquire(Session session, KindName kind, bool atPrimary, const Statement* executes, Instant arrived, Instant deadline, std::set<DatabaseName> avoid) {
+  auto demand = std::make_shared<Demand>();
+  demand->session = session.get();
+  demand->kind = kind;
+  demand->atPrimary = atPrimary;
+  demand->arrivedAt = arrived;
+  demand->holdUntil = std::min(deadline, arrived + statementBound(kind) * 45 / 100);
+  demand->avoid = std::move(avoid);
+  if (executes) {
+    demand->preparedName = executes->name;
+    demand->wantsPrepared = &session->prepared.at(executes->name);
+  }
+  if (auto found = routeNamed(kind)) {
+    demand->order = found->kind->order;
+    watches_[found->kind->service].workedAt = clock_.now();
+  }
+  if (demands_.size() >= settings_.waiting) co_return Acquired{nullptr, std::nullopt, StatementFault::busy, "too many statements wait"};
+  demands_.add(demand);
+  serve();
+  while (demand->stage == DemandStage::waiting) {
+    co_await demand->decided.wait(clock_, demand->holdUntil);
+    if (demand->stage == DemandStage::waiting && clock_.now() >= demand->holdUntil)
+      demands_.refuse(demand, StatementFault::busy, "no database could take it in time");
+  }
+  co_return Acquired{demand->connection, demand->after, demand->fault, demand->reason};
+}
+
+bool Pooler::mayPass(const Connection& connection, const KindName& kind, bool inTransaction) const {
+  if (connection->cut || !connection->link->usable()) return false;
+  const auto& service = connection->target.service;
+  const auto* view = guide_.service(service);
+  if (!view || !guide_.leased(service) || !view->databases.contains(connection->target.database)) return false;
+  if (!inTransaction) {
+    auto found = routeNamed(kind);
+    if (!found || found->kind->service != service || view->drained.contains(connection->target.database)) return false;
+  }
+  if (!connection->asPrimary) return true;
+  if (connection->epoch == view->primary.epoch) return view->primary.promoted && view->primary.primary == connection->target.database;
+  return inTransaction && mayAcknowledge(connection) && clock_.now() < watches_.at(service).finishUntil;
+}
+
+bool Pooler::mayAcknowledge(const Connection& connection) const {
+  if (!connection->asPrimary) return true;
+  const auto& service = connection->target.service;
+  const auto* view = guide_.service(service);
+  if (!view || !guide_.leased(service)) return false;
+  if (connection->epoch == view->primary.epoch) return true;
+  auto watch = watches_.find(service);
+  bool finishing = watch != watches_.end() && watch->second.confirmed < view->primary.epoch;
+  return finishing && view->primary.planned && Epoch{connection->epoch.get() + 1} == view->primary.epoch;
+}
+
+Task<BackEndReply> Pooler::runOn(Connection connection, Statement statement, std::optional<Place> after, Instant deadline) {
+  auto askedAt = clock_.now();
+  const auto& target = connection->target;
+  const auto* view = guide_.service(target.service);
+  bool leadsNow = view && guide_.leased(target.service) && view->primary.promoted && view->primary.primary == target.database;
+  connection->running = true;
+  connection->usedAt = askedAt;
+  auto reply = co_await connection->link->run(std::move(statement), after, deadline);
+  connection->running = false;
+  if (reply.fate == BackEndFate::replied) {
+    pool_.heard(target.database, clock_.now() - askedAt);
+    auto& shelf = pool_.shelf(target.database);
+    if (reply.place) shelf.place = std::max(shelf.place, *reply.place);
+    if (reply.fault == StatementFault::behind) shelf.behindUntil = clock_.now() + 150ms;
+    if (leadsNow && reply.place && reply.fault != StatementFault::readOnly) watches_[target.service].freshness.note(askedAt, *reply.place);
+  } else if (connection->cut) {
+    pool_.drop(connection);
+  }
+  co_return reply;
+}
+
+Task<bool> Pooler::conform(Session session, Connection connection, const Statement* executes, Instant deadline) {
+  std::vector<Statement> steps;
+  bool extra = std::any_of(connection->values.begin(), connection->values.end(), [&](const auto& each) { return !session->values.contains(each.first); });
+  if (extra || connection->dubious) {
+    connection->values.clear();
+    connection->prepared.clear();
+    connection->dubious = true;
+    steps.push_back(Statement{StatementKind::reset, {}, {}, {}, {}});
+  }
+  for (const auto& [name, value] : session->values)
+    if (auto held = connection->values.find(name); held == connection->values.end() || held->second != value)
+      steps.push_back(Statement{StatementKind::set, {}, {}, name, value});
+  if (executes) {
+    const auto& wanted = session->prepared.at(executes->name);
+    auto held = connection->prepared.find(executes->name);
+    if (held != connection->prepared.end() && held->second != wanted) steps.push_back(Statement{StatementKind::discard, {}, {}, executes->name, {}});
+    if (held == connection->prepared.end() || held->second != wanted)
+      steps.push_back(Statement{wanted.writes ? StatementKind::prepareWrite : StatementKind::prepareRead, {}, {}, executes->name, wanted.shape});
+  }
+  for (const auto& step : steps) {
+    auto reply = co_await runOn(connection, step, std::nullopt, deadline);
+    journal_.count("pool.conformed");
+    if (reply.fate != BackEndFate::replied || reply.fault != StatementFault::none) co_return false;
+    if (step.kind == StatementKind::reset) connection->dubious = false;
+    if (step.kind == StatementKind::set) connection->values[step.name] = step.value;
+    if (step.kind == StatementKind::discard) connection->prepared.erase(step.name);
+    if (step.kind == StatementKind::prepareRead || step.kind == StatementKind::prepareWrite)
+      connection->prepared[step.name] = PreparedStatement{step.kind == StatementKind::prepareWrite, step.value};
+  }
+  co_return true;
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/pooler/pooler_settings.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "base/address.hpp"
+#include "base/timings.hpp"
+
+namespace tamarindshift {
+
+struct PoolerSettings {
+  Address node;
+  District zone;
+  Timings timings;
+  std::size_t sessions = 20000;
+  std::size_t waiting = 2000;
+  Duration suspicion = 400ms;
+  Duration plannedFinish = 400ms;
+  Duration drainServes = 2200ms;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/pooler/service_watch.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <set>
+
+#include "control/names.hpp"
+#include "pooler/freshness.hpp"
+
+namespace tamarindshift {
+
+// what a pooler keeps of a service between its news
+struct ServiceWatch {
+  Epoch seen;
+  Epoch confirmed;
+  DatabaseName primary;
+  Instant finishUntil{};
+  std::set<DatabaseName> suspects;
+  Freshness freshness;
+  Instant workedAt{};
+  double demand = 0;
+  std::uint64_t followed = 0;
+  Place acknowledged;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/pooler/transaction_state.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace tamarindshift {
+
+enum class TransactionState { idle, open, failed };
+
+}  // namespace tamarindshift
--- a/src/real/http_web_link.cpp
+++ b/src/real/http_web_link.cpp
@@ -44,7 +44,7 @@
   bool usable() const override { return line_->usable; }
   void close() override { line_->close(); }
 
-  Task<WebOutcome> exchange(std::string method, std::string path, std::string body, Instant deadline) override {
+  Task<WebOutcome> exchange(std::string method, std::string path, std::string body, Instant deadline, WebHeaders headers) override {
     auto line = line_;
     if (!line->usable) co_return WebOutcome{PassFate::unsent, 0, {}};
     line->busy = true;
@@ -56,6 +56,7 @@
     line->request.version(11);
     line->request.set(http::field::host, host_);
     line->request.set(http::field::content_type, "application/json");
+    for (const auto& [name, value] : headers) line->request.set(name, value);
     line->request.body() = std::move(body);
     line->request.prepare_payload();
     line->stream.expires_at(deadline);
--- a/src/real/program.cpp
+++ b/src/real/program.cpp
@@ -29,7 +29,7 @@
       for (const auto& setting : settings_) std::cout << "; " << setting.meaning << "\n" << setting.key << "=" << setting.standard << "\n";
       return 0;
     }
-    file_ = file.getValue();
+    if (file.isSet()) file_ = file.getValue();
     for (const auto& flag : flags)
       if (flag->isSet()) flagValues_[flag->getName()] = flag->getValue();
   } catch (const TCLAP::ExitException& exit) {
--- a/src/real/program.hpp
+++ b/src/real/program.hpp
@@ -16,6 +16,7 @@
   void add(Setting setting) { settings_.push_back(std::move(setting)); }
   void add(std::vector<Setting> settings);
   std::optional<int> read(int argumentCount, char** arguments);
+  void defaultFile(std::string path) { file_ = std::move(path); }
   bool reread();
   const std::string& lastReason() const { return reason_; }
 
--- /dev/null
+++ b/src/real/tcp_line_door.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "base/address.hpp"
+#include "base/clock.hpp"
+#include "base/task_scope.hpp"
+#include "edge/line_keeper.hpp"
+#include "real/asio.hpp"
+
+namespace tamarindshift {
+
+class TcpLineDoor {
+ public:
+  TcpLineDoor(boost::asio::io_context& context, Clock& clock, Address address, LineKeeper& keeper);
+  std::optional<std::string> open();
+
+ private:
+  Task<void> accept();
+  boost::asio::io_context& context_;
+  Clock& clock_;
+  Address address_;
+  LineKeeper& keeper_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  TaskScope scope_;
+};
+
+}  // namespace tamarindshift
--- a/src/simulated/simulated_web.cpp
+++ b/src/simulated/simulated_web.cpp
@@ -10,7 +10,7 @@
   bool usable() const override { return line_->open; }
   void close() override { web_.end(line_); }
 
-  Task<WebOutcome> exchange(std::string method, std::string path, std::string body, Instant deadline) override {
+  Task<WebOutcome> exchange(std::string method, std::string path, std::string body, Instant deadline, WebHeaders headers) override {
     auto line = line_;
     auto faults = web_.faults_[line->to];
     if (!line->open || web_.unlucky(faults.resetBefore)) {
@@ -19,7 +19,7 @@
     }
     auto exchange = std::make_shared<SimulatedWeb::Exchange>();
     line->underway = exchange;
-    DoorRequest request{std::move(method), std::move(path), std::move(body), line->id};
+    DoorRequest request{std::move(method), std::move(path), std::move(body), line->id, std::move(headers)};
     auto& world = web_.network_.world();
     if (web_.unlucky(faults.loseRequest))
       web_.end(line);
