--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <optional>
 #include <string>
 
@@ -17,7 +18,14 @@
   Duration newsPatience = 300ms;
   Duration report = 200ms;
   Duration duty = 100ms;
+  Duration databaseBeat = 200ms;
   Duration databaseSilence = 1s;
+  Duration databaseGone = 60s;
+  Duration probePatience = 300ms;
+  Duration probePause = 100ms;
+  Duration suspicionKept = 1s;
+  Duration firstPrimary = 2s;
+  Duration leadPatience = 1s;
   Duration databaseOut = 5s;
   Duration statusPatience = 500ms;
   Duration promotePatience = 1500ms;
@@ -31,6 +39,7 @@
   Duration stopTransactions = 3s;
   Duration detach = 7s;
 
+  Duration silence() const { return std::max(databaseSilence, databaseBeat * 8 / 5); }
   Duration shareHold() const { return lease + leaseMargin + deadConnections; }
   Duration planGrace() const { return planFollowed - lease - leaseMargin; }
   std::optional<std::string> fault() const;
--- a/src/control/access_messages.hpp
+++ b/src/control/access_messages.hpp
@@ -9,7 +9,9 @@
   Epoch epoch;
   Place acknowledged;
   std::map<BranchName, std::uint32_t> wanted;
-  MSGPACK_DEFINE(followed, epoch, acknowledged, wanted)
+  std::set<DatabaseName> suspects;
+  bool working = false;
+  MSGPACK_DEFINE(followed, epoch, acknowledged, wanted, suspects, working)
 };
 
 struct NodeReport {
@@ -33,7 +35,10 @@
   Position position;
   Duration contactAge{};
   bool leaving = false;
-  MSGPACK_DEFINE(service, database, boot, number, role, epoch, position, contactAge, leaving)
+  Address address;
+  District zone;
+  std::uint32_t capacity = 0;
+  MSGPACK_DEFINE(service, database, boot, number, role, epoch, position, contactAge, leaving, address, zone, capacity)
 };
 
 }  // namespace tamarindshift
--- a/src/control/access_tables.cpp
+++ b/src/control/access_tables.cpp
@@ -11,12 +11,19 @@
   for (const auto& [service, own] : report.services) acknowledged_[service] = std::max(acknowledged_[service], own.acknowledged);
 }
 
+bool AccessTables::older(const DatabaseBeat& beat, Instant now, Duration silence) const {
+  const auto* held = database(beat.service, beat.database);
+  if (!held) return false;
+  bool mayStartAgain = beat.boot == 0 && now - held->heardAt > numbersRise;
+  bool repeated = held->beat.boot == beat.boot && beat.number <= held->beat.number && !mayStartAgain;
+  bool olderBoot = beat.boot < held->beat.boot && now - held->heardAt <= silence;
+  return repeated || olderBoot;
+}
+
 bool AccessTables::noteBeat(const DatabaseBeat& beat, Instant now, Duration silence) {
-  auto& held = databases_[{beat.service, beat.database}];
-  bool repeated = held.beat.boot == beat.boot && beat.number <= held.beat.number;
-  bool olderBoot = beat.boot < held.beat.boot && now - held.heardAt <= silence;
-  if (repeated || olderBoot) return false;
-  held = Database{beat, now};
+  if (older(beat, now, silence)) return false;
+  std::erase_if(databases_, [&](const auto& each) { return !each.second.beat.address.get().empty() && now - each.second.heardAt > databasesKept; });
+  databases_[{beat.service, beat.database}] = Database{beat, now};
   return true;
 }
 
--- a/src/control/access_tables.hpp
+++ b/src/control/access_tables.hpp
@@ -17,6 +17,7 @@
   };
 
   void noteReport(const NodeReport& report, Instant now);
+  bool older(const DatabaseBeat& beat, Instant now, Duration silence) const;
   bool noteBeat(const DatabaseBeat& beat, Instant now, Duration silence);
   const std::map<Address, Node>& nodes() const { return nodes_; }
   const Database* database(const ServiceName& service, const DatabaseName& database) const;
@@ -26,6 +27,8 @@
   Instant lastLost() const { return lastLost_; }
 
  private:
+  static constexpr Duration numbersRise = 3s;
+  static constexpr Duration databasesKept = 600s;
   std::map<Address, Node> nodes_;
   std::map<std::pair<ServiceName, DatabaseName>, Database> databases_;
   std::map<ServiceName, Place> acknowledged_;
--- a/src/control/beat_json.cpp
+++ b/src/control/beat_json.cpp
@@ -19,6 +19,10 @@
     beat.position = Position{wholeNumber(json.at("position"))};
     beat.contactAge = std::chrono::milliseconds{std::min(wholeNumber(json.at("contact_age_ms")), mostAge)};
     beat.leaving = json.value("leaving", false);
+    beat.address = Address{json.value("address", "")};
+    beat.zone = District{json.value("zone", "")};
+    if (json.contains("capacity")) beat.capacity = static_cast<std::uint32_t>(std::min<std::uint64_t>(wholeNumber(json["capacity"]), UINT32_MAX));
+    if (!beat.address.get().empty() && !splitAddress(beat.address)) return std::nullopt;
     if (beat.role != "primary" && beat.role != "replica") return std::nullopt;
     return beat;
   } catch (const nlohmann::json::exception&) {
@@ -27,16 +31,17 @@
 }
 
 std::string beatToJson(const DatabaseBeat& beat) {
-  return nlohmann::json{{"service", beat.service.get()},
-                        {"database", beat.database.get()},
-                        {"boot", beat.boot},
-                        {"number", beat.number},
-                        {"role", beat.role},
-                        {"epoch", beat.epoch.get()},
-                        {"position", beat.position.get()},
-                        {"contact_age_ms", milliseconds(beat.contactAge).count()},
-                        {"leaving", beat.leaving}}
-      .dump();
+  nlohmann::json json{{"service", beat.service.get()},
+                      {"database", beat.database.get()},
+                      {"boot", beat.boot},
+                      {"number", beat.number},
+                      {"role", beat.role},
+                      {"epoch", beat.epoch.get()},
+                      {"position", beat.position.get()},
+                      {"contact_age_ms", milliseconds(beat.contactAge).count()},
+                      {"leaving", beat.leaving}};
+  if (!beat.address.get().empty()) json.update({{"address", beat.address.get()}, {"zone", beat.zone.get()}, {"capacity", beat.capacity}});
+  return json.dump();
 }
 
 }  // namespace tamarindshift
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -29,6 +29,12 @@
     case ControlMatter::returnDatabase:
       apply([this](const auto& body) { return applyDatabase(body, false); }, unpacked<DatabaseUpdate>(update->body));
       break;
+    case ControlMatter::enrolDatabase:
+      apply([this](const auto& body) { return applyEnrolment(body); }, unpacked<EnrolmentUpdate>(update->body));
+      break;
+    case ControlMatter::removeDatabase:
+      apply([this](const auto& body) { return removeDatabase(body); }, unpacked<DatabaseUpdate>(update->body));
+      break;
     case ControlMatter::recovery:
       apply([this](const auto& body) { return applyRecovery(body); }, unpacked<RecoveryUpdate>(update->body));
       break;
@@ -63,7 +69,8 @@
   retire(*plan_);
   for (const auto& [name, service] : plan_->services) {
     auto& state = services_[name];
-    std::erase_if(state.drained, [&](const auto& database) { return !service.databases.contains(database.first); });
+    auto databases = this->databases(name);
+    std::erase_if(state.drained, [&](const auto& database) { return !databases.contains(database.first); });
     state.sharesAt = position_;
     std::map<BranchName, std::uint32_t> sums;
     auto fit = [&](std::map<BranchName, std::uint32_t>& branches) {
@@ -90,6 +97,8 @@
     kept.promoted = state.promoted;
     kept.servedBy = state.servedBy;
     kept.reserved = state.reserved;
+    kept.planned = state.planned;
+    if (enrolled_.contains(name)) kept.drained = state.drained;
     for (const auto& [node, most] : state.grants) kept.reserved[node] = ReservedShare{position_, state.sharesAt, most};
     return true;
   });
@@ -98,23 +107,95 @@
 }
 
 std::string ControlState::applyDatabase(const DatabaseUpdate& update, bool drained) {
-  auto service = services_.find(update.service);
-  if (service == services_.end() || !plan_->services.at(update.service).databases.contains(update.database)) return "no such database";
-  if (drained)
-    service->second.drained[update.database] = DrainMark{update.boot, update.number};
-  else
-    service->second.drained.erase(update.database);
+  if (!databases(update.service).contains(update.database)) return "no such database";
+  auto& state = services_.contains(update.service) ? services_.at(update.service) : retired_[update.service];
+  if (!drained) {
+    state.drained.erase(update.database);
+    return "held";
+  }
+  auto before = state.drained.find(update.database);
+  bool gone = update.gone || (before != state.drained.end() && before->second.gone);
+  state.drained[update.database] = DrainMark{update.boot, update.number, gone};
+  return "held";
+}
+
+const PlanService* ControlState::planned(const ServiceName& service) const {
+  if (!plan_) return nullptr;
+  auto found = plan_->services.find(service);
+  return found == plan_->services.end() ? nullptr : &found->second;
+}
+
+bool ControlState::listed(const ServiceName& service) const {
+  const auto* found = planned(service);
+  return found && !found->discovered;
+}
+
+const EnrolledDatabase* ControlState::enrolled(const ServiceName& service, const DatabaseName& database) const {
+  auto own = enrolled_.find(service);
+  if (own == enrolled_.end()) return nullptr;
+  auto found = own->second.find(database);
+  return found == own->second.end() ? nullptr : &found->second;
+}
+
+EnrolledDatabases ControlState::databases(const ServiceName& service) const {
+  EnrolledDatabases databases;
+  if (listed(service)) {
+    for (const auto& [name, database] : planned(service)->databases) databases[name] = EnrolledDatabase{database.address, {}, database.cap};
+  } else if (auto own = enrolled_.find(service); own != enrolled_.end()) {
+    databases = own->second;
+  }
+  return databases;
+}
+
+const ServiceState* ControlState::known(const ServiceName& service) const {
+  if (auto found = services_.find(service); found != services_.end()) return &found->second;
+  auto found = retired_.find(service);
+  return found == retired_.end() ? nullptr : &found->second;
+}
+
+const DrainMark* ControlState::drained(const ServiceName& service, const DatabaseName& database) const {
+  const auto* state = known(service);
+  if (!state) return nullptr;
+  auto found = state->drained.find(database);
+  return found == state->drained.end() ? nullptr : &found->second;
+}
+
+void ControlState::leave(const ServiceName& service, const DatabaseName& database) {
+  auto own = enrolled_.find(service);
+  own->second.erase(database);
+  if (own->second.empty()) enrolled_.erase(own);
+  for (auto* states : {&services_, &retired_})
+    if (auto state = states->find(service); state != states->end()) state->second.drained.erase(database);
+}
+
+std::string ControlState::applyEnrolment(const EnrolmentUpdate& update) {
+  if (listed(update.service)) return "the service's databases are listed";
+  std::vector<std::pair<ServiceName, DatabaseName>> former;
+  for (const auto& [service, databases] : enrolled_)
+    for (const auto& [name, database] : databases)
+      if (database.address == update.address && (service != update.service || name != update.database)) former.emplace_back(service, name);
+  for (const auto& [service, name] : former) leave(service, name);
+  enrolled_[update.service][update.database] = EnrolledDatabase{update.address, update.zone, update.capacity};
+  return "held";
+}
+
+std::string ControlState::removeDatabase(const DatabaseUpdate& update) {
+  if (!enrolled(update.service, update.database)) return "no such database";
+  const auto* state = known(update.service);
+  if (state && services_.contains(update.service) && state->primary == update.database) return "it is the primary";
+  leave(update.service, update.database);
   return "held";
 }
 
 std::string ControlState::applyRecovery(const RecoveryUpdate& update) {
   auto service = services_.find(update.service);
   if (service == services_.end() || service->second.epoch != update.oldEpoch) return "other epoch";
-  if (!plan_->services.at(update.service).databases.contains(update.chosen)) return "no such database";
+  if (!databases(update.service).contains(update.chosen)) return "no such database";
   auto& state = service->second;
   state.epoch = Epoch{state.epoch.get() + 1};
   state.primary = update.chosen;
   state.promoted = false;
+  state.planned = update.planned;
   return "held";
 }
 
@@ -154,7 +235,7 @@
     found->second.draining = true;
     return "held";
   }
-  nodes_[update.node] = NodeState{update.district, update.boot, false};
+  nodes_[update.node] = NodeState{update.district, update.boot, false, position_};
   return "held";
 }
 
@@ -170,7 +251,7 @@
 void ControlState::publish() {
   NewsTable fleet;
   for (const auto& [address, node] : nodes_) {
-    NodeNews news{node.district, node.draining, {}};
+    NodeNews news{node.district, node.draining, {}, node.boot, node.enrolledAt};
     if (plan_)
       if (auto machine = plan_->machines.find(address); machine != plan_->machines.end()) news.labels = machine->second;
     fleet["node/" + address.get()] = packed(news);
@@ -178,6 +259,7 @@
   FleetPlanNews fleetPlan;
   if (plan_) {
     fleetPlan.mark = plan_->mark;
+    fleetPlan.limits = plan_->limits;
     for (const auto& [name, kind] : plan_->kinds) fleetPlan.kinds[name] = kind.service;
   }
   fleet["plan"] = packed(fleetPlan);
@@ -185,18 +267,22 @@
   if (!plan_) return;
   for (const auto& [name, entry] : board_.entries())
     if (name != fleetTopic && !plan_->services.contains(ServiceName{name})) board_.publish(name, position_, {});
-  for (const auto& [name, service] : plan_->services) {
-    const auto& state = services_.at(name);
-    NewsTable table;
-    ServiceNews news{plan_->mark, service, {}};
-    for (const auto& [kindName, kind] : plan_->kinds)
-      if (kind.service == name) news.kinds.emplace(kindName, kind);
-    table["plan"] = packed(news);
-    table["primary"] = packed(PrimaryNews{state.epoch, state.primary, state.promoted});
-    for (const auto& [database, mark] : state.drained) table["drained/" + database.get()] = packed(mark);
-    for (const auto& [node, branches] : state.grants) table["share/" + node.get()] = packed(ShareNews{state.sharesAt, branches});
-    board_.publish(name.get(), position_, std::move(table));
-  }
+  for (const auto& [name, service] : plan_->services) publish(name, service);
+}
+
+void ControlState::publish(const ServiceName& name, const PlanService& service) {
+  const auto& state = services_.at(name);
+  NewsTable table;
+  ServiceNews news{plan_->mark, service, {}};
+  for (const auto& [kindName, kind] : plan_->kinds)
+    if (kind.service == name) news.kinds.emplace(kindName, kind);
+  table["plan"] = packed(news);
+  table["primary"] = packed(PrimaryNews{state.epoch, state.primary, state.promoted, state.planned});
+  if (service.discovered)
+    for (const auto& [database, own] : databases(name)) table["database/" + database.get()] = packed(DatabaseNews{own.address, own.zone, own.capacity});
+  for (const auto& [database, mark] : state.drained) table["drained/" + database.get()] = packed(mark);
+  for (const auto& [node, branches] : state.grants) table["share/" + node.get()] = packed(ShareNews{state.sharesAt, branches});
+  board_.publish(name.get(), position_, std::move(table));
 }
 
 struct ControlSnapshot {
@@ -206,11 +292,12 @@
   std::uint64_t dutyEpoch = 0;
   std::uint64_t position = 0;
   std::map<ServiceName, ServiceState> retired;
-  MSGPACK_DEFINE(planText, services, nodes, dutyEpoch, position, retired)
+  std::map<ServiceName, EnrolledDatabases> enrolled;
+  MSGPACK_DEFINE(planText, services, nodes, dutyEpoch, position, retired, enrolled)
 };
 
 std::string ControlState::snapshot() const {
-  return packed(ControlSnapshot{planText_, services_, nodes_, dutyEpoch_, position_, retired_});
+  return packed(ControlSnapshot{planText_, services_, nodes_, dutyEpoch_, position_, retired_, enrolled_});
 }
 
 bool ControlState::restore(const std::string& snapshot) {
@@ -226,6 +313,7 @@
   planText_ = text;
   services_ = restored->services;
   retired_ = restored->retired;
+  enrolled_ = restored->enrolled;
   nodes_ = restored->nodes;
   dutyEpoch_ = restored->dutyEpoch;
   position_ = restored->position;
--- a/src/control/control_state.hpp
+++ b/src/control/control_state.hpp
@@ -4,6 +4,7 @@
 
 #include "base/journal.hpp"
 #include "control/control_update.hpp"
+#include "control/enrolled_database.hpp"
 #include "engine/application.hpp"
 #include "news/news_board.hpp"
 
@@ -12,7 +13,8 @@
 struct DrainMark {
   std::uint64_t boot = 0;
   std::uint64_t number = 0;
-  MSGPACK_DEFINE(boot, number)
+  bool gone = false;
+  MSGPACK_DEFINE(boot, number, gone)
 };
 
 struct ReservedShare {
@@ -31,15 +33,17 @@
   Grants grants;
   std::uint64_t sharesAt = 0;
   std::map<Address, ReservedShare> reserved;
+  bool planned = false;
   bool holds(const Address& node) const { return grants.contains(node) || reserved.contains(node); }
-  MSGPACK_DEFINE(epoch, primary, promoted, servedBy, drained, grants, sharesAt, reserved)
+  MSGPACK_DEFINE(epoch, primary, promoted, servedBy, drained, grants, sharesAt, reserved, planned)
 };
 
 struct NodeState {
   District district;
   std::uint64_t boot = 0;
   bool draining = false;
-  MSGPACK_DEFINE(district, boot, draining)
+  std::uint64_t enrolledAt = 0;
+  MSGPACK_DEFINE(district, boot, draining, enrolledAt)
 };
 
 class ControlState : public Application {
@@ -54,24 +58,36 @@
   const std::string& planText() const { return planText_; }
   const std::map<ServiceName, ServiceState>& services() const { return services_; }
   const std::map<Address, NodeState>& nodes() const { return nodes_; }
+  const std::map<ServiceName, EnrolledDatabases>& enrolled() const { return enrolled_; }
+  const EnrolledDatabase* enrolled(const ServiceName& service, const DatabaseName& database) const;
+  EnrolledDatabases databases(const ServiceName& service) const;
+  const PlanService* planned(const ServiceName& service) const;
+  bool listed(const ServiceName& service) const;
+  const DrainMark* drained(const ServiceName& service, const DatabaseName& database) const;
   std::uint64_t position() const { return position_; }
 
  private:
   std::string applyPlan(const PlanUpdate& update);
   std::string applyDatabase(const DatabaseUpdate& update, bool drained);
+  std::string applyEnrolment(const EnrolmentUpdate& update);
+  std::string removeDatabase(const DatabaseUpdate& update);
   std::string applyRecovery(const RecoveryUpdate& update);
   std::string applyPromoted(const PromotedUpdate& update);
   std::string applyShares(const SharesUpdate& update);
   std::string applyNode(const NodeUpdate& update, bool draining);
   std::string removeNode(const NodeUpdate& update);
   void retire(const Plan& plan);
+  void leave(const ServiceName& service, const DatabaseName& database);
+  const ServiceState* known(const ServiceName& service) const;
   void publish();
+  void publish(const ServiceName& name, const PlanService& service);
 
   NewsBoard& board_;
   std::optional<Plan> plan_;
   std::string planText_;
   std::map<ServiceName, ServiceState> services_;
   std::map<ServiceName, ServiceState> retired_;
+  std::map<ServiceName, EnrolledDatabases> enrolled_;
   std::map<Address, NodeState> nodes_;
   std::uint64_t dutyEpoch_ = 0;
   std::uint64_t position_ = 0;
--- a/src/control/control_update.hpp
+++ b/src/control/control_update.hpp
@@ -14,6 +14,8 @@
   enrolNode = 7,
   drainNode = 8,
   removeNode = 9,
+  enrolDatabase = 10,
+  removeDatabase = 11,
 };
 
 struct ControlUpdate {
@@ -33,7 +35,20 @@
   DatabaseName database;
   std::uint64_t boot = 0;
   std::uint64_t number = 0;
-  MSGPACK_DEFINE(service, database, boot, number)
+  bool gone = false;
+  MSGPACK_DEFINE(service, database, boot, number, gone)
+};
+
+struct EnrolmentUpdate {
+  ServiceName service;
+  DatabaseName database;
+  Address address;
+  District zone;
+  std::uint32_t capacity = 0;
+  std::uint64_t boot = 0;
+  std::uint64_t number = 0;
+  std::string role;
+  MSGPACK_DEFINE(service, database, address, zone, capacity, boot, number, role)
 };
 
 struct RecoveryUpdate {
@@ -41,7 +56,8 @@
   Epoch oldEpoch;
   DatabaseName chosen;
   std::string reason;
-  MSGPACK_DEFINE(service, oldEpoch, chosen, reason)
+  bool planned = false;
+  MSGPACK_DEFINE(service, oldEpoch, chosen, reason, planned)
 };
 
 struct PromotedUpdate {
--- a/src/control/database_control.hpp
+++ b/src/control/database_control.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/address.hpp"
 #include "base/task.hpp"
 #include "pool/database_messages.hpp"
 
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -2,22 +2,13 @@
 
 #include <algorithm>
 
-#include <nlohmann/json.hpp>
-
 #include "control/share_cut.hpp"
-#include "pool/database_json.hpp"
 
 namespace tamarindshift {
 
-namespace {
-
-Place placeOf(const DatabaseStanding& standing) { return Place{standing.epoch, standing.position}; }
-
-}  // namespace
-
 Duties::Duties(Clock& clock, Journal& journal, const Timings& timings, ReplicationEngine& engine, const ControlState& state,
-               AccessTables& access, WebLink& databases, Address platform, ServerId own)
-    : clock_(clock), journal_(journal), timings_(timings), engine_(engine), state_(state), access_(access), databases_(databases), platform_(std::move(platform)), own_(std::move(own)) {
+               AccessTables& access, DatabaseControl& databases, ServerId own)
+    : clock_(clock), journal_(journal), timings_(timings), engine_(engine), state_(state), access_(access), databases_(databases), own_(std::move(own)) {
   scope_.spawn(run());
 }
 
@@ -42,6 +33,7 @@
 void Duties::pass() {
   access_.forgetNodesBefore(clock_.now() - 10 * timings_.nodeSilence);
   if (!nodesBusy_) scope_.spawn(nodes());
+  if (!enrolmentsBusy_) scope_.spawn(enrolments());
   for (const auto& [name, service] : state_.services()) {
     auto& duty = duties_[name];
     auto now = clock_.now();
@@ -49,9 +41,10 @@
       if (duty.takenAt == Instant{}) duty.takenAt = now;
       duty.epoch = service.epoch;
       duty.seenAt = now;
-      duty.demoted = false;
+      duty.demotedAt.reset();
       duty.finalPlace = {};
-      duty.demoteAskedAt = duty.silentSince = {};
+      duty.demoteAskedAt = duty.silentSince = duty.probeAfter = duty.promoteAfter = {};
+      duty.promotePause = {};
     }
     if (!duty.busy) scope_.spawn(care(name));
   }
@@ -63,207 +56,6 @@
   duties_[name].busy = false;
 }
 
-Task<void> Duties::careFor(ServiceName name) {
-  co_await departures(name);
-  co_await returns(name);
-  co_await shares(name);
-  if (!state_.services().contains(name)) co_return;
-  auto service = state_.services().at(name);
-  if (service.epoch == Epoch{}) co_return co_await recover(name, "first primary");
-  if (!service.promoted) co_return co_await promote(name);
-  co_await demoteStray(name);
-  if (!state_.services().contains(name) || state_.services().at(name).epoch != service.epoch) co_return;
-  service = state_.services().at(name);
-  auto primary = service.primary;
-  if (!planned(name, primary)) co_return co_await recover(name, "not in the plan");
-  if (service.drained.contains(primary)) co_return co_await recover(name, "leaves");
-  const auto* sign = access_.database(name, primary);
-  auto now = clock_.now();
-  bool silent = !sign || now - sign->heardAt > timings_.databaseSilence;
-  bool renounced = sign && sign->beat.role != "primary";
-  auto& duty = duties_[name];
-  if (!silent && !renounced) {
-    duty.silentSince = Instant{};
-    waits_.erase(name);
-    co_return;
-  }
-  if (duty.silentSince == Instant{}) duty.silentSince = now;
-  auto since = silent ? duty.takenAt : std::max(duty.silentSince, duty.seenAt);
-  if (now - since < timings_.databaseSilence) co_return;
-  auto standing = co_await status(name, primary);
-  if (standing && standing->role == "primary") co_return wait(name, "no beats from the primary, yet STATUS is well");
-  co_await recover(name, standing ? "primary says it is none" : "primary is silent");
-}
-
-void Duties::wait(const ServiceName& name, const std::string& reason) {
-  if (waits_[name] == reason) return;
-  waits_[name] = reason;
-  journal_.line("service " + name.get() + " waits: " + reason);
-}
-
-const PlanDatabase* Duties::planned(const ServiceName& service, const DatabaseName& database) const {
-  if (!state_.plan()) return nullptr;
-  auto found = state_.plan()->services.find(service);
-  if (found == state_.plan()->services.end()) return nullptr;
-  auto own = found->second.databases.find(database);
-  return own == found->second.databases.end() ? nullptr : &own->second;
-}
-
-Task<std::optional<DatabaseStanding>> Duties::status(ServiceName name, DatabaseName database) {
-  const auto* found = planned(name, database);
-  if (!found) co_return std::nullopt;
-  auto outcome = co_await databases_.call(found->address, "GET", "/status", {}, clock_.now() + timings_.statusPatience);
-  if (!outcome || outcome->status != 200) co_return std::nullopt;
-  co_return standingFromJson(outcome->body);
-}
-
-Task<std::optional<Duties::Candidate>> Duties::candidate(ServiceName name, std::optional<DatabaseName> besides) {
-  std::vector<DatabaseName> names;
-  std::optional<Candidate> best;
-  for (const auto& [database, own] : state_.plan()->services.at(name).databases)
-    if (database != besides && !state_.services().at(name).drained.contains(database)) names.push_back(database);
-  bool allReached = true;
-  std::optional<DatabaseName> mayHoldMore;
-  for (const auto& database : names) {
-    auto standing = co_await status(name, database);
-    if (!standing) {
-      allReached = false;
-      if (diedWithPrimary(name, database)) mayHoldMore = database;
-      continue;
-    }
-    if (!access_.database(name, database)) continue;
-    auto rank = [](const DatabaseStanding& each) { return std::pair(placeOf(each), each.role == "primary"); };
-    if (!best || rank(*standing) > rank(best->standing)) best = Candidate{database, *standing, true, std::nullopt};
-  }
-  if (!best) {
-    wait(name, "no database can become primary");
-    co_return best;
-  }
-  best->allReached = allReached;
-  best->mayHoldMore = mayHoldMore;
-  co_return best;
-}
-
-std::optional<std::string> Duties::unproved(const ServiceName& name) const {
-  const auto& service = state_.services().at(name);
-  const auto* primary = access_.database(name, service.servedBy);
-  if (!primary || access_.lastLost() > primary->heardAt - timings_.databaseOut) return "a node that may have acknowledged more is gone";
-  for (const auto& [address, node] : state_.nodes())
-    if (!heard(address)) return "node " + address.get() + " has not reported";
-  for (const auto& [address, known] : access_.nodes()) {
-    auto own = known.report.services.find(name);
-    bool current = clock_.now() - known.heardAt <= timings_.nodeSilence && own != known.report.services.end() && own->second.epoch >= service.epoch;
-    if (!current && known.heardAt > primary->heardAt - timings_.databaseOut) return "node " + address.get() + " has not reported what it acknowledged";
-  }
-  return std::nullopt;
-}
-
-bool Duties::diedWithPrimary(const ServiceName& name, const DatabaseName& database) const {
-  const auto& service = state_.services().at(name);
-  if (service.servedBy.get().empty() || database == service.servedBy) return false;
-  const auto* own = access_.database(name, database);
-  const auto* primary = access_.database(name, service.servedBy);
-  if (!own) return clock_.now() - duties_.at(name).takenAt < timings_.databaseOut;
-  auto primaryHeardAt = primary ? primary->heardAt : clock_.now();
-  return primaryHeardAt - own->heardAt < timings_.databaseOut;
-}
-
-Task<bool> Duties::order(ControlMatter matter, std::string body) {
-  ControlUpdate update{matter, engine_.primComponent().primIndex, std::move(body)};
-  auto outcome = co_await engine_.order(packed(update), clock_.now() + timings_.orderPatience);
-  bool held = outcome.fate == OrderFate::green && outcome.reply == "held";
-  if (!held) journal_.count("duties.orders_not_held");
-  co_return held;
-}
-
-Task<void> Duties::recover(ServiceName name, std::string reason) {
-  auto service = state_.services().at(name);
-  bool leaves = service.drained.contains(service.primary);
-  std::optional<DatabaseName> besides;
-  if (service.epoch != Epoch{} && reason != "primary says it is none") besides = service.primary;
-  auto best = co_await candidate(name, besides);
-  if (!best) co_return;
-  bool retired = !planned(name, service.servedBy) && best->allReached;
-  if (!leaves && !retired && placeOf(best->standing) < access_.acknowledged(name))
-    co_return wait(name, "no database holds all that was acknowledged");
-  if (!onDuty()) co_return;
-  journal_.line("service " + name.get() + " recovers to " + best->database.get() + ": " + reason);
-  RecoveryUpdate update{name, service.epoch, best->database, reason};
-  co_await order(ControlMatter::recovery, packed(update));
-}
-
-Task<void> Duties::demote(ServiceName name, DatabaseName former) {
-  const auto* found = planned(name, former);
-  if (!found) co_return;
-  nlohmann::json body{{"epoch", state_.services().at(name).epoch.get()}};
-  auto outcome = co_await databases_.call(found->address, "POST", "/demote", body.dump(), clock_.now() + timings_.statusPatience);
-  if (!outcome || outcome->status != 200) co_return;
-  auto standing = standingFromJson(outcome->body);
-  if (!standing) co_return;
-  auto& duty = duties_[name];
-  duty.demoted = true;
-  duty.finalPlace = std::max(duty.finalPlace, placeOf(*standing));
-}
-
-Task<void> Duties::demoteStray(ServiceName name) {
-  std::vector<DatabaseName> strays;
-  for (const auto& [database, own] : state_.plan()->services.at(name).databases) {
-    const auto* sign = access_.database(name, database);
-    if (database != state_.services().at(name).primary && sign && sign->beat.role == "primary" &&
-        clock_.now() - sign->heardAt < timings_.databaseSilence)
-      strays.push_back(database);
-  }
-  for (const auto& database : strays) {
-    journal_.count("duties.strays_demoted");
-    co_await demote(name, database);
-  }
-}
-
-Task<void> Duties::promote(ServiceName name) {
-  auto service = state_.services().at(name);
-  if (!planned(name, service.primary) || service.drained.contains(service.primary))
-    co_return co_await recover(name, "chosen database is gone");
-  bool first = service.servedBy.get().empty();
-  if (!first && service.servedBy != service.primary && !duties_[name].demoted &&
-      clock_.now() - duties_[name].demoteAskedAt > timings_.statusPatience) {
-    duties_[name].demoteAskedAt = clock_.now();
-    co_await demote(name, service.servedBy);
-  }
-  if (!state_.services().contains(name) || state_.services().at(name).epoch != service.epoch) co_return;
-  auto& duty = duties_[name];
-  bool leasesOver = clock_.now() - duty.seenAt > timings_.lease + timings_.leaseMargin;
-  if (!first && !leasesOver && !duty.demoted) co_return;
-  auto standing = co_await status(name, service.primary);
-  if (!standing) {
-    if (clock_.now() - duties_[name].seenAt > 2 * (timings_.lease + timings_.leaseMargin))
-      co_await recover(name, "chosen database is silent");
-    co_return;
-  }
-  auto needed = access_.acknowledged(name);
-  if (!leasesOver) needed = std::max(needed, duties_[name].finalPlace);
-  auto best = co_await candidate(name, std::nullopt);
-  if (!best) co_return;
-  if (placeOf(*standing) < needed) {
-    if (placeOf(best->standing) >= needed && best->database != service.primary && leasesOver && clock_.now() - duties_[name].seenAt > 2 * timings_.lease)
-      co_return co_await recover(name, "another database holds more");
-    bool givenUp = !planned(name, service.servedBy) && best->allReached && best->database == service.primary &&
-                   clock_.now() - duties_[name].seenAt > timings_.lease + timings_.leaseMargin + timings_.databaseOut;
-    if (!givenUp) co_return wait(name, "the chosen database has not all that was acknowledged");
-    journal_.line("service " + name.get() + " gives up acknowledged commits that no planned database holds");
-  }
-  if (auto why = best->mayHoldMore && !first ? unproved(name) : std::nullopt)
-    co_return wait(name, "database " + best->mayHoldMore->get() + " fell silent with the primary and may hold more: " + *why);
-  const auto* chosen = planned(name, service.primary);
-  if (!chosen || !onDuty()) co_return;
-  nlohmann::json body{{"service", name.get()}, {"database", service.primary.get()}, {"address", chosen->address.get()}, {"epoch", service.epoch.get()}};
-  journal_.count("duties.promote_calls");
-  auto outcome = co_await databases_.call(platform_, "POST", "/promote", body.dump(), clock_.now() + timings_.promotePatience);
-  if (!outcome || outcome->status != 200) co_return wait(name, "the platform did not confirm the promotion");
-  waits_.erase(name);
-  PromotedUpdate update{name, service.epoch};
-  co_await order(ControlMatter::promoted, packed(update));
-}
-
 const AccessTables::Node* Duties::heard(const Address& node) const {
   auto found = access_.nodes().find(node);
   return found == access_.nodes().end() ? nullptr : &found->second;
@@ -384,12 +176,31 @@
   nodesBusy_ = false;
 }
 
+Task<void> Duties::enrolments() {
+  enrolmentsBusy_ = true;
+  std::vector<DatabaseUpdate> gone;
+  for (const auto& [service, databases] : state_.enrolled())
+    for (const auto& [database, own] : databases) {
+      auto served = state_.services().find(service);
+      if (served != state_.services().end() && (served->second.primary == database || (!served->second.promoted && served->second.servedBy == database))) continue;
+      const auto* sign = access_.database(service, database);
+      const auto* drained = state_.drained(service, database);
+      bool silent = clock_.now() - std::max(sign ? sign->heardAt : Instant{}, takenAt_) > timings_.databaseGone;
+      if (silent || (drained && drained->gone)) gone.push_back(DatabaseUpdate{service, database, 0, 0, true});
+    }
+  for (const auto& update : gone) {
+    journal_.line("database " + update.database.get() + " of " + update.service.get() + " is removed");
+    co_await order(ControlMatter::removeDatabase, packed(update));
+  }
+  enrolmentsBusy_ = false;
+}
+
 Task<void> Duties::departures(ServiceName name) {
   std::vector<DatabaseUpdate> leaving;
-  for (const auto& [database, own] : state_.plan()->services.at(name).databases) {
+  for (const auto& [database, own] : state_.databases(name)) {
     const auto* sign = access_.database(name, database);
-    if (!sign || !sign->beat.leaving || clock_.now() - sign->heardAt > timings_.databaseSilence) continue;
-    if (!state_.services().at(name).drained.contains(database)) leaving.push_back({name, database, sign->beat.boot, sign->beat.number});
+    if (!sign || !sign->beat.leaving || !fresh(*sign)) continue;
+    if (!state_.services().at(name).drained.contains(database)) leaving.push_back({name, database, sign->beat.boot, sign->beat.number, false});
   }
   for (const auto& update : leaving) {
     journal_.line("database " + update.database.get() + " leaves, its beats say");
@@ -402,12 +213,12 @@
   std::vector<DatabaseName> returned;
   for (const auto& [database, mark] : state_.services().at(name).drained) {
     const auto* sign = access_.database(name, database);
-    if (!sign || sign->beat.leaving || clock_.now() - sign->heardAt > timings_.databaseSilence) continue;
+    if (!sign || sign->beat.leaving || !fresh(*sign)) continue;
     if (sign->beat.boot != mark.boot || sign->beat.number > mark.number) returned.push_back(database);
   }
   for (const auto& database : returned) {
     journal_.line("database " + database.get() + " is back");
-    DatabaseUpdate update{name, database, 0, 0};
+    DatabaseUpdate update{name, database, 0, 0, false};
     co_await order(ControlMatter::returnDatabase, packed(update));
   }
 }
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -4,18 +4,17 @@
 #include "base/timings.hpp"
 #include "control/access_tables.hpp"
 #include "control/control_state.hpp"
+#include "control/database_control.hpp"
 #include "engine/replication_engine.hpp"
-#include "pool/database_link.hpp"
 
 namespace tamarindshift {
 
 class Duties {
  public:
   Duties(Clock& clock, Journal& journal, const Timings& timings, ReplicationEngine& engine, const ControlState& state,
-         AccessTables& access, WebLink& databases, Address platform, ServerId own);
+         AccessTables& access, DatabaseControl& databases, ServerId own);
 
   bool onDuty() const;
-  void change(Address platform) { platform_ = std::move(platform); }
   const std::map<ServiceName, std::string>& waits() const { return waits_; }
 
  private:
@@ -23,12 +22,16 @@
     Epoch epoch;
     Instant seenAt{};
     Instant takenAt{};
-    bool demoted = false;
+    std::optional<Instant> demotedAt;
     Place finalPlace;
     Instant demoteAskedAt{};
     Instant sharesMovedAt{};
     std::map<Address, std::pair<std::uint64_t, Instant>> reservedSeenAt;
     Instant silentSince{};
+    Instant probeAfter{};
+    Instant promoteAfter{};
+    Duration promotePause{};
+    Epoch highestTerm;
     bool busy = false;
   };
   struct Candidate {
@@ -42,15 +45,29 @@
   void pass();
   Task<void> care(ServiceName name);
   Task<void> careFor(ServiceName name);
+  struct Survey {
+    std::map<DatabaseName, std::optional<DatabaseStanding>> standings;
+    std::size_t missing = 0;
+    Gate done;
+  };
+  Task<void> watch(ServiceName name);
+  Task<void> firstPrimary(ServiceName name);
   Task<void> recover(ServiceName name, std::string reason);
   Task<void> promote(ServiceName name);
+  Task<bool> holdsNeeded(ServiceName name, ServiceState service);
+  Task<void> callPromotion(ServiceName name, ServiceState service);
+  Task<bool> leads(ServiceName name, ServiceState service, Instant calledAt);
+  Task<std::optional<DatabaseStanding>> reached(ServiceName name, ServiceState service, Place needed);
   Task<void> demote(ServiceName name, DatabaseName former);
   Task<void> demoteStray(ServiceName name);
-  Task<std::optional<DatabaseStanding>> status(ServiceName name, DatabaseName database);
+  Task<std::optional<DatabaseStanding>> status(ServiceName name, DatabaseName database, Duration patience);
+  Task<void> ask(ServiceName name, DatabaseName database, std::shared_ptr<Survey> survey);
+  std::vector<DatabaseName> candidates(const ServiceName& name, const std::optional<DatabaseName>& besides) const;
   Task<std::optional<Candidate>> candidate(ServiceName name, std::optional<DatabaseName> besides);
   Task<bool> order(ControlMatter matter, std::string body);
   Task<void> shares(ServiceName name);
   Task<void> nodes();
+  Task<void> enrolments();
   Task<void> departures(ServiceName name);
   Task<void> returns(ServiceName name);
   std::optional<std::string> unproved(const ServiceName& name) const;
@@ -59,10 +76,21 @@
   bool silent(const Address& node) const;
   std::uint64_t followed(const ServiceName& name, const Address& node) const;
   bool everyNodeFollows(const ServiceName& name, const ServiceState& service) const;
+  bool everyNodeLeftOldEpochs(const ServiceName& name, const ServiceState& service) const;
+  bool leasesOver(const ServiceName& name) const;
+  bool suspected(const ServiceName& name, const DatabaseName& database) const;
+  bool fresh(const AccessTables::Database& sign) const { return clock_.now() - sign.heardAt <= timings_.silence(); }
+  bool saysPrimary(const ServiceName& name, const DatabaseName& database) const;
+  bool discovered(const ServiceName& name) const;
+  bool keepsAcknowledged(const ServiceName& name) const;
+  bool pending(const ServiceName& name, Epoch epoch) const;
+  void noteTerm(const ServiceName& name, Epoch term);
+  Place needed(const ServiceName& name, const ServiceState& service) const;
   bool overdue(const ServiceName& name, const Address& node) const;
   Grants reserve(const ServiceName& name, const ServiceState& service);
   void wait(const ServiceName& name, const std::string& reason);
-  const PlanDatabase* planned(const ServiceName& service, const DatabaseName& database) const;
+  std::optional<DatabaseTarget> target(const ServiceName& service, const DatabaseName& database) const;
+  bool present(const ServiceName& service, const DatabaseName& database) const { return target(service, database).has_value(); }
 
   Clock& clock_;
   Journal& journal_;
@@ -70,12 +98,12 @@
   ReplicationEngine& engine_;
   const ControlState& state_;
   AccessTables& access_;
-  WebLink& databases_;
-  Address platform_;
+  DatabaseControl& databases_;
   ServerId own_;
   std::map<ServiceName, ServiceDuty> duties_;
   std::map<ServiceName, std::string> waits_;
   bool nodesBusy_ = false;
+  bool enrolmentsBusy_ = false;
   bool wasOnDuty_ = false;
   Instant takenAt_{};
   TaskScope scope_;
--- /dev/null
+++ b/src/control/enrolled_database.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "control/plan.hpp"
+
+namespace tamarindshift {
+
+struct EnrolledDatabase {
+  Address address;
+  District zone;
+  std::uint32_t capacity = 0;
+  MSGPACK_DEFINE(address, zone, capacity)
+};
+
+using EnrolledDatabases = std::map<DatabaseName, EnrolledDatabase>;
+
+}  // namespace tamarindshift
--- a/src/control/operator_door.cpp
+++ b/src/control/operator_door.cpp
@@ -26,8 +26,7 @@
       co_return refusal(400, "not a beat");
     }
     if (path == "/detach") co_return co_await replica_.detach(*beat);
-    if (!replica_.noteBeat(*beat, true)) co_return refusal(404, "no such database in the plan held here");
-    co_return DoorReply{200, "{}", std::nullopt};
+    co_return co_await replica_.beat(*beat);
   }
   if (path.starts_with("/members/")) {
     if (request.method != "DELETE") co_return refusal(405, "wrong method");
@@ -78,6 +77,7 @@
     for (const auto& sign : replica_.access().signs(name, now))
       own["databases"][sign.database] = {{"role", sign.role}, {"epoch", sign.epoch}, {"position", sign.position},
                                          {"contact_ms", milliseconds(sign.contactAge).count()}, {"heard_ms_ago", milliseconds(sign.age).count()}};
+    for (const auto& [database, enrolled] : state.databases(name)) own["addresses"][database.get()] = enrolled.address.get();
     auto waits = replica_.duties().waits().find(name);
     if (waits != replica_.duties().waits().end()) own["waits"] = waits->second;
   }
--- a/src/control/plan.hpp
+++ b/src/control/plan.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,7 +36,10 @@
   std::map<DatabaseName, PlanDatabase> databases;
   std::uint32_t connections = 0;
   std::map<BranchName, PlanBranch> branches;
-  MSGPACK_DEFINE(databases, connections, branches)
+  bool discovered = false;
+  std::optional<std::uint32_t> syncReplicas;
+  bool keepsAcknowledged() const { return syncReplicas != 0u; }
+  MSGPACK_DEFINE(databases, connections, branches, discovered, syncReplicas)
 };
 
 struct PlanKind {
@@ -45,7 +49,14 @@
   std::set<Label> machines;
   std::set<Label> databases;
   std::set<Label> labels;
-  MSGPACK_DEFINE(service, branch, consistency, machines, databases, labels)
+  std::optional<Duration> staleness;
+  std::optional<Duration> statement;
+  std::optional<Duration> aim;
+  std::uint32_t order = 0;
+  std::string host;
+  std::string prefix;
+  Duration stalenessBound() const { return staleness.value_or(tamarindshift::stalenessBound(consistency)); }
+  MSGPACK_DEFINE(service, branch, consistency, machines, databases, labels, staleness, statement, aim, order, host, prefix)
 };
 
 struct Plan {
@@ -54,8 +65,10 @@
   std::map<Address, std::set<Label>> machines;
   std::map<KindName, PlanKind> kinds;
   std::map<Label, std::uint32_t> weights;
+  std::map<std::string, std::uint64_t> limits;
+  std::string annotation;
   std::uint32_t weightOf(const Address& machine) const;
-  MSGPACK_DEFINE(mark, services, machines, kinds, weights)
+  MSGPACK_DEFINE(mark, services, machines, kinds, weights, limits, annotation)
 };
 
 }  // namespace tamarindshift
--- a/src/control/plan_reader.cpp
+++ b/src/control/plan_reader.cpp
@@ -27,6 +27,8 @@
     return std::nullopt;
   }
   scalarTypes(json, "");
+  for (const char* key : {"services", "kinds", "limits"})
+    if (json.is_object() && json.contains(key) && !json[key].is_object()) fault(key, "must be an object");
   if (!faults_.empty()) return std::nullopt;
   try {
     std::istringstream stream(text);
@@ -36,12 +38,15 @@
     return std::nullopt;
   }
   Plan plan;
-  if (!keys(tree, "", {"mark", "services", "kinds"}, {"machines", "weights"})) return std::nullopt;
-  auto markText = tree.get<std::string>("mark", "");
-  std::uint64_t mark = 0;
-  auto [stop, error] = std::from_chars(markText.data(), markText.data() + markText.size(), mark);
-  if (error != std::errc{} || stop != markText.data() + markText.size() || mark == 0) fault("mark", "must be a whole number from 1");
-  plan.mark = PlanMark{mark};
+  if (!keys(tree, "", {"mark", "services", "kinds"}, {"machines", "weights", "limits", "annotation"})) return std::nullopt;
+  plan.mark = PlanMark{longNumber(tree.get_child("mark"), "mark", 1)};
+  plan.annotation = tree.get<std::string>("annotation", "");
+  if (plan.annotation.size() > mostAnnotation) fault("annotation", "larger than " + std::to_string(mostAnnotation) + " bytes");
+  if (auto limits = tree.get_child_optional("limits"))
+    for (const auto& [key, child] : *limits) {
+      auto path = "limits." + key;
+      if (!plan.limits.emplace(name(key, path), longNumber(child, path, 0)).second) fault(path, "duplicate name");
+    }
   for (const auto& [key, child] : tree.get_child("services")) {
     auto path = "services." + key;
     if (!plan.services.emplace(ServiceName{name(key, path)}, service(child, path)).second) fault(path, "duplicate name");
@@ -49,9 +54,8 @@
   if (tree.get_child("services").empty()) fault("services", "must name at least one service");
   for (const auto& [key, child] : tree.get_child("kinds")) {
     auto path = "kinds." + key;
-    if (!plan.kinds.emplace(KindName{name(key, path)}, kind(child, path)).second) fault(path, "duplicate name");
+    if (!plan.kinds.emplace(KindName{name(key, path, 128)}, kind(child, path)).second) fault(path, "duplicate name");
   }
-  if (tree.get_child("kinds").empty()) fault("kinds", "must name at least one kind of work");
   if (auto machines = tree.get_child_optional("machines"))
     for (const auto& [key, child] : *machines) {
       auto path = "machines." + key;
@@ -65,12 +69,14 @@
     }
   if (faults_.empty()) placeKinds(plan);
   if (faults_.empty()) crossCheck(plan);
+  if (faults_.empty()) hostsApart(plan);
   if (!faults_.empty()) return std::nullopt;
   return plan;
 }
 
 void PlanReader::scalarTypes(const nlohmann::json& json, const std::string& path) {
-  static const std::set<std::string> numbers{"mark", "cap", "connections", "order", "floor"};
+  static const std::set<std::string> numbers{"mark", "cap", "connections", "order", "floor", "sync-replicas", "staleness-ms", "statement-ms", "aim-ms"};
+  auto counts = [&](const std::string& key) { return numbers.contains(key) || path == "weights" || path == "limits"; };
   if (json.is_array())
     for (const auto& child : json) child.is_string() ? void() : fault(path, "must be a list of strings");
   if (!json.is_object()) return;
@@ -78,9 +84,9 @@
     auto own = path.empty() ? key : path + "." + key;
     if (child.is_structured())
       scalarTypes(child, own);
-    else if ((numbers.contains(key) || path == "weights") && !child.is_number_integer())
+    else if (counts(key) && !child.is_number_integer())
       fault(own, "must be a whole number");
-    else if (!numbers.contains(key) && path != "weights" && !child.is_string())
+    else if (!counts(key) && !child.is_string())
       fault(own, "must be a string, a list or an object");
   }
 }
@@ -111,11 +117,36 @@
   return value;
 }
 
-std::string PlanReader::name(const std::string& text, const std::string& path) {
-  bool plain = !text.empty() && text.size() <= 64 && std::all_of(text.begin(), text.end(), [](unsigned char letter) {
+std::uint64_t PlanReader::longNumber(const Tree& tree, const std::string& path, std::uint64_t least) {
+  const auto& text = tree.data();
+  std::uint64_t value = 0;
+  auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (!tree.empty() || error != std::errc{} || stop != text.data() + text.size() || value < least) fault(path, "must be a whole number from " + std::to_string(least));
+  return value;
+}
+
+std::optional<Duration> PlanReader::duration(const Tree& tree, const std::string& key, const std::string& path, std::uint64_t least) {
+  static constexpr std::uint64_t mostMilliseconds = 1'000'000'000;
+  auto given = tree.get_child_optional(key);
+  if (!given) return std::nullopt;
+  auto own = path + "." + key;
+  auto value = longNumber(*given, own, least);
+  if (value > mostMilliseconds) fault(own, "must be at most " + std::to_string(mostMilliseconds));
+  return std::chrono::milliseconds{std::min(value, mostMilliseconds)};
+}
+
+std::string PlanReader::line(const Tree& tree, const std::string& key, const std::string& path) {
+  auto text = tree.get<std::string>(key, "");
+  bool plain = text.size() <= 256 && std::none_of(text.begin(), text.end(), [](unsigned char letter) { return std::iscntrl(letter); });
+  if (!plain) fault(path + "." + key, "must be at most 256 letters on one line");
+  return text;
+}
+
+std::string PlanReader::name(const std::string& text, const std::string& path, std::size_t most) {
+  bool plain = !text.empty() && text.size() <= most && std::all_of(text.begin(), text.end(), [](unsigned char letter) {
     return std::isalnum(letter) || letter == '-' || letter == '_' || letter == '.';
   });
-  if (!plain) fault(path, "a name has 1 to 64 letters, digits, '-', '_' or '.'");
+  if (!plain) fault(path, "a name has 1 to " + std::to_string(most) + " letters, digits, '-', '_' or '.'");
   return text;
 }
 
@@ -132,9 +163,7 @@
   return read;
 }
 
-PlanService PlanReader::service(const Tree& tree, const std::string& path) {
-  PlanService service;
-  if (!keys(tree, path, {"databases", "quota"}, {})) return service;
+void PlanReader::listed(const Tree& tree, const std::string& path, PlanService& service) {
   for (const auto& [key, child] : tree.get_child("databases")) {
     auto own = path + ".databases." + key;
     PlanDatabase database;
@@ -146,6 +175,17 @@
     if (!service.databases.emplace(DatabaseName{name(key, own)}, database).second) fault(own, "duplicate name");
   }
   if (service.databases.empty()) fault(path + ".databases", "must name at least one database");
+}
+
+PlanService PlanReader::service(const Tree& tree, const std::string& path) {
+  PlanService service;
+  if (!keys(tree, path, {"quota"}, {"databases", "discovery", "sync-replicas"})) return service;
+  auto discovery = tree.get_child_optional("discovery");
+  service.discovered = discovery.has_value();
+  if (discovery && discovery->data() != "beats") fault(path + ".discovery", "must be beats");
+  if (discovery.has_value() == tree.get_child_optional("databases").has_value()) fault(path + ".databases", "a service has databases or discovery, one of them");
+  else if (!discovery) listed(tree, path, service);
+  if (auto given = tree.get_child_optional("sync-replicas")) service.syncReplicas = number(*given, path + ".sync-replicas", 0, 100);
   const auto& quota = tree.get_child("quota");
   if (!keys(quota, path + ".quota", {"connections", "branches"}, {})) return service;
   service.connections = number(quota.get_child("connections"), path + ".quota.connections", 1, 100000);
@@ -197,10 +237,16 @@
 
 PlanKind PlanReader::kind(const Tree& tree, const std::string& path) {
   PlanKind kind;
-  if (!keys(tree, path, {"service", "consistency"}, {"branch", "machines", "databases", "labels"})) return kind;
+  if (!keys(tree, path, {"service", "consistency"}, {"branch", "machines", "databases", "labels", "staleness-ms", "statement-ms", "aim-ms", "order", "host", "prefix"})) return kind;
   kind.service = ServiceName{tree.get<std::string>("service")};
   kind.branch = BranchName{tree.get<std::string>("branch", "")};
   if (auto given = tree.get_child_optional("labels")) kind.labels = labels(*given, path + ".labels");
+  kind.staleness = duration(tree, "staleness-ms", path, 0);
+  kind.statement = duration(tree, "statement-ms", path, 1);
+  kind.aim = duration(tree, "aim-ms", path, 1);
+  if (auto given = tree.get_child_optional("order")) kind.order = number(*given, path + ".order", 0, 1000);
+  kind.host = line(tree, "host", path);
+  kind.prefix = line(tree, "prefix", path);
   auto consistency = tree.get<std::string>("consistency");
   if (consistency == "primary")
     kind.consistency = Consistency::primary;
@@ -251,7 +297,7 @@
       continue;
     }
     if (!service->second.branches.contains(kind.branch)) fault(path + ".branch", "no such leaf branch in the service");
-    if (!std::any_of(service->second.databases.begin(), service->second.databases.end(),
+    if (service->second.discovered ? !kind.databases.empty() : !std::any_of(service->second.databases.begin(), service->second.databases.end(),
                      [&](const auto& database) { return selects(kind.databases, database.second.labels); }))
       fault(path + ".databases", "selects nothing");
     if (!kind.machines.empty() && !std::any_of(plan.machines.begin(), plan.machines.end(), [&](const auto& machine) {
@@ -261,4 +307,13 @@
   }
 }
 
+void PlanReader::hostsApart(const Plan& plan) {
+  std::map<std::pair<std::string, std::string>, KindName> seen;
+  for (const auto& [name, kind] : plan.kinds) {
+    if (kind.host.empty()) continue;
+    auto [other, fresh] = seen.emplace(std::pair(kind.host, kind.prefix), name);
+    if (!fresh) fault("kinds." + name.get() + ".host", "host and prefix are also those of kind " + other->second.get());
+  }
+}
+
 }  // namespace tamarindshift
--- a/src/control/plan_reader.hpp
+++ b/src/control/plan_reader.hpp
@@ -13,7 +13,8 @@
 
 class PlanReader {
  public:
-  static constexpr std::size_t mostBytes = 256 * 1024;
+  static constexpr std::size_t mostBytes = 4 * 1024 * 1024;
+  static constexpr std::size_t mostAnnotation = 1024 * 1024;
   static constexpr int mostDepth = 32;
 
   std::optional<Plan> read(const std::string& text);
@@ -25,13 +26,18 @@
   void scalarTypes(const nlohmann::json& json, const std::string& path);
   bool keys(const Tree& tree, const std::string& path, const std::set<std::string>& required, const std::set<std::string>& optional);
   std::uint32_t number(const Tree& tree, const std::string& path, std::uint32_t least, std::uint32_t most);
-  std::string name(const std::string& text, const std::string& path);
+  std::uint64_t longNumber(const Tree& tree, const std::string& path, std::uint64_t least);
+  std::optional<Duration> duration(const Tree& tree, const std::string& key, const std::string& path, std::uint64_t least);
+  std::string line(const Tree& tree, const std::string& key, const std::string& path);
+  std::string name(const std::string& text, const std::string& path, std::size_t most = 64);
   std::set<Label> labels(const Tree& tree, const std::string& path);
+  void listed(const Tree& tree, const std::string& path, PlanService& service);
   PlanService service(const Tree& tree, const std::string& path);
   void branch(const Tree& tree, const std::string& path, std::uint32_t order, std::uint32_t depth, std::set<std::string>& seen, PlanService& service);
   PlanKind kind(const Tree& tree, const std::string& path);
   void placeKinds(Plan& plan);
   void crossCheck(const Plan& plan);
+  void hostsApart(const Plan& plan);
 
   std::vector<PlanFault> faults_;
 };
--- /dev/null
+++ b/src/control/recovery_duties.cpp
@@ -0,0 +1,408 @@
+#include <algorithm>
+
+#include "control/duties.hpp"
+
+namespace tamarindshift {
+
+namespace {
+
+Place placeOf(const DatabaseStanding& standing) { return Place{standing.epoch, standing.position}; }
+
+}  // namespace
+
+Task<void> Duties::careFor(ServiceName name) {
+  co_await departures(name);
+  co_await returns(name);
+  co_await shares(name);
+  if (!state_.services().contains(name)) co_return;
+  auto service = state_.services().at(name);
+  if (service.epoch == Epoch{}) co_return co_await firstPrimary(name);
+  if (!service.promoted) co_return co_await promote(name);
+  co_await demoteStray(name);
+  if (!state_.services().contains(name) || state_.services().at(name).epoch != service.epoch) co_return;
+  service = state_.services().at(name);
+  if (!present(name, service.primary)) co_return co_await recover(name, "not in the plan");
+  if (service.drained.contains(service.primary)) co_return co_await recover(name, "leaves");
+  co_await watch(name);
+}
+
+Task<void> Duties::watch(ServiceName name) {
+  auto epoch = state_.services().at(name).epoch;
+  auto primary = state_.services().at(name).primary;
+  const auto* sign = access_.database(name, primary);
+  auto now = clock_.now();
+  bool silent = !sign || !fresh(*sign);
+  bool renounced = sign && sign->beat.role != "primary";
+  bool doubted = suspected(name, primary);
+  auto& duty = duties_[name];
+  if (!silent && !renounced && !doubted) {
+    duty.silentSince = Instant{};
+    waits_.erase(name);
+    co_return;
+  }
+  if (duty.silentSince == Instant{}) duty.silentSince = now;
+  auto since = silent ? duty.takenAt : std::max(duty.silentSince, duty.seenAt);
+  if (!doubted && now - since < timings_.silence()) co_return;
+  if (now < duty.probeAfter) co_return;
+  auto standing = co_await status(name, primary, timings_.probePatience);
+  if (!standing) {
+    co_await sleep(clock_, timings_.probePause);
+    standing = co_await status(name, primary, timings_.probePatience);
+  }
+  if (!state_.services().contains(name) || state_.services().at(name).epoch != epoch) co_return;
+  duties_[name].probeAfter = clock_.now() + timings_.silence() / 2;
+  if (standing && standing->role == "primary")
+    co_return wait(name, doubted ? "nodes do not reach the primary, yet STATUS is well" : "no beats from the primary, yet STATUS is well");
+  co_await recover(name, standing ? "primary says it is none" : silent ? "primary is silent" : "primary does not answer");
+}
+
+void Duties::wait(const ServiceName& name, const std::string& reason) {
+  if (waits_[name] == reason) return;
+  waits_[name] = reason;
+  journal_.line("service " + name.get() + " waits: " + reason);
+}
+
+std::optional<DatabaseTarget> Duties::target(const ServiceName& service, const DatabaseName& database) const {
+  const auto* planned = state_.planned(service);
+  if (!planned) return std::nullopt;
+  if (planned->discovered) {
+    const auto* own = state_.enrolled(service, database);
+    return own ? std::optional{DatabaseTarget{service, database, own->address}} : std::nullopt;
+  }
+  auto own = planned->databases.find(database);
+  return own == planned->databases.end() ? std::nullopt : std::optional{DatabaseTarget{service, database, own->second.address}};
+}
+
+bool Duties::discovered(const ServiceName& name) const {
+  const auto* planned = state_.planned(name);
+  return planned && planned->discovered;
+}
+
+bool Duties::keepsAcknowledged(const ServiceName& name) const {
+  const auto* planned = state_.planned(name);
+  return !planned || planned->keepsAcknowledged();
+}
+
+bool Duties::pending(const ServiceName& name, Epoch epoch) const {
+  auto found = state_.services().find(name);
+  return found != state_.services().end() && found->second.epoch == epoch && !found->second.promoted && onDuty();
+}
+
+bool Duties::saysPrimary(const ServiceName& name, const DatabaseName& database) const {
+  const auto* sign = access_.database(name, database);
+  return sign && sign->beat.role == "primary" && fresh(*sign);
+}
+
+bool Duties::suspected(const ServiceName& name, const DatabaseName& database) const {
+  std::size_t working = 0;
+  std::size_t suspecting = 0;
+  for (const auto& [address, node] : access_.nodes()) {
+    if (clock_.now() - node.heardAt > timings_.suspicionKept) continue;
+    auto own = node.report.services.find(name);
+    if (own == node.report.services.end() || !own->second.working) continue;
+    ++working;
+    if (own->second.suspects.contains(database)) ++suspecting;
+  }
+  return suspecting > 0 && 2 * suspecting >= working;
+}
+
+bool Duties::leasesOver(const ServiceName& name) const { return clock_.now() - duties_.at(name).seenAt > timings_.lease + timings_.leaseMargin; }
+
+bool Duties::everyNodeLeftOldEpochs(const ServiceName& name, const ServiceState& service) const {
+  return std::all_of(state_.nodes().begin(), state_.nodes().end(), [&](const auto& each) {
+    const auto* known = heard(each.first);
+    if (!known || known->report.boot != each.second.boot) return false;
+    auto own = known->report.services.find(name);
+    return own != known->report.services.end() && own->second.epoch >= service.epoch;
+  });
+}
+
+void Duties::noteTerm(const ServiceName& name, Epoch term) {
+  auto& highest = duties_[name].highestTerm;
+  highest = std::max(highest, term);
+}
+
+Task<std::optional<DatabaseStanding>> Duties::status(ServiceName name, DatabaseName database, Duration patience) {
+  auto found = target(name, database);
+  if (!found) co_return std::nullopt;
+  journal_.count("duties.status_calls");
+  auto standing = co_await databases_.status(*found, clock_.now() + patience);
+  if (standing) noteTerm(name, standing->epoch);
+  co_return standing;
+}
+
+Task<void> Duties::ask(ServiceName name, DatabaseName database, std::shared_ptr<Survey> survey) {
+  auto standing = co_await status(name, database, timings_.statusPatience);
+  survey->standings[database] = standing;
+  if (--survey->missing == 0) survey->done.open();
+}
+
+std::vector<DatabaseName> Duties::candidates(const ServiceName& name, const std::optional<DatabaseName>& besides) const {
+  std::vector<DatabaseName> wanted;
+  std::vector<DatabaseName> others;
+  const auto& drained = state_.services().at(name).drained;
+  for (const auto& [database, own] : state_.databases(name)) {
+    if (database == besides) continue;
+    const auto* sign = access_.database(name, database);
+    bool lost = discovered(name) && ((sign && clock_.now() - sign->heardAt > 3 * timings_.silence()) || suspected(name, database));
+    (drained.contains(database) || lost ? others : wanted).push_back(database);
+  }
+  return wanted.empty() && discovered(name) ? others : wanted;
+}
+
+Task<std::optional<Duties::Candidate>> Duties::candidate(ServiceName name, std::optional<DatabaseName> besides) {
+  auto names = candidates(name, besides);
+  std::optional<Candidate> best;
+  auto survey = std::make_shared<Survey>();
+  survey->missing = names.size();
+  for (const auto& database : names) scope_.spawn(ask(name, database, survey));
+  while (survey->missing > 0) co_await survey->done.wait(clock_);
+  bool allReached = true;
+  std::optional<DatabaseName> mayHoldMore;
+  if (!state_.services().contains(name)) co_return best;
+  for (const auto& database : names) {
+    const auto& standing = survey->standings[database];
+    if (!standing) {
+      allReached = false;
+      if (diedWithPrimary(name, database)) mayHoldMore = database;
+      continue;
+    }
+    if (!access_.database(name, database)) continue;
+    auto rank = [](const DatabaseStanding& each) { return std::pair(placeOf(each), each.role == "primary"); };
+    if (!best || rank(*standing) > rank(best->standing)) best = Candidate{database, *standing, true, std::nullopt};
+  }
+  if (!best) {
+    wait(name, "no database can become primary");
+    co_return best;
+  }
+  best->allReached = allReached;
+  best->mayHoldMore = mayHoldMore;
+  co_return best;
+}
+
+std::optional<std::string> Duties::unproved(const ServiceName& name) const {
+  const auto& service = state_.services().at(name);
+  const auto* primary = access_.database(name, service.servedBy);
+  if (!primary || access_.lastLost() > primary->heardAt - timings_.databaseOut) return "a node that may have acknowledged more is gone";
+  for (const auto& [address, node] : state_.nodes())
+    if (!heard(address)) return "node " + address.get() + " has not reported";
+  for (const auto& [address, known] : access_.nodes()) {
+    auto own = known.report.services.find(name);
+    bool current = clock_.now() - known.heardAt <= timings_.nodeSilence && own != known.report.services.end() && own->second.epoch >= service.epoch;
+    if (!current && known.heardAt > primary->heardAt - timings_.databaseOut) return "node " + address.get() + " has not reported what it acknowledged";
+  }
+  return std::nullopt;
+}
+
+bool Duties::diedWithPrimary(const ServiceName& name, const DatabaseName& database) const {
+  const auto& service = state_.services().at(name);
+  if (service.servedBy.get().empty() || database == service.servedBy) return false;
+  const auto* own = access_.database(name, database);
+  const auto* primary = access_.database(name, service.servedBy);
+  if (!own) return clock_.now() - duties_.at(name).takenAt < timings_.databaseOut;
+  auto primaryHeardAt = primary ? primary->heardAt : clock_.now();
+  return primaryHeardAt - own->heardAt < timings_.databaseOut;
+}
+
+Task<bool> Duties::order(ControlMatter matter, std::string body) {
+  ControlUpdate update{matter, engine_.primComponent().primIndex, std::move(body)};
+  auto outcome = co_await engine_.order(packed(update), clock_.now() + timings_.orderPatience);
+  bool held = outcome.fate == OrderFate::green && outcome.reply == "held";
+  if (!held) journal_.count("duties.orders_not_held");
+  co_return held;
+}
+
+Task<void> Duties::firstPrimary(ServiceName name) {
+  if (!discovered(name)) co_return co_await recover(name, "first primary");
+  std::optional<DatabaseName> chosen;
+  Instant heardAt{};
+  bool chosenLeaves = false;
+  for (const auto& [database, own] : state_.databases(name)) {
+    if (!saysPrimary(name, database)) continue;
+    auto at = access_.database(name, database)->heardAt;
+    bool leaves = state_.drained(name, database) != nullptr;
+    if (chosen && std::pair(!leaves, at) < std::pair(!chosenLeaves, heardAt)) continue;
+    chosen = database;
+    heardAt = at;
+    chosenLeaves = leaves;
+  }
+  if (!chosen) {
+    if (clock_.now() - duties_[name].seenAt > timings_.firstPrimary) co_await recover(name, "first primary");
+    co_return;
+  }
+  journal_.line("service " + name.get() + " has its first primary " + chosen->get());
+  RecoveryUpdate update{name, Epoch{}, *chosen, "first primary", false};
+  co_await order(ControlMatter::recovery, packed(update));
+}
+
+Task<void> Duties::recover(ServiceName name, std::string reason) {
+  auto service = state_.services().at(name);
+  bool leaves = service.drained.contains(service.primary);
+  std::optional<DatabaseName> besides;
+  if (service.epoch != Epoch{} && reason != "primary says it is none") besides = service.primary;
+  auto best = co_await candidate(name, besides);
+  if (!best || !state_.services().contains(name)) co_return;
+  bool retired = !present(name, service.servedBy) && best->allReached;
+  if (keepsAcknowledged(name) && !leaves && !retired && placeOf(best->standing) < access_.acknowledged(name))
+    co_return wait(name, "no database holds all that was acknowledged");
+  if (!onDuty()) co_return;
+  bool planned = service.promoted ? leaves && saysPrimary(name, service.primary) : service.planned;
+  journal_.line("service " + name.get() + " recovers to " + best->database.get() + ": " + reason);
+  RecoveryUpdate update{name, service.epoch, best->database, reason, planned};
+  co_await order(ControlMatter::recovery, packed(update));
+}
+
+Task<void> Duties::demote(ServiceName name, DatabaseName former) {
+  auto found = target(name, former);
+  if (!found) co_return;
+  auto own = state_.services().at(name).epoch;
+  auto epoch = discovered(name) ? Epoch{std::max(duties_[name].highestTerm, access_.acknowledged(name).epoch).get() + 1} : own;
+  auto standing = co_await databases_.demote(*found, epoch, clock_.now() + timings_.statusPatience);
+  if (!standing) co_return;
+  noteTerm(name, standing->epoch);
+  auto& duty = duties_[name];
+  if (standing->role == "primary" || duty.epoch != own) co_return;
+  if (!duty.demotedAt) duty.demotedAt = clock_.now();
+  duty.finalPlace = std::max(duty.finalPlace, placeOf(*standing));
+}
+
+Task<void> Duties::demoteStray(ServiceName name) {
+  std::vector<DatabaseName> strays;
+  for (const auto& [database, own] : state_.databases(name))
+    if (database != state_.services().at(name).primary && saysPrimary(name, database)) strays.push_back(database);
+  auto& duty = duties_[name];
+  if (strays.empty() || (discovered(name) && clock_.now() - duty.demoteAskedAt < timings_.statusPatience)) co_return;
+  duty.demoteAskedAt = clock_.now();
+  for (const auto& database : strays) {
+    journal_.count("duties.strays_demoted");
+    co_await demote(name, database);
+    if (!state_.services().contains(name)) co_return;
+  }
+}
+
+Task<void> Duties::promote(ServiceName name) {
+  auto service = state_.services().at(name);
+  if (!present(name, service.primary) || service.drained.contains(service.primary))
+    if (!service.servedBy.get().empty() || !saysPrimary(name, service.primary)) co_return co_await recover(name, "chosen database is gone");
+  bool first = service.servedBy.get().empty();
+  if (first && discovered(name) && saysPrimary(name, service.primary)) {
+    PromotedUpdate update{name, service.epoch};
+    co_await order(ControlMatter::promoted, packed(update));
+    co_return;
+  }
+  bool left = first || everyNodeLeftOldEpochs(name, service);
+  bool demotes = !first && service.servedBy != service.primary && !duties_[name].demotedAt && present(name, service.servedBy);
+  if (demotes && (!service.planned || left || leasesOver(name)) && clock_.now() - duties_[name].demoteAskedAt > timings_.statusPatience) {
+    duties_[name].demoteAskedAt = clock_.now();
+    if (service.planned)
+      co_await demote(name, service.servedBy);
+    else
+      scope_.spawn(demote(name, service.servedBy));
+  }
+  if (!pending(name, service.epoch)) co_return;
+  const auto& duty = duties_[name];
+  bool ready = left || leasesOver(name) || (!discovered(name) && duty.demotedAt);
+  bool awaitsDemote = service.planned && demotes && !duty.demotedAt && !leasesOver(name);
+  if (!ready || awaitsDemote || clock_.now() < duty.promoteAfter) co_return;
+  if (!co_await holdsNeeded(name, service) || !pending(name, service.epoch)) co_return;
+  co_await callPromotion(name, service);
+}
+
+Place Duties::needed(const ServiceName& name, const ServiceState& service) const {
+  const auto& duty = duties_.at(name);
+  bool keeps = keepsAcknowledged(name);
+  auto needed = keeps ? access_.acknowledged(name) : Place{};
+  bool mayReach = duty.demotedAt && clock_.now() - *duty.demotedAt <= timings_.lease + timings_.leaseMargin;
+  return mayReach && (keeps || service.planned) ? std::max(needed, duty.finalPlace) : needed;
+}
+
+Task<std::optional<DatabaseStanding>> Duties::reached(ServiceName name, ServiceState service, Place needed) {
+  auto deadline = clock_.now() + timings_.statusPatience;
+  for (Duration pause = 30ms;; pause = pause * 3 / 2) {
+    auto standing = co_await status(name, service.primary, timings_.statusPatience);
+    bool waits = service.planned && standing && placeOf(*standing) < needed && clock_.now() < deadline && pending(name, service.epoch);
+    if (!waits) co_return standing;
+    co_await sleep(clock_, pause);
+  }
+}
+
+Task<bool> Duties::holdsNeeded(ServiceName name, ServiceState service) {
+  bool first = service.servedBy.get().empty();
+  bool keeps = keepsAcknowledged(name);
+  auto needed = this->needed(name, service);
+  if (!keeps && needed == Place{}) co_return true;
+  auto standing = co_await reached(name, service, needed);
+  if (!pending(name, service.epoch)) co_return false;
+  auto age = clock_.now() - duties_[name].seenAt;
+  auto chosenPatience = discovered(name) ? timings_.silence() : 2 * (timings_.lease + timings_.leaseMargin);
+  if (!standing) {
+    if (age > chosenPatience) co_await recover(name, "chosen database is silent");
+    co_return false;
+  }
+  if (!keeps) {
+    if (placeOf(*standing) >= needed) co_return true;
+    wait(name, "the chosen database has not yet what the former primary held");
+    co_return false;
+  }
+  auto best = co_await candidate(name, std::nullopt);
+  if (!best || !pending(name, service.epoch)) co_return false;
+  if (placeOf(*standing) < needed) {
+    if (placeOf(best->standing) >= needed && best->database != service.primary && leasesOver(name) && age > 2 * timings_.lease) {
+      co_await recover(name, "another database holds more");
+      co_return false;
+    }
+    bool givenUp = !present(name, service.servedBy) && best->allReached && best->database == service.primary &&
+                   age > timings_.lease + timings_.leaseMargin + timings_.databaseOut;
+    if (!givenUp) {
+      wait(name, "the chosen database has not all that was acknowledged");
+      co_return false;
+    }
+    journal_.line("service " + name.get() + " gives up acknowledged commits that no planned database holds");
+  }
+  if (auto why = best->mayHoldMore && !first ? unproved(name) : std::nullopt) {
+    wait(name, "database " + best->mayHoldMore->get() + " fell silent with the primary and may hold more: " + *why);
+    co_return false;
+  }
+  co_return true;
+}
+
+Task<void> Duties::callPromotion(ServiceName name, ServiceState service) {
+  auto chosen = target(name, service.primary);
+  if (!chosen) co_return;
+  journal_.count("duties.promote_calls");
+  auto calledAt = clock_.now();
+  DutyHolder holder{own_.address, engine_.primComponent().primIndex};
+  auto outcome = co_await databases_.promote(*chosen, service.epoch, holder, calledAt + timings_.promotePatience);
+  if (!pending(name, service.epoch)) co_return;
+  if (outcome == PromotionOutcome::refused) co_return co_await recover(name, "the chosen database cannot become primary");
+  bool led = outcome == PromotionOutcome::led;
+  if (outcome == PromotionOutcome::accepted) led = co_await leads(name, service, calledAt);
+  if (!pending(name, service.epoch)) co_return;
+  if (!led) {
+    auto& duty = duties_[name];
+    duty.promotePause = std::clamp<Duration>(2 * duty.promotePause, timings_.duty, 16 * timings_.duty);
+    duty.promoteAfter = clock_.now() + duty.promotePause;
+    co_return wait(name, outcome == PromotionOutcome::accepted ? "the chosen database does not say that it leads" : "the platform did not confirm the promotion");
+  }
+  waits_.erase(name);
+  PromotedUpdate update{name, service.epoch};
+  co_await order(ControlMatter::promoted, packed(update));
+}
+
+Task<bool> Duties::leads(ServiceName name, ServiceState service, Instant calledAt) {
+  auto askedAt = calledAt;
+  while (pending(name, service.epoch) && clock_.now() - calledAt < 4 * timings_.leadPatience) {
+    const auto* sign = access_.database(name, service.primary);
+    bool beaten = sign && sign->heardAt > calledAt;
+    if (beaten && sign->beat.role == "primary") co_return true;
+    if (clock_.now() - askedAt > timings_.leadPatience) {
+      askedAt = clock_.now();
+      auto standing = co_await status(name, service.primary, timings_.statusPatience);
+      if (standing && standing->role == "primary") co_return true;
+    }
+    co_await sleep(clock_, 20ms);
+  }
+  co_return false;
+}
+
+}  // namespace tamarindshift
--- a/src/control/replica_node.cpp
+++ b/src/control/replica_node.cpp
@@ -9,13 +9,13 @@
 
 namespace tamarindshift {
 
-ReplicaNode::ReplicaNode(Clock& clock, PartnerLink& link, StableStore& store, WebLink& databases, Journal& journal,
+ReplicaNode::ReplicaNode(Clock& clock, PartnerLink& link, StableStore& store, DatabaseControl& databases, Journal& journal,
                          ReplicaSettings settings, std::uint64_t incarnation)
     : clock_(clock), databases_(databases), journal_(journal), settings_(std::move(settings)), state_(board_), desk_(clock, link), core_(clock, link, store, state_, journal, CoreSettings{settings_.address, settings_.seeds, settings_.timings.group, settings_.bounds}, incarnation) {}
 
 std::optional<std::string> ReplicaNode::start() {
   if (auto fault = core_.start()) return fault;
-  duties_ = std::make_unique<Duties>(clock_, journal_, settings_.timings, engine(), state_, access_, databases_, settings_.platform, core_.own());
+  duties_ = std::make_unique<Duties>(clock_, journal_, settings_.timings, engine(), state_, access_, databases_, core_.own());
   news_ = std::make_unique<NewsDesk>(clock_, desk_, board_, *this, settings_.timings.newsWait);
   serveDesk();
   return std::nullopt;
@@ -30,12 +30,8 @@
     if (auto beat = unpacked<DatabaseBeat>(body)) noteBeat(*beat, false);
     co_return std::nullopt;
   });
-  desk_.serve("detach", [this](Address, std::string body) -> Task<std::optional<std::string>> {
-    auto beat = unpacked<DatabaseBeat>(body);
-    if (!beat) co_return std::nullopt;
-    auto reply = co_await detach(*beat);
-    co_return packed(std::pair(reply.status, reply.body));
-  });
+  serveBeats("beat-ask", &ReplicaNode::beat);
+  serveBeats("detach", &ReplicaNode::detach);
   desk_.serve("partners", [this](Address, std::string) -> Task<std::optional<std::string>> {
     auto known = group().known();
     known.insert(settings_.address);
@@ -43,6 +39,15 @@
   });
 }
 
+void ReplicaNode::serveBeats(const std::string& subject, Task<DoorReply> (ReplicaNode::*taken)(DatabaseBeat)) {
+  desk_.serve(subject, [this, taken](Address, std::string body) -> Task<std::optional<std::string>> {
+    auto beat = unpacked<DatabaseBeat>(body);
+    if (!beat) co_return std::nullopt;
+    auto reply = co_await (this->*taken)(*beat);
+    co_return packed(std::pair(reply.status, reply.body));
+  });
+}
+
 std::optional<Instant> ReplicaNode::leaseUntil(const Topic&) {
   auto proved = engine().provedAt();
   if (!proved) return std::nullopt;
@@ -53,18 +58,17 @@
 
 std::vector<DatabaseSign> ReplicaNode::signs(const Topic& topic) { return access_.signs(ServiceName{topic}, clock_.now()); }
 
-bool ReplicaNode::planned(const DatabaseBeat& beat) const {
-  if (!state_.plan()) return false;
-  auto service = state_.plan()->services.find(beat.service);
-  return service != state_.plan()->services.end() && service->second.databases.contains(beat.database);
+bool ReplicaNode::known(const DatabaseBeat& beat) const {
+  if (state_.listed(beat.service)) return state_.planned(beat.service)->databases.contains(beat.database);
+  return state_.enrolled(beat.service, beat.database) || !beat.address.get().empty();
 }
 
 bool ReplicaNode::noteBeat(const DatabaseBeat& beat, bool relay) {
-  if (!planned(beat)) {
+  if (!known(beat)) {
     journal_.count("beats.unplanned");
     return false;
   }
-  if (!access_.noteBeat(beat, clock_.now(), settings_.timings.databaseSilence)) journal_.count("beats.older");
+  if (!access_.noteBeat(beat, clock_.now(), settings_.timings.silence())) journal_.count("beats.older");
   if (!relay) return true;
   auto bytes = packed(beat);
   for (const auto& partner : group().joinedPartners()) desk_.tell(partner, "beat", bytes);
@@ -73,7 +77,6 @@
 
 void ReplicaNode::change(ReplicaSettings settings) {
   settings_ = std::move(settings);
-  duties_->change(settings_.platform);
   engine().change(settings_.bounds);
 }
 
@@ -128,16 +131,56 @@
   co_return held(409, outcome.reply == "older" ? "an older mark, or the same mark with other content" : outcome.reply);
 }
 
+std::optional<DoorReply> ReplicaNode::cannotOrder() const {
+  auto comeBack = settings_.timings.comeBack;
+  if (engine().state() == EngineState::nonPrim || !engine().member()) return refusal(503, "no primary component", {}, comeBack);
+  if (draining()) return refusal(503, "this node is leaving", {}, comeBack);
+  return std::nullopt;
+}
+
+Task<DoorReply> ReplicaNode::beat(DatabaseBeat beat) {
+  auto comeBack = settings_.timings.comeBack;
+  bool late = access_.older(beat, clock_.now(), settings_.timings.silence());
+  if (!noteBeat(beat, true)) co_return refusal(404, "no such database in the plan held here");
+  if (late || state_.listed(beat.service)) co_return DoorReply{200, "{}", std::nullopt};
+  const auto* enrolled = state_.enrolled(beat.service, beat.database);
+  bool fits = enrolled && (beat.address.get().empty() || enrolled->address == beat.address);
+  bool drains = beat.leaving && !state_.drained(beat.service, beat.database);
+  if (!fits || drains) {
+    if (auto refusal = cannotOrder()) co_return *refusal;
+  } else if (!leaseUntil(fleetTopic)) {
+    co_return refusal(503, "not in a proved primary component", {}, comeBack);
+  }
+  if (!fits)
+    if (auto refusal = co_await enrol(beat)) co_return *refusal;
+  if (drains) {
+    DatabaseUpdate update{beat.service, beat.database, beat.boot, beat.number, false};
+    auto outcome = co_await order(ControlMatter::drainDatabase, packed(update));
+    if (outcome.fate != OrderFate::green || outcome.reply != "held") co_return refusal(503, "not taken in time", "send it again", comeBack);
+  }
+  co_return DoorReply{200, "{}", std::nullopt};
+}
+
+Task<std::optional<DoorReply>> ReplicaNode::enrol(DatabaseBeat beat) {
+  EnrolmentUpdate update{beat.service, beat.database, beat.address, beat.zone, beat.capacity, beat.boot, beat.number, beat.role};
+  auto outcome = co_await order(ControlMatter::enrolDatabase, packed(update));
+  std::optional<DoorReply> refused;
+  if (outcome.fate != OrderFate::green) refused = refusal(503, "not taken in time", "send it again", settings_.timings.comeBack);
+  else if (outcome.reply != "held") refused = refusal(404, outcome.reply);
+  co_return refused;
+}
+
 Task<DoorReply> ReplicaNode::detach(DatabaseBeat beat) {
   beat.leaving = true;
+  bool listed = state_.listed(beat.service);
+  bool enrols = !listed && !beat.address.get().empty();
   if (!noteBeat(beat, true) && leaseUntil(fleetTopic)) co_return refusal(404, "no such database");
   auto comeBack = settings_.timings.comeBack;
-  if (engine().state() == EngineState::nonPrim || !engine().member()) co_return refusal(503, "no primary component", {}, comeBack);
-  if (draining()) co_return refusal(503, "this node is leaving", {}, comeBack);
-  DatabaseUpdate update{beat.service, beat.database, beat.boot, beat.number};
+  if (auto refusal = cannotOrder()) co_return *refusal;
+  DatabaseUpdate update{beat.service, beat.database, beat.boot, beat.number, !listed};
   auto outcome = co_await order(ControlMatter::drainDatabase, packed(update));
   if (outcome.fate != OrderFate::green) co_return refusal(503, "not taken in time", "send it again", comeBack);
-  if (outcome.reply != "held") co_return refusal(404, outcome.reply);
+  if (outcome.reply != "held" && !enrols) co_return refusal(404, outcome.reply);
   co_return DoorReply{200, nlohmann::json{{"position", outcome.position}}.dump(), std::nullopt};
 }
 
--- a/src/control/replica_node.hpp
+++ b/src/control/replica_node.hpp
@@ -11,7 +11,7 @@
 
 class ReplicaNode : public NewsSource {
  public:
-  ReplicaNode(Clock& clock, PartnerLink& link, StableStore& store, WebLink& databases, Journal& journal,
+  ReplicaNode(Clock& clock, PartnerLink& link, StableStore& store, DatabaseControl& databases, Journal& journal,
               ReplicaSettings settings, std::uint64_t incarnation);
 
   std::optional<std::string> start();
@@ -26,11 +26,11 @@
   Journal& journal() { return journal_; }
 
   Task<DoorReply> replacePlan(std::string text);
+  Task<DoorReply> beat(DatabaseBeat beat);
   Task<DoorReply> detach(DatabaseBeat beat);
   void drain();
   bool draining() const { return drainingSince_.has_value(); }
   bool stopped() const;
-  bool noteBeat(const DatabaseBeat& beat, bool relay);
   void change(ReplicaSettings settings);
   Task<DoorReply> removeMember(Address address);
 
@@ -38,12 +38,16 @@
   std::vector<DatabaseSign> signs(const Topic& topic) override;
 
  private:
-  bool planned(const DatabaseBeat& beat) const;
+  bool noteBeat(const DatabaseBeat& beat, bool relay);
+  bool known(const DatabaseBeat& beat) const;
+  Task<std::optional<DoorReply>> enrol(DatabaseBeat beat);
+  std::optional<DoorReply> cannotOrder() const;
+  void serveBeats(const std::string& subject, Task<DoorReply> (ReplicaNode::*taken)(DatabaseBeat));
   Task<OrderOutcome> order(ControlMatter matter, std::string body);
   void serveDesk();
 
   Clock& clock_;
-  WebLink& databases_;
+  DatabaseControl& databases_;
   Journal& journal_;
   ReplicaSettings settings_;
   NewsBoard board_;
--- a/src/control/replica_settings.hpp
+++ b/src/control/replica_settings.hpp
@@ -12,7 +12,6 @@
   Address address;
   District district;
   std::set<Address> seeds;
-  Address platform;
   Timings timings;
   EngineBounds bounds;
 };
--- a/src/control/service_news.hpp
+++ b/src/control/service_news.hpp
@@ -15,7 +15,15 @@
   Epoch epoch;
   DatabaseName primary;
   bool promoted = false;
-  MSGPACK_DEFINE(epoch, primary, promoted)
+  bool planned = false;
+  MSGPACK_DEFINE(epoch, primary, promoted, planned)
+};
+
+struct DatabaseNews {
+  Address address;
+  District zone;
+  std::uint32_t capacity = 0;
+  MSGPACK_DEFINE(address, zone, capacity)
 };
 
 struct ShareNews {
@@ -28,13 +36,16 @@
   District district;
   bool draining = false;
   std::set<Label> labels;
-  MSGPACK_DEFINE(district, draining, labels)
+  std::uint64_t boot = 0;
+  std::uint64_t enrolledAt = 0;
+  MSGPACK_DEFINE(district, draining, labels, boot, enrolledAt)
 };
 
 struct FleetPlanNews {
   PlanMark mark;
   std::map<KindName, ServiceName> kinds;
-  MSGPACK_DEFINE(mark, kinds)
+  std::map<std::string, std::uint64_t> limits;
+  MSGPACK_DEFINE(mark, kinds, limits)
 };
 
 }  // namespace tamarindshift
--- a/src/news/agent_node.cpp
+++ b/src/news/agent_node.cpp
@@ -129,7 +129,8 @@
       journal_.count("beats.malformed");
       co_return refusal(400, "not a beat");
     }
-    if (request.path == "/detach") co_return co_await detach(packed(*beat));
+    if (request.path == "/detach") co_return co_await askReplicas("detach", packed(*beat));
+    if (!beat->address.get().empty()) co_return co_await askReplicas("beat-ask", packed(*beat));
     auto bytes = packed(*beat);
     for (const auto& replica : replicas_) desk_.tell(replica, "beat", bytes);
     journal_.count("beats.relayed");
@@ -145,9 +146,9 @@
   co_return refusal(404, "no such path");
 }
 
-Task<DoorReply> AgentNode::detach(std::string body) {
+Task<DoorReply> AgentNode::askReplicas(std::string subject, std::string body) {
   for (const auto& replica : std::vector<Address>(replicas_.begin(), replicas_.end())) {
-    auto bytes = co_await desk_.ask(replica, "detach", body, clock_.now() + settings_.timings.orderPatience / 2);
+    auto bytes = co_await desk_.ask(replica, subject, body, clock_.now() + settings_.timings.orderPatience / 2);
     auto reply = bytes ? unpacked<std::pair<int, std::string>>(*bytes) : std::nullopt;
     if (reply && reply->first != 503) co_return DoorReply{reply->first, reply->second, std::nullopt};
   }
--- a/src/news/agent_node.hpp
+++ b/src/news/agent_node.hpp
@@ -26,7 +26,7 @@
  private:
   Task<void> partners();
   Task<void> keepTopics();
-  Task<DoorReply> detach(std::string body);
+  Task<DoorReply> askReplicas(std::string subject, std::string body);
   void relay(NodeReport report);
   DoorReply status() const;
   Follower& follower(const Topic& topic);
--- /dev/null
+++ b/src/pool/json_database_control.cpp
@@ -0,0 +1,35 @@
+#include "pool/json_database_control.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "pool/database_json.hpp"
+
+namespace tamarindshift {
+
+namespace {
+
+std::optional<DatabaseStanding> standingOf(const std::optional<WebOutcome>& outcome) {
+  if (!outcome || outcome->status != 200) return std::nullopt;
+  return standingFromJson(outcome->body);
+}
+
+}  // namespace
+
+Task<std::optional<DatabaseStanding>> JsonDatabaseControl::status(DatabaseTarget target, Instant deadline) {
+  auto outcome = co_await web_.call(target.address, "GET", "/status", {}, deadline);
+  co_return standingOf(outcome);
+}
+
+Task<std::optional<DatabaseStanding>> JsonDatabaseControl::demote(DatabaseTarget target, Epoch epoch, Instant deadline) {
+  nlohmann::json body{{"epoch", epoch.get()}};
+  auto outcome = co_await web_.call(target.address, "POST", "/demote", body.dump(), deadline);
+  co_return standingOf(outcome);
+}
+
+Task<PromotionOutcome> JsonDatabaseControl::promote(DatabaseTarget target, Epoch epoch, DutyHolder, Instant deadline) {
+  nlohmann::json body{{"service", target.service.get()}, {"database", target.database.get()}, {"address", target.address.get()}, {"epoch", epoch.get()}};
+  auto outcome = co_await web_.call(platform_, "POST", "/promote", body.dump(), deadline);
+  co_return outcome && outcome->status == 200 ? PromotionOutcome::led : PromotionOutcome::unanswered;
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/pool/json_database_control.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "control/database_control.hpp"
+#include "edge/web_link.hpp"
+
+namespace tamarindshift {
+
+class JsonDatabaseControl : public DatabaseControl {
+ public:
+  JsonDatabaseControl(WebLink& web, Address platform) : web_(web), platform_(std::move(platform)) {}
+  void change(Address platform) { platform_ = std::move(platform); }
+
+  Task<std::optional<DatabaseStanding>> status(DatabaseTarget target, Instant deadline) override;
+  Task<std::optional<DatabaseStanding>> demote(DatabaseTarget target, Epoch epoch, Instant deadline) override;
+  Task<PromotionOutcome> promote(DatabaseTarget target, Epoch epoch, DutyHolder holder, Instant deadline) override;
+
+ private:
+  WebLink& web_;
+  Address platform_;
+};
+
+}  // namespace tamarindshift
--- a/src/pool/proxy_node.cpp
+++ b/src/pool/proxy_node.cpp
@@ -257,7 +257,7 @@
   std::uint32_t least = 0;
   auto own = record->session->own.find(record->service);
   auto needed = own == record->session->own.end() ? Position{} : own->second;
-  auto bound = stalenessBound(view.kind->consistency);
+  auto bound = view.kind->stalenessBound();
   for (const auto& sign : guide_.signs(record->service)) {
     DatabaseName name{sign.database};
     auto planned = view.service->plan->service.databases.find(name);
@@ -440,7 +440,7 @@
   if (record->request.reads && !atPrimary) {
     auto own = session->own.find(record->service);
     bool behind = reply.standing.epoch != connection->epoch || (own != session->own.end() && reply.standing.position < own->second);
-    bool stale = reply.standing.contactAge > stalenessBound(view.kind->consistency);
+    bool stale = reply.standing.contactAge > view.kind->stalenessBound();
     if (behind || stale) {
       journal_.count("reads.too_stale");
       if (session->pinned != connection) {
--- a/src/programs/replica.cpp
+++ b/src/programs/replica.cpp
@@ -1,5 +1,6 @@
 #include "base/timing_settings.hpp"
 #include "control/operator_door.hpp"
+#include "pool/json_database_control.hpp"
 #include "real/daemon.hpp"
 #include "real/file_store.hpp"
 #include "real/tcp_link.hpp"
@@ -9,6 +10,7 @@
 int main(int argumentCount, char** arguments) {
   ReplicaSettings settings;
   Address http;
+  Address platform;
   Detours detours;
   std::string folder;
   Program program("replica", "orders the control actions of tamarindshift on a core machine");
@@ -17,7 +19,7 @@
   program.add(districtSetting(settings.district));
   program.add(seedsSetting(settings.seeds));
   program.add(textSetting("data", "data folder", folder, true));
-  program.add(reread(addressSetting("platform", "address of the platform that carries out promotions", settings.platform)));
+  program.add(reread(addressSetting("platform", "address of the platform that carries out promotions", platform)));
   program.add(reread(numberSetting("store-length", "bytes after which the store is rewritten", settings.bounds.storeLength, 65536, 1u << 30)));
   program.add(detoursSetting(detours));
   program.add(timingSettings(settings.timings));
@@ -28,13 +30,17 @@
   daemon.web.take(detours);
   TcpLink link(daemon.context, daemon.clock, daemon.journal, settings.address, detours);
   FileStore store(daemon.clock, folder);
-  ReplicaNode node(daemon.clock, link, store, daemon.web, daemon.journal, settings, freshIncarnation());
+  JsonDatabaseControl databases(daemon.web, platform);
+  ReplicaNode node(daemon.clock, link, store, databases, daemon.journal, settings, freshIncarnation());
   if (auto fault = node.start()) return complain("replica", *fault);
   OperatorDoor door(node, daemon.clock);
   if (auto fault = link.listen()) return complain("replica", *fault);
   if (auto fault = daemon.serve(http, door)) return complain("replica", *fault);
   return daemon.run([&] { node.drain(); },
-                    daemon.rereads(program, [&] { node.change(settings); }),
+                    daemon.rereads(program, [&] {
+                      databases.change(platform);
+                      node.change(settings);
+                    }),
                     [&]() -> std::optional<int> {
                       if (node.stopped()) return 0;
                       if (!node.dismissed()) return std::nullopt;
--- a/src/simulated/fleet_shape.hpp
+++ b/src/simulated/fleet_shape.hpp
@@ -17,6 +17,8 @@
   Duration work = 2ms;
   Duration diskSync = 3ms;
   Duration opens{};
+  bool discovered = false;
+  std::uint32_t syncReplicas = 1;
   Timings timings;
   std::vector<CallerKind> callers;
 };
--- a/src/simulated/simulated_fleet.cpp
+++ b/src/simulated/simulated_fleet.cpp
@@ -63,9 +63,9 @@
   settings.address = at(own.host, 1);
   settings.district = District{"z" + std::to_string(index % shape_.districts + 1)};
   settings.seeds = {seed(0), seed(1), seed(2)};
-  settings.platform = platformAddress;
   settings.timings = shape_.timings;
-  own.node = std::make_unique<ReplicaNode>(*own.clock, *own.link, *own.store, *own.web, *own.journal, settings, world_.incarnation());
+  own.databases = std::make_unique<JsonDatabaseControl>(*own.web, platformAddress);
+  own.node = std::make_unique<ReplicaNode>(*own.clock, *own.link, *own.store, *own.databases, *own.journal, settings, world_.incarnation());
   if (auto fault = own.node->start()) {
     slips_.push_back("replica " + std::to_string(index + 1) + " did not start: " + *fault);
     return;
@@ -81,6 +81,7 @@
   for (const auto& [name, value] : own.journal->counters()) ended_["replica." + name] += value;
   own.door.reset();
   own.node.reset();
+  own.databases.reset();
   own.web.reset();
   own.store.reset();
   own.link.reset();
@@ -190,6 +191,7 @@
   own.settings.cap = shape_.cap;
   own.settings.work = shape_.work;
   own.settings.primary = primary;
+  own.settings.tellsAddress = shape_.discovered;
   for (std::size_t index = 0; index < std::min(shape_.machines, shape_.beatTargets); ++index)
     own.settings.beatsTo.push_back(at("10.1.0." + std::to_string((index + number + service) % shape_.machines + 1), 4));
   own.settings.beatsTo.push_back(at("10.0.0.1", 2));
--- a/src/simulated/simulated_fleet.hpp
+++ b/src/simulated/simulated_fleet.hpp
@@ -5,6 +5,7 @@
 #include "control/operator_door.hpp"
 #include "edge/session_door.hpp"
 #include "news/agent_node.hpp"
+#include "pool/json_database_control.hpp"
 #include "simulated/availability.hpp"
 #include "simulated/fleet_shape.hpp"
 #include "simulated/plan_asks.hpp"
@@ -39,6 +40,7 @@
     std::unique_ptr<SimulatedLink> link;
     std::unique_ptr<SimulatedStore> store;
     std::unique_ptr<SimulatedWebLink> web;
+    std::unique_ptr<JsonDatabaseControl> databases;
     std::unique_ptr<ReplicaNode> node;
     std::unique_ptr<OperatorDoor> door;
   };
--- a/src/simulated/standin_database.cpp
+++ b/src/simulated/standin_database.cpp
@@ -258,7 +258,12 @@
 DatabaseBeat StandinDatabase::beat() {
   auto own = standing();
   if (liesInBeats_) own.contactAge = Duration::zero();
-  return DatabaseBeat{settings_.service, settings_.name, boot_, ++beatNumber_, own.role, own.epoch, own.position, own.contactAge, leaving_};
+  DatabaseBeat beat{settings_.service, settings_.name, boot_, ++beatNumber_, own.role, own.epoch, own.position, own.contactAge, leaving_, {}, {}, 0};
+  if (settings_.tellsAddress) {
+    beat.address = settings_.address;
+    beat.capacity = settings_.cap;
+  }
+  return beat;
 }
 
 Task<void> StandinDatabase::beats() {
--- a/src/simulated/standin_database.hpp
+++ b/src/simulated/standin_database.hpp
@@ -21,6 +21,7 @@
   std::vector<Address> beatsTo;
   std::uint32_t cap = 120;
   bool primary = false;
+  bool tellsAddress = false;
   Duration work = 1ms;
   Duration beat = 200ms;
   Duration semiSync = 500ms;
--- a/src/simulated/standin_plan.cpp
+++ b/src/simulated/standin_plan.cpp
@@ -13,7 +13,9 @@
     auto number = std::to_string(service);
     if (choice.withoutServices.contains("s" + number)) continue;
     auto& own = plan["services"]["s" + number];
+    if (shape.discovered) own = {{"discovery", "beats"}, {"sync-replicas", shape.syncReplicas}};
     for (const auto& database : databases) {
+      if (shape.discovered) break;
       auto name = database.service.get() + "." + database.name.get();
       if (database.service.get() != "s" + number || choice.withoutDatabases.contains(name)) continue;
       auto& planned = own["databases"][database.name.get()];
--- a/tests/plan_test.cpp
+++ b/tests/plan_test.cpp
@@ -147,3 +147,69 @@
   other["mark"] = 3;
   CHECK(has(checkPlan(*PlanReader{}.read(other.dump()), plan, status).misfits, "older"));
 }
+
+TEST_CASE("a service is given with its databases or found by beats, not both and not neither") {
+  auto json = sound();
+  auto& service = json["services"]["s1"];
+  service["discovery"] = "beats";
+  CHECK(faulted(json, "services.s1.databases"));
+  service.erase("databases");
+  json["kinds"]["lookup"].erase("databases");
+  service["sync-replicas"] = 0;
+  auto plan = PlanReader{}.read(json.dump());
+  REQUIRE(plan);
+  const auto& read = plan->services.at(ServiceName{"s1"});
+  CHECK(read.discovered);
+  CHECK_FALSE(read.keepsAcknowledged());
+  CHECK(PlanReader{}.read(sound().dump())->services.at(ServiceName{"s1"}).keepsAcknowledged());
+  json["kinds"]["lookup"]["databases"] = {"big"};
+  CHECK(faulted(json, "kinds.lookup.databases"));
+  json["kinds"] = Json::object();
+  CHECK(PlanReader{}.read(json.dump()));
+  json["kinds"] = "";
+  CHECK(faulted(json, "kinds"));
+  service.erase("discovery");
+  CHECK(faulted(json, "kinds"));
+  json["kinds"] = Json::object();
+  CHECK(faulted(json, "services.s1.databases"));
+  service["discovery"] = "guesses";
+  CHECK(faulted(json, "services.s1.discovery"));
+}
+
+TEST_CASE("kinds have bounds, an order and a host of their own, and a plan limits and an annotation") {
+  auto json = sound();
+  std::string name(128, 'k');
+  auto& kind = json["kinds"][name] = json["kinds"]["lookup"];
+  kind.update(Json{{"staleness-ms", 700}, {"statement-ms", 800}, {"aim-ms", 200}, {"order", 2}, {"host", "records"}, {"prefix", "/"}});
+  json["limits"] = {{"idle-transaction-ms", 3000}, {"message-bytes", 1ull << 40}};
+  json["annotation"] = std::string(PlanReader::mostAnnotation, 'x');
+  auto plan = PlanReader{}.read(json.dump());
+  REQUIRE(plan);
+  const auto& read = plan->kinds.at(KindName{name});
+  CHECK(read.stalenessBound() == 700ms);
+  CHECK(plan->kinds.at(KindName{"lookup"}).stalenessBound() == 1500ms);
+  CHECK(read.statement == 800ms);
+  CHECK(read.aim == 200ms);
+  CHECK(read.order == 2);
+  CHECK(read.host == "records");
+  CHECK(read.prefix == "/");
+  CHECK(plan->limits.at("message-bytes") == 1ull << 40);
+  CHECK(plan->annotation.size() == PlanReader::mostAnnotation);
+  CHECK(unpacked<PlanKind>(packed(read))->stalenessBound() == 700ms);
+  auto broken = [&](auto&& change) {
+    auto other = json;
+    change(other);
+    return other;
+  };
+  CHECK(faulted(broken([](Json& plan) { plan["annotation"] = std::string(PlanReader::mostAnnotation + 1, 'x'); }), "annotation"));
+  CHECK(faulted(broken([](Json& plan) { plan["limits"]["message-bytes"] = -1; }), "limits.message-bytes"));
+  CHECK(faulted(broken([](Json& plan) { plan["limits"]["message-bytes"] = "many"; }), "limits.message-bytes"));
+  CHECK(faulted(broken([](Json& plan) { plan["limits"] = 3; }), "limits"));
+  CHECK(faulted(broken([&](Json& plan) { plan["kinds"][name]["statement-ms"] = 0; }), "kinds." + name + ".statement-ms"));
+  CHECK(faulted(broken([&](Json& plan) { plan["kinds"][name]["staleness-ms"] = "1"; }), "kinds." + name + ".staleness-ms"));
+  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"].update(Json{{"host", "records"}, {"prefix", "/"}}); }), "kinds.lookup.host") !=
+        faulted(broken([](Json& plan) { plan["kinds"]["lookup"].update(Json{{"host", "records"}, {"prefix", "/"}}); }), "kinds." + name + ".host"));
+  CHECK(PlanReader{}.read(broken([](Json& plan) { plan["kinds"]["lookup"].update(Json{{"host", "records"}, {"prefix", "/b"}}); }).dump()));
+  json["kinds"][name + "k"] = kind;
+  CHECK(faulted(json, "kinds." + name + "k"));
+}
