--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -222,8 +222,9 @@
   bool halfOver = drainingSince_ && now - *drainingSince_ > settings_.timings.stopTransactions;
   for (const auto& session : sessions_) {
     if (!session->transaction || session->busy || session->transaction->failed) continue;
-    auto rests = guide_.limit("idle-transaction-ms");
-    if (halfOver || (rests && now - session->usedAt > std::chrono::milliseconds{*rests})) {
+    auto rests = guide_.limits().find("idle-transaction-ms");
+    bool tooLong = rests != guide_.limits().end() && now - session->usedAt > std::chrono::milliseconds{rests->second};
+    if (halfOver || tooLong) {
       journal_.count("transactions.rested_too_long");
       failTransaction(*session);
     }
