--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -154,9 +154,7 @@
 }
 
 StatementReply Pooler::keepLocally(ClientSession& session, const Statement& statement) {
-  StatementReply reply;
-  reply.stamp = "-";
-  reply.state = session.transaction ? TransactionState::open : TransactionState::idle;
+  auto reply = answeredHere(session.transaction ? TransactionState::open : TransactionState::idle);
   switch (statement.kind) {
     case StatementKind::set:
       session.values[statement.name] = statement.value;
@@ -183,10 +181,7 @@
   transaction.kind = found->name;
   transaction.readOnly = statement.kind == StatementKind::beginRead;
   session.transaction = std::move(transaction);
-  StatementReply reply;
-  reply.stamp = "-";
-  reply.state = TransactionState::open;
-  return reply;
+  return answeredHere(TransactionState::open);
 }
 
 Task<void> Pooler::watch() {
--- a/src/pooler/pooler_transactions.cpp
+++ b/src/pooler/pooler_transactions.cpp
@@ -228,9 +228,7 @@
     if (transaction.valuesChanged) transaction.connection->dubious = true;
     scope_.spawn(finishRollback(transaction.connection));
   }
-  StatementReply reply;
-  reply.stamp = "-";
-  return reply;
+  return answeredHere(TransactionState::idle);
 }
 
 Task<void> Pooler::finishRollback(Connection connection) {
--- a/src/pooler/statement_reply.hpp
+++ b/src/pooler/statement_reply.hpp
@@ -19,4 +19,12 @@
   TransactionState state = TransactionState::idle;
 };
 
+// the reply to what the pooler answers itself
+inline StatementReply answeredHere(TransactionState state) {
+  StatementReply reply;
+  reply.stamp.assign(1, '-');
+  reply.state = state;
+  return reply;
+}
+
 }  // namespace tamarindshift
