--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -50,7 +50,10 @@
       case StatementKind::read:
       case StatementKind::write:
       case StatementKind::execute:
-        reply = session->transaction ? co_await runInTransaction(session, std::move(statement)) : co_await runSingle(session, std::move(statement));
+        if (session->transaction)
+          reply = co_await runInTransaction(session, std::move(statement));
+        else
+          reply = co_await runSingle(session, std::move(statement));
         break;
       default:
         reply = keepLocally(*session, statement);
@@ -70,7 +73,6 @@
   if (drainingSince_) return;
   drainingSince_ = clock_.now();
   journal_.line("leaves");
-  sendReport();
 }
 
 bool Pooler::closing() const { return drainingSince_ && clock_.now() - *drainingSince_ > settings_.drainServes; }
@@ -276,7 +278,7 @@
   report.node = settings_.node;
   report.district = settings_.zone;
   report.boot = boot_;
-  report.draining = draining();
+  report.draining = closing();
   report.mark = guide_.planMark();
   auto now = clock_.now();
   for (const auto& [name, view] : guide_.services()) {
@@ -294,7 +296,7 @@
     watch.demand = std::max(static_cast<double>(held), watch.demand * 0.9);
     if (auto until = guide_.leaseUntil(name)) report.lease = std::max(report.lease, *until - now);
     for (const auto& [branch, planned] : view.plan->service.branches)
-      own.wanted[branch] = draining() ? 0 : static_cast<std::uint32_t>(watch.demand + 1.5);
+      own.wanted[branch] = closing() ? 0 : static_cast<std::uint32_t>(watch.demand + 1.5);
   }
   return report;
 }
