One ask per source for all topics, shares under the enrolled boot, a feed for guides

Each topic was asked for on its own, ten times a second. An ask now carries all topics of a source, waits up to 250 ms, and its lease counts from when the source spoke. Nodes report when something presses, otherwise twice a second.

A node that restarted found its former share in news that may be older than a recovery; now a share counts only under the enrolled boot and with news as new as the enrolment, so reports of all nodes may stand for their leases. Guides read a feed: a follower, or the agent in the same process. Signs say leaving, since a database was chosen by its first beat after an unheard leave.

--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -14,9 +14,10 @@
   Duration leaseMargin = 200ms;
   Duration planFollowed = 3s;
   Duration sharesFollowed = 10s;
-  Duration newsWait = 100ms;
-  Duration newsPatience = 300ms;
-  Duration report = 200ms;
+  Duration newsWait = 250ms;
+  Duration newsPatience = 450ms;
+  Duration report = 500ms;
+  Duration reportPause = 50ms;
   Duration duty = 100ms;
   Duration databaseBeat = 200ms;
   Duration databaseSilence = 1s;
--- a/src/control/access_tables.cpp
+++ b/src/control/access_tables.cpp
@@ -37,7 +37,7 @@
   for (const auto& [key, held] : databases_)
     if (key.first == service)
       signs.push_back(DatabaseSign{key.second.get(), held.beat.role, held.beat.epoch.get(), held.beat.position.get(),
-                                   held.beat.contactAge + (now - held.heardAt), now - held.heardAt});
+                                   held.beat.contactAge + (now - held.heardAt), now - held.heardAt, held.beat.leaving});
   return signs;
 }
 
--- a/src/edge/session_door.cpp
+++ b/src/edge/session_door.cpp
@@ -131,7 +131,7 @@
     for (const auto& [branch, most] : view.share.most)
       own["branches"][branch.get()] = {{"share", most}, {"busy", proxy_.pool().busiest(name, branch)}, {"waiting", proxy_.requests().waitingOn(name, branch)}};
     if (!view.plan) continue;
-    for (const auto& [database, planned] : view.plan->service.databases)
+    for (const auto& [database, planned] : view.databases)
       own["connections"][database.get()] = proxy_.pool().openConnections(name, database);
   }
   return DoorReply{200, json.dump(2), std::nullopt};
--- a/src/news/agent_node.cpp
+++ b/src/news/agent_node.cpp
@@ -11,25 +11,12 @@
 namespace tamarindshift {
 
 AgentNode::AgentNode(Clock& clock, PartnerLink& link, Journal& journal, AgentSettings settings)
-    : clock_(clock), journal_(journal), settings_(std::move(settings)), replicas_(settings_.seeds), desk_(clock, link), news_(clock, desk_, board_, *this, settings_.timings.newsWait) {
+    : clock_(clock), journal_(journal), settings_(std::move(settings)), replicas_(settings_.seeds), desk_(clock, link), news_(clock, desk_, journal, [this](const Topic& topic) { return sources(topic); }, FollowTimings{settings_.timings.newsPatience, 50ms}), newsDesk_(clock, desk_, news_.board(), news_, settings_.timings.newsWait) {
   desk_.serve("report", [this](Address, std::string body) -> Task<std::optional<std::string>> {
-    if (auto report = unpacked<NodeReport>(body)) {
-      reportedAt_ = clock_.now();
-      relay(std::move(*report));
-    }
+    if (auto report = unpacked<NodeReport>(body)) this->report(std::move(*report));
     co_return std::nullopt;
   });
-  follower(fleetTopic);
   scope_.spawn(partners());
-  scope_.spawn(keepTopics());
-}
-
-Follower& AgentNode::follower(const Topic& topic) {
-  auto& follower = followers_[topic];
-  if (!follower)
-    follower = std::make_unique<Follower>(clock_, desk_, board_, journal_, topic, [this, topic] { return sources(topic); },
-                                          FollowTimings{settings_.timings.newsPatience, 50ms});
-  return *follower;
 }
 
 void AgentNode::change(AgentSettings settings) {
@@ -47,12 +34,12 @@
 bool AgentNode::stopped() const {
   if (!drainingSince_) return false;
   auto now = clock_.now();
-  return now - reportedAt_ > 3 * settings_.timings.report || now - *drainingSince_ > settings_.timings.stop + settings_.timings.report;
+  return now - reportedAt_ > settings_.timings.report + 2 * settings_.timings.reportPause || now - *drainingSince_ > settings_.timings.stop + settings_.timings.report;
 }
 
 std::vector<Address> AgentNode::sources(const Topic& topic) const {
   std::vector<Address> agents;
-  if (const auto* fleet = board_.find(fleetTopic)) {
+  if (const auto* fleet = board().find(fleetTopic)) {
     static const std::string prefix = "node/";
     for (const auto& [key, value] : fleet->table) {
       if (!key.starts_with(prefix)) continue;
@@ -91,30 +78,8 @@
   }
 }
 
-Task<void> AgentNode::keepTopics() {
-  for (;;) {
-    std::set<Topic> wanted{fleetTopic};
-    if (const auto* fleet = board_.find(fleetTopic))
-      if (auto plan = fleet->table.find("plan"); plan != fleet->table.end())
-        if (auto news = unpacked<FleetPlanNews>(plan->second))
-          for (const auto& [kind, service] : news->kinds) wanted.insert(service.get());
-    std::erase_if(followers_, [&](const auto& each) { return !wanted.contains(each.first); });
-    for (const auto& topic : wanted) follower(topic);
-    co_await board_.entry(fleetTopic).changed.wait(clock_, clock_.now() + 500ms);
-  }
-}
-
-std::optional<Instant> AgentNode::leaseUntil(const Topic& topic) {
-  auto found = followers_.find(topic);
-  return found == followers_.end() ? std::nullopt : found->second->leaseUntil();
-}
-
-std::vector<DatabaseSign> AgentNode::signs(const Topic& topic) {
-  auto found = followers_.find(topic);
-  return found == followers_.end() ? std::vector<DatabaseSign>{} : found->second->signs();
-}
-
-void AgentNode::relay(NodeReport report) {
+void AgentNode::report(NodeReport report) {
+  reportedAt_ = clock_.now();
   report.node = settings_.address;
   report.district = settings_.district;
   auto bytes = packed(report);
@@ -159,10 +124,10 @@
   nlohmann::json json;
   json["address"] = settings_.address.get();
   json["district"] = settings_.district.get();
-  for (const auto& [topic, follower] : followers_) {
+  for (const auto& [topic, followed] : news_.topics()) {
     auto& own = json["topics"][topic];
-    own = {{"mark", board_.mark(topic)}, {"source", follower->source().get()}};
-    if (auto until = follower->leaseUntil()) own["lease_ms"] = milliseconds(*until - clock_.now()).count();
+    own = {{"mark", board().mark(topic)}, {"source", followed.source.get()}};
+    if (followed.leaseUntil && *followed.leaseUntil > clock_.now()) own["lease_ms"] = milliseconds(*followed.leaseUntil - clock_.now()).count();
   }
   return DoorReply{200, json.dump(2), std::nullopt};
 }
--- a/src/news/agent_node.hpp
+++ b/src/news/agent_node.hpp
@@ -5,17 +5,21 @@
 #include "control/access_messages.hpp"
 #include "edge/door.hpp"
 #include "news/agent_settings.hpp"
-#include "news/follower.hpp"
 #include "news/news_desk.hpp"
+#include "news/news_follower.hpp"
 
 namespace tamarindshift {
 
-class AgentNode : public NewsSource, public DoorKeeper {
+class AgentNode : public NewsFeed, public DoorKeeper {
  public:
   AgentNode(Clock& clock, PartnerLink& link, Journal& journal, AgentSettings settings);
 
-  std::optional<Instant> leaseUntil(const Topic& topic) override;
-  std::vector<DatabaseSign> signs(const Topic& topic) override;
+  const NewsBoard& board() const override { return news_.board(); }
+  Gate& changed() override { return news_.changed(); }
+  std::optional<Instant> leaseUntil(const Topic& topic) override { return news_.leaseUntil(topic); }
+  std::vector<DatabaseSign> signs(const Topic& topic) override { return news_.signs(topic); }
+  std::uint64_t position(const Topic& topic) override { return news_.position(topic); }
+  void report(NodeReport report);
   Task<DoorReply> serve(DoorRequest request) override;
   void gone(ConnectionId) override {}
   std::vector<Address> sources(const Topic& topic) const;
@@ -25,20 +29,16 @@
 
  private:
   Task<void> partners();
-  Task<void> keepTopics();
   Task<DoorReply> askReplicas(std::string subject, std::string body);
-  void relay(NodeReport report);
   DoorReply status() const;
-  Follower& follower(const Topic& topic);
 
   Clock& clock_;
   Journal& journal_;
   AgentSettings settings_;
   std::set<Address> replicas_;
   Desk desk_;
-  NewsBoard board_;
-  std::map<Topic, std::unique_ptr<Follower>> followers_;
-  NewsDesk news_;
+  NewsFollower news_;
+  NewsDesk newsDesk_;
   Instant reportedAt_{};
   std::optional<Instant> drainingSince_;
   TaskScope scope_;
--- a/src/news/news_board.cpp
+++ b/src/news/news_board.cpp
@@ -43,10 +43,10 @@
     if (!table.contains(key)) changes.push_back(NewsChange{mark, key, true, {}});
   if (changes.empty()) return;
   for (auto& each : changes) change(entry, std::move(each));
-  entry.changed.open();
+  changed_.open();
 }
 
-bool NewsBoard::apply(const Topic& topic, const FollowReply& reply) {
+bool NewsBoard::apply(const Topic& topic, const TopicReply& reply) {
   auto& entry = this->entry(topic);
   if (reply.fate == FollowFate::notCurrent || reply.mark < entry.mark) return false;
   if (reply.fate == FollowFate::snapshot) {
@@ -54,7 +54,7 @@
     entry.mark = entry.changesSince = reply.mark;
     entry.table = reply.table;
     entry.changes.clear();
-    entry.changed.open();
+    changed_.open();
     return true;
   }
   bool changed = false;
@@ -64,11 +64,11 @@
     change(entry, each);
     changed = true;
   }
-  if (changed) entry.changed.open();
+  if (changed) changed_.open();
   return true;
 }
 
-void NewsBoard::fill(const Topic& topic, std::uint64_t have, FollowReply& reply) const {
+void NewsBoard::fill(const Topic& topic, std::uint64_t have, TopicReply& reply) const {
   const auto* entry = find(topic);
   if (!entry || entry->mark < have) {
     reply.fate = FollowFate::notCurrent;
--- a/src/news/news_board.hpp
+++ b/src/news/news_board.hpp
@@ -15,14 +15,14 @@
     std::uint64_t changesSince = 0;
     NewsTable table;
     std::deque<NewsChange> changes;
-    Gate changed;
   };
 
   void publish(const Topic& topic, std::uint64_t mark, NewsTable table);
-  bool apply(const Topic& topic, const FollowReply& reply);
-  void fill(const Topic& topic, std::uint64_t have, FollowReply& reply) const;
+  bool apply(const Topic& topic, const TopicReply& reply);
+  void fill(const Topic& topic, std::uint64_t have, TopicReply& reply) const;
   const Entry* find(const Topic& topic) const;
   Entry& entry(const Topic& topic);
+  Gate& changed() { return changed_; }
   std::uint64_t mark(const Topic& topic) const;
   const std::map<Topic, std::unique_ptr<Entry>>& entries() const { return entries_; }
 
@@ -30,6 +30,7 @@
   static constexpr std::size_t keptChanges = 256;
   void change(Entry& entry, NewsChange change);
   std::map<Topic, std::unique_ptr<Entry>> entries_;
+  Gate changed_;
 };
 
 }  // namespace tamarindshift
--- a/src/news/news_desk.cpp
+++ b/src/news/news_desk.cpp
@@ -1,5 +1,7 @@
 #include "news/news_desk.hpp"
 
+#include <algorithm>
+
 namespace tamarindshift {
 
 NewsDesk::NewsDesk(Clock& clock, Desk& desk, NewsBoard& board, NewsSource& source, Duration wait)
@@ -7,18 +9,28 @@
   desk.serve("follow", [this](Address, std::string body) { return follow(std::move(body)); });
 }
 
+bool NewsDesk::nothingNew(const FollowAsk& ask) const {
+  return std::all_of(ask.have.begin(), ask.have.end(), [&](const auto& each) {
+    const auto& [topic, have] = each;
+    return have != 0 && board_.mark(topic) == have && source_.leaseUntil(topic);
+  });
+}
+
 Task<std::optional<std::string>> NewsDesk::follow(std::string body) {
   auto ask = unpacked<FollowAsk>(body);
   if (!ask) co_return std::nullopt;
-  bool current = source_.leaseUntil(ask->topic).has_value();
-  if (current && ask->have != 0 && board_.mark(ask->topic) == ask->have)
-    co_await board_.entry(ask->topic).changed.wait(clock_, clock_.now() + wait_);
+  auto arrivedAt = clock_.now();
+  while (nothingNew(*ask) && clock_.now() < arrivedAt + wait_) co_await board_.changed().wait(clock_, arrivedAt + wait_);
   FollowReply reply;
-  auto until = source_.leaseUntil(ask->topic);
-  if (until && *until > clock_.now() && board_.find(ask->topic)) {
-    board_.fill(ask->topic, ask->have, reply);
-    reply.lease = *until - clock_.now();
-    reply.signs = source_.signs(ask->topic);
+  reply.held = clock_.now() - arrivedAt;
+  for (const auto& [topic, have] : ask->have) {
+    auto& own = reply.topics[topic];
+    auto until = source_.leaseUntil(topic);
+    if (!until || *until <= clock_.now() || !board_.find(topic)) continue;
+    board_.fill(topic, have, own);
+    own.lease = *until - clock_.now();
+    own.signs = source_.signs(topic);
+    own.position = source_.position(topic);
   }
   co_return packed(reply);
 }
--- /dev/null
+++ b/src/news/news_feed.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "base/gate.hpp"
+#include "news/news_board.hpp"
+#include "news/news_source.hpp"
+
+namespace tamarindshift {
+
+class NewsFeed : public NewsSource {
+ public:
+  virtual const NewsBoard& board() const = 0;
+  // opened when news or a lease came that were not there before
+  virtual Gate& changed() = 0;
+};
+
+}  // namespace tamarindshift
--- a/src/news/news_messages.hpp
+++ b/src/news/news_messages.hpp
@@ -23,25 +23,32 @@
   std::uint64_t position = 0;
   Duration contactAge{};
   Duration age{};
-  MSGPACK_DEFINE(database, role, epoch, position, contactAge, age)
+  bool leaving = false;
+  MSGPACK_DEFINE(database, role, epoch, position, contactAge, age, leaving)
 };
 
 struct FollowAsk {
-  Topic topic;
-  std::uint64_t have = 0;
-  MSGPACK_DEFINE(topic, have)
+  std::map<Topic, std::uint64_t> have;
+  MSGPACK_DEFINE(have)
 };
 
 enum class FollowFate : std::uint8_t { changes = 0, snapshot = 1, notCurrent = 2 };
 
-struct FollowReply {
+struct TopicReply {
   FollowFate fate = FollowFate::notCurrent;
   std::uint64_t mark = 0;
   NewsTable table;
   std::vector<NewsChange> changes;
   Duration lease{};
   std::vector<DatabaseSign> signs;
-  MSGPACK_DEFINE(fate, mark, table, changes, lease, signs)
+  std::uint64_t position = 0;
+  MSGPACK_DEFINE(fate, mark, table, changes, lease, signs, position)
+};
+
+struct FollowReply {
+  std::map<Topic, TopicReply> topics;
+  Duration held{};
+  MSGPACK_DEFINE(topics, held)
 };
 
 }  // namespace tamarindshift
--- /dev/null
+++ b/src/news/news_source.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "base/time.hpp"
+#include "news/news_messages.hpp"
+
+namespace tamarindshift {
+
+class NewsSource {
+ public:
+  virtual ~NewsSource() = default;
+  virtual std::optional<Instant> leaseUntil(const Topic& topic) = 0;
+  virtual std::vector<DatabaseSign> signs(const Topic& topic) = 0;
+  // place in the green order up to which the topic's news are known
+  virtual std::uint64_t position(const Topic& topic) = 0;
+};
+
+}  // namespace tamarindshift
--- a/src/pool/connection_pool.cpp
+++ b/src/pool/connection_pool.cpp
@@ -151,9 +151,9 @@
   auto most = allowed(view);
   for (auto& [key, shelf] : shelves_) {
     if (key.first != service) continue;
-    const PlanDatabase* planned = nullptr;
-    if (view.plan && !view.drained.contains(key.second))
-      if (auto found = view.plan->service.databases.find(key.second); found != view.plan->service.databases.end()) planned = &found->second;
+    const DatabaseNews* planned = nullptr;
+    if (!view.drained.contains(key.second))
+      if (auto found = view.databases.find(key.second); found != view.databases.end()) planned = &found->second;
     std::erase_if(shelf.idle, [&](const auto& connection) {
       bool gone = !planned || connection->address != planned->address;
       if (gone) shut(connection);
--- a/src/pool/guide.cpp
+++ b/src/pool/guide.cpp
@@ -4,28 +4,26 @@
 
 namespace tamarindshift {
 
-Guide::Guide(Clock& clock, Desk& desk, Journal& journal, const Timings& timings, Address agent, Address node)
-    : clock_(clock), desk_(desk), journal_(journal), timings_(timings), agent_(std::move(agent)), node_(std::move(node)) {
-  fleet_ = std::make_unique<Follower>(clock_, desk_, board_, journal_, fleetTopic, [this] { return std::vector{agent_}; },
-                                      FollowTimings{timings_.newsPatience, 50ms});
-}
-
 void Guide::refresh() {
   readFleet();
   std::set<ServiceName> wanted;
   for (const auto& [kind, service] : fleetPlan_.kinds) wanted.insert(service);
-  std::erase_if(followers_, [&](const auto& each) { return !wanted.contains(each.first); });
   std::erase_if(services_, [&](const auto& each) { return !wanted.contains(each.first); });
   for (const auto& service : wanted) {
-    if (!followers_.contains(service))
-      followers_[service] = std::make_unique<Follower>(clock_, desk_, board_, journal_, service.get(), [this] { return std::vector{agent_}; },
-                                                       FollowTimings{timings_.newsPatience, 50ms});
-    if (const auto* entry = board_.find(service.get())) readService(service, *entry);
+    const auto* entry = feed_.board().find(service.get());
+    if (!entry) continue;
+    readService(service, *entry);
+    auto& view = services_[service];
+    view.share = enrolled(service) ? view.granted : ShareNews{};
   }
 }
 
+bool Guide::enrolled(const ServiceName& name) const {
+  return nodeKnown_ && node_news_.boot == boot_ && feed_.position(name.get()) >= node_news_.enrolledAt;
+}
+
 void Guide::readFleet() {
-  const auto* entry = board_.find(fleetTopic);
+  const auto* entry = feed_.board().find(fleetTopic);
   if (!entry || entry->mark == fleetMark_) return;
   fleetMark_ = entry->mark;
   if (auto plan = entry->table.find("plan"); plan != entry->table.end())
@@ -43,18 +41,31 @@
   view = ServiceView{};
   view.mark = entry.mark;
   static const std::string drainedPrefix = "drained/";
+  static const std::string databasePrefix = "database/";
   for (const auto& [key, value] : entry.table) {
     if (key == "plan")
       view.plan = unpacked<ServiceNews>(value);
     else if (key == "primary")
       view.primary = unpacked<PrimaryNews>(value).value_or(PrimaryNews{});
+    else if (key.starts_with(databasePrefix))
+      view.databases[DatabaseName{key.substr(databasePrefix.size())}] = unpacked<DatabaseNews>(value).value_or(DatabaseNews{});
     else if (key.starts_with(drainedPrefix)) {
       DatabaseName database{key.substr(drainedPrefix.size())};
       auto before = drainedBefore.find(database);
       view.drained[database] = before == drainedBefore.end() ? clock_.now() : before->second;
     } else if (key == "share/" + node_.get())
-      view.share = unpacked<ShareNews>(value).value_or(ShareNews{});
+      view.granted = unpacked<ShareNews>(value).value_or(ShareNews{});
   }
+  if (view.plan && !view.plan->service.discovered)
+    for (const auto& [database, planned] : view.plan->service.databases) view.databases[database] = DatabaseNews{planned.address, {}, planned.cap};
+}
+
+bool Guide::KindView::selects(const DatabaseName& database) const {
+  if (kind->databases.empty()) return service->databases.contains(database);
+  auto planned = service->plan->service.databases.find(database);
+  if (planned == service->plan->service.databases.end()) return false;
+  const auto& labels = planned->second.labels;
+  return std::includes(labels.begin(), labels.end(), kind->databases.begin(), kind->databases.end());
 }
 
 Guide::KindView Guide::kind(const KindName& name) const {
@@ -74,10 +85,8 @@
 }
 
 std::optional<Instant> Guide::leaseUntil(const ServiceName& name) const {
-  auto found = followers_.find(name);
-  if (found == followers_.end()) return std::nullopt;
-  auto own = found->second->leaseUntil();
-  auto fleet = fleet_->leaseUntil();
+  auto own = feed_.leaseUntil(name.get());
+  auto fleet = feed_.leaseUntil(fleetTopic);
   if (!own || !fleet) return std::nullopt;
   return std::min(*own, *fleet);
 }
@@ -86,9 +95,6 @@
 
 bool Guide::draining() const { return nodeKnown_ && node_news_.draining; }
 
-std::vector<DatabaseSign> Guide::signs(const ServiceName& name) const {
-  auto found = followers_.find(name);
-  return found == followers_.end() ? std::vector<DatabaseSign>{} : found->second->signs();
-}
+std::vector<DatabaseSign> Guide::signs(const ServiceName& name) const { return feed_.signs(name.get()); }
 
 }  // namespace tamarindshift
--- a/src/pool/guide.hpp
+++ b/src/pool/guide.hpp
@@ -1,10 +1,7 @@
 #pragma once
 
-#include <memory>
-
-#include "base/timings.hpp"
 #include "control/service_news.hpp"
-#include "news/follower.hpp"
+#include "news/news_feed.hpp"
 
 namespace tamarindshift {
 
@@ -14,16 +11,19 @@
     std::uint64_t mark = 0;
     std::optional<ServiceNews> plan;
     PrimaryNews primary;
+    std::map<DatabaseName, DatabaseNews> databases;
     std::map<DatabaseName, Instant> drained;
+    ShareNews granted;
     ShareNews share;
   };
   struct KindView {
     const PlanKind* kind = nullptr;
     const ServiceView* service = nullptr;
     std::string refusal;
+    bool selects(const DatabaseName& database) const;
   };
 
-  Guide(Clock& clock, Desk& desk, Journal& journal, const Timings& timings, Address agent, Address node);
+  Guide(Clock& clock, NewsFeed& feed, Address node, std::uint64_t boot) : clock_(clock), feed_(feed), node_(std::move(node)), boot_(boot) {}
 
   KindView kind(const KindName& name) const;
   const ServiceView* service(const ServiceName& name) const;
@@ -32,24 +32,21 @@
   std::optional<Instant> leaseUntil(const ServiceName& name) const;
   std::vector<DatabaseSign> signs(const ServiceName& name) const;
   PlanMark planMark() const { return fleetPlan_.mark; }
+  const std::map<std::string, std::uint64_t>& limits() const { return fleetPlan_.limits; }
   bool draining() const;
-  bool anyLease() const { return fleet_->leaseUntil().has_value(); }
+  bool anyLease() const { return feed_.leaseUntil(fleetTopic).has_value(); }
   void refresh();
-  Gate& renewed() { return fleet_->renewed(); }
+  Gate& changed() { return feed_.changed(); }
 
  private:
   void readFleet();
+  bool enrolled(const ServiceName& name) const;
   void readService(const ServiceName& name, const NewsBoard::Entry& entry);
 
   Clock& clock_;
-  Desk& desk_;
-  Journal& journal_;
-  const Timings& timings_;
-  Address agent_;
+  NewsFeed& feed_;
   Address node_;
-  NewsBoard board_;
-  std::unique_ptr<Follower> fleet_;
-  std::map<ServiceName, std::unique_ptr<Follower>> followers_;
+  std::uint64_t boot_;
   std::uint64_t fleetMark_ = 0;
   FleetPlanNews fleetPlan_;
   NodeNews node_news_;
--- a/src/pool/proxy_node.cpp
+++ b/src/pool/proxy_node.cpp
@@ -8,15 +8,11 @@
 
 bool keeps(const DatabaseRequest& request) { return !request.reads; }
 
-bool labelled(const std::set<Label>& labels, const std::set<Label>& selector) {
-  return std::includes(labels.begin(), labels.end(), selector.begin(), selector.end());
-}
-
 }  // namespace
 
 ProxyNode::ProxyNode(Clock& clock, PartnerLink& link, WebLink& databases, Journal& journal, ProxySettings settings,
                      std::uint64_t entropy)
-    : clock_(clock), journal_(journal), settings_(std::move(settings)), boot_(entropy), desk_(clock, link), guide_(clock, desk_, journal, settings_.timings, settings_.agent, settings_.node), pool_(clock, databases, journal) {
+    : clock_(clock), journal_(journal), settings_(std::move(settings)), boot_(entropy), desk_(clock, link), feed_(clock, desk_, journal, [this](const Topic&) { return std::vector{settings_.agent}; }, FollowTimings{settings_.timings.newsPatience, 50ms}), guide_(clock, feed_, settings_.node, boot_), pool_(clock, databases, journal) {
   scope_.spawn(work());
   scope_.spawn(tick());
   scope_.spawn(report());
@@ -44,29 +40,66 @@
 
 Task<void> ProxyNode::report() {
   for (;;) {
-    NodeReport report;
-    report.node = settings_.node;
-    report.boot = boot_;
-    report.draining = draining();
-    report.mark = guide_.planMark();
-    for (const auto& [name, view] : guide_.services()) {
-      if (!view.plan) continue;
-      auto& own = report.services[name];
-      own.followed = followed_[name];
-      own.epoch = view.primary.epoch;
-      own.acknowledged = acknowledged_[name];
-      if (auto until = guide_.leaseUntil(name)) report.lease = std::max(report.lease, *until - clock_.now());
-      for (const auto& [branch, planned] : view.plan->service.branches) {
-        auto held = pool_.busiest(name, branch);
-        auto now = static_cast<double>(held + requests_.waitingOn(name, branch));
-        auto& demand = demand_[{name, branch}];
-        demand = std::max(now, demand * 0.9);
-        own.wanted[branch] = draining() ? 0 : static_cast<std::uint32_t>(demand + 1.5);
-      }
+    auto report = makeReport();
+    if (presses(report) || clock_.now() - reportedAt_ >= settings_.timings.report) {
+      desk_.tell(settings_.agent, "report", packed(report));
+      journal_.count("reports.sent");
+      reported_ = std::move(report);
+      reportedAt_ = clock_.now();
+    }
+    co_await sleep(clock_, settings_.timings.reportPause);
+  }
+}
+
+NodeReport ProxyNode::makeReport() {
+  auto now = clock_.now();
+  NodeReport report;
+  report.node = settings_.node;
+  report.boot = boot_;
+  report.draining = draining();
+  report.mark = guide_.planMark();
+  for (const auto& [name, view] : guide_.services()) {
+    if (!view.plan) continue;
+    auto& own = report.services[name];
+    own.followed = followed_[name];
+    own.epoch = view.primary.epoch;
+    own.acknowledged = acknowledged_[name];
+    own.working = now - workedAt_[name] < settings_.timings.suspicionKept;
+    for (const auto& [database, unreached] : unreached_[name])
+      if (unreached.shots > 1 && now - unreached.at < settings_.timings.suspicionKept) own.suspects.insert(database);
+    if (auto until = guide_.leaseUntil(name)) report.lease = std::max(report.lease, *until - now);
+    for (const auto& [branch, planned] : view.plan->service.branches) {
+      auto held = pool_.busiest(name, branch);
+      auto wants = static_cast<double>(held + requests_.waitingOn(name, branch));
+      auto& demand = demand_[{name, branch}];
+      demand = std::max(wants, demand * 0.974);
+      own.wanted[branch] = draining() ? 0 : static_cast<std::uint32_t>(demand + 1.5);
     }
-    desk_.tell(settings_.agent, "report", packed(report));
-    co_await sleep(clock_, settings_.timings.report);
   }
+  return report;
+}
+
+bool ProxyNode::presses(const NodeReport& report) const {
+  if (report.draining != reported_.draining || report.mark != reported_.mark || report.services.size() != reported_.services.size()) return true;
+  return std::any_of(report.services.begin(), report.services.end(), [&](const auto& each) {
+    const auto& [name, own] = each;
+    auto before = reported_.services.find(name);
+    if (before == reported_.services.end()) return true;
+    const auto& share = guide_.service(name)->share.most;
+    bool shorter = std::any_of(own.wanted.begin(), own.wanted.end(), [&](const auto& want) {
+      auto granted = share.find(want.first);
+      auto told = before->second.wanted.find(want.first);
+      return granted != share.end() && want.second > granted->second && (told == before->second.wanted.end() || told->second <= granted->second);
+    });
+    return shorter || own.followed != before->second.followed || own.epoch != before->second.epoch || own.working != before->second.working ||
+           own.suspects != before->second.suspects;
+  });
+}
+
+void ProxyNode::noteUnreached(const ServiceName& service, const DatabaseName& database) {
+  auto& unreached = unreached_[service][database];
+  ++unreached.shots;
+  unreached.at = clock_.now();
 }
 
 void ProxyNode::passes() {
@@ -205,6 +238,7 @@
   auto choice = choose(record, view, refusal);
   if (!choice) return refuse(record, refusal);
   const auto& service = *view.service;
+  workedAt_[record->service] = clock_.now();
   if (!pool_.mayHold(service, record->service, choice->database, record->branch)) return;
   if (auto idle = pool_.takeIdle(record->service, choice->database, record->branch)) {
     requests_.passed(record);
@@ -235,7 +269,7 @@
   if (mayRead)
     if (auto replica = chooseReplica(record, view)) return replica;
   const auto& primary = view.service->primary;
-  const auto& databases = view.service->plan->service.databases;
+  const auto& databases = view.service->databases;
   auto found = databases.find(primary.primary);
   if (!primary.promoted || found == databases.end()) {
     refusal = "the primary is being recovered";
@@ -245,7 +279,7 @@
     refusal = "the primary is leaving";
     return std::nullopt;
   }
-  if (!labelled(found->second.labels, view.kind->databases)) {
+  if (!view.selects(found->first)) {
     refusal = "the primary is not selected for the kind";
     return std::nullopt;
   }
@@ -260,11 +294,11 @@
   auto bound = view.kind->stalenessBound();
   for (const auto& sign : guide_.signs(record->service)) {
     DatabaseName name{sign.database};
-    auto planned = view.service->plan->service.databases.find(name);
-    if (planned == view.service->plan->service.databases.end() || name == view.service->primary.primary) continue;
+    auto planned = view.service->databases.find(name);
+    if (planned == view.service->databases.end() || name == view.service->primary.primary) continue;
     if (view.service->drained.contains(name) || record->avoid.contains(name)) continue;
-    if (!labelled(planned->second.labels, view.kind->databases)) continue;
-    if (sign.role != "replica" || Epoch{sign.epoch} != view.service->primary.epoch || sign.age > bound || Position{sign.position} < needed) continue;
+    if (!view.selects(name)) continue;
+    if (sign.leaving || sign.role != "replica" || Epoch{sign.epoch} != view.service->primary.epoch || sign.age > bound || Position{sign.position} < needed) continue;
     auto load = pool_.load(record->service, name);
     if (!best || load < least) {
       best = Choice{name, planned->second.address, view.service->primary.epoch};
@@ -288,10 +322,10 @@
   auto view = guide_.kind(kind);
   if (!view.kind) return view.refusal;
   if (view.kind->service != connection.service) return "the plan changed";
-  const auto& databases = view.service->plan->service.databases;
+  const auto& databases = view.service->databases;
   auto planned = databases.find(connection.database);
   if (planned == databases.end() || planned->second.address != connection.address) return "the plan has no such database";
-  if (!labelled(planned->second.labels, view.kind->databases)) return "the database is not selected for the kind";
+  if (!view.selects(connection.database)) return "the database is not selected for the kind";
   return std::nullopt;
 }
 
@@ -306,6 +340,7 @@
     auto deadline = std::min(record->giveUpAt, clock_.now() + settings_.timings.backlogPatience / 2);
     connection = co_await pool_.open(record->service, choice.database, record->branch, choice.address, deadline);
     if (!connection) {
+      noteUnreached(record->service, choice.database);
       record->avoid.insert(choice.database);
       backlog_.put([this, record] { again(record); });
       co_return;
@@ -325,6 +360,7 @@
     co_return;
   }
   ++record->shots;
+  workedAt_[record->service] = clock_.now();
   auto passedAt = clock_.now();
   connection->running = true;
   auto outcome = co_await connection->link->run(record->request, clock_.now() + settings_.timings.statementPatience);
@@ -372,6 +408,7 @@
 }
 
 void ProxyNode::settle(const Record& record, const std::shared_ptr<PooledConnection>& connection, PassOutcome outcome) {
+  if (outcome.fate == PassFate::replied) unreached_[record->service].erase(connection->database);
   if (outcome.fate == PassFate::replied)
     settleReplied(record, connection, std::move(outcome.reply));
   else
@@ -380,6 +417,7 @@
 
 void ProxyNode::settleLost(const Record& record, const std::shared_ptr<PooledConnection>& connection, bool sent) {
   journal_.count(sent ? "passes.lost" : "passes.unsent");
+  noteUnreached(record->service, connection->database);
   const auto& session = record->session;
   bool pinned = session->pinned == connection;
   if (pinned) session->pinned.reset();
@@ -578,7 +616,7 @@
   if (!drainingSince_) return false;
   auto since = clock_.now() - *drainingSince_;
   if (since > settings_.timings.stop) return true;
-  if (requests_.underway() > 0 || since < settings_.timings.report * 2) return false;
+  if (requests_.underway() > 0 || since < 8 * settings_.timings.reportPause) return false;
   for (const auto& [id, session] : sessions_)
     if (session->inTransaction) return false;
   return true;
--- a/src/pool/proxy_node.hpp
+++ b/src/pool/proxy_node.hpp
@@ -2,6 +2,7 @@
 
 #include "base/backlog.hpp"
 #include "control/access_messages.hpp"
+#include "news/news_follower.hpp"
 #include "pool/connection_pool.hpp"
 #include "pool/proxy_settings.hpp"
 #include "pool/request_table.hpp"
@@ -41,6 +42,8 @@
   Task<void> work();
   Task<void> tick();
   Task<void> report();
+  NodeReport makeReport();
+  bool presses(const NodeReport& report) const;
   void passes();
   void enrolPass(const Record& record);
   void expirePass();
@@ -68,6 +71,7 @@
   void careSurplus(const ServiceName& name, const Guide::ServiceView& view);
   void careServices();
   std::uint32_t pins(const ServiceName& service, const BranchName& branch) const;
+  void noteUnreached(const ServiceName& service, const DatabaseName& database);
   void noteDone(const ServiceName& service, Duration taken);
 
   Clock& clock_;
@@ -75,6 +79,7 @@
   ProxySettings settings_;
   std::uint64_t boot_;
   Desk desk_;
+  NewsFollower feed_;
   Guide guide_;
   ConnectionPool pool_;
   RequestTable requests_;
@@ -85,6 +90,14 @@
   std::map<ServiceName, Place> acknowledged_;
   std::map<std::pair<ServiceName, BranchName>, double> demand_;
   std::map<ServiceName, double> meanTaken_;
+  struct Unreached {
+    unsigned shots = 0;
+    Instant at{};
+  };
+  std::map<ServiceName, std::map<DatabaseName, Unreached>> unreached_;
+  std::map<ServiceName, Instant> workedAt_;
+  NodeReport reported_;
+  Instant reportedAt_{};
   std::optional<Instant> drainingSince_;
   std::uint64_t lastSession_ = 0;
   Backlog<std::function<void()>> backlog_;
--- a/src/simulated/simulated_fleet.cpp
+++ b/src/simulated/simulated_fleet.cpp
@@ -366,6 +366,7 @@
 
 std::map<std::string, std::uint64_t> SimulatedFleet::counters() const {
   auto sums = ended_;
+  sums["network.messages"] = network_.passed();
   for (const auto& replica : replicas_)
     if (replica->node)
       for (const auto& [name, value] : replica->journal->counters()) sums["replica." + name] += value;
--- a/src/simulated/simulated_network.hpp
+++ b/src/simulated/simulated_network.hpp
@@ -24,6 +24,7 @@
   bool connected(const Address& from, const Address& to) const { return !cuts_.contains({host(from), host(to)}); }
   void lose(unsigned perThousand) { loss_ = perThousand; }
   void delay(Duration delay) { delay_ = delay; }
+  std::uint64_t passed() const { return passed_; }
   Duration latency() { return delay_ + Duration{world_.below(static_cast<std::uint64_t>(delay_.count()) + 1)}; }
   static std::string host(const Address& address) { return address.get().substr(0, address.get().find(':')); }
 
@@ -33,6 +34,7 @@
   std::set<std::pair<std::string, std::string>> cuts_;
   std::map<std::pair<Address, Address>, Instant> lastArrival_;
   unsigned loss_ = 0;
+  std::uint64_t passed_ = 0;
   Duration delay_{500};
 };
 
