--- /dev/null
+++ b/tests/control_cluster.cpp
@@ -0,0 +1,100 @@
+#include "tests/control_cluster.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+namespace tamarindshift {
+
+namespace {
+
+Address replicaAddress(std::size_t index) { return Address{"10.0.0." + std::to_string(index + 1) + ":1"}; }
+
+}  // namespace
+
+ControlCluster::ControlCluster()
+    : world(7), network(world), outside(world), databases(outside, [this](DatabaseBeat beat) { return replica(beat.number % 3).beat(beat); }), disks(3), nodeLink(network, outside, Address{"10.1.0.1:1"}), nodeDesk(outside, nodeLink) {
+  for (std::size_t index = 0; index < 3; ++index) {
+    ownClocks.push_back(std::make_unique<SimulatedClock>(world));
+    auto& clock = *ownClocks.back();
+    journals.push_back(std::make_unique<SimulatedJournal>("replica", [](const std::string&) {}));
+    links.push_back(std::make_unique<SimulatedLink>(network, clock, replicaAddress(index)));
+    stores.push_back(std::make_unique<SimulatedStore>(clock, disks[index], 3ms));
+    ReplicaSettings settings;
+    settings.address = replicaAddress(index);
+    settings.district = District{"z1"};
+    settings.seeds = {replicaAddress(0), replicaAddress(1), replicaAddress(2)};
+    settings.timings.databaseBeat = 1200ms;
+    nodes.push_back(std::make_unique<ReplicaNode>(clock, *links.back(), *stores.back(), databases, *journals.back(), settings, world.incarnation()));
+    REQUIRE_FALSE(nodes.back()->start());
+  }
+  report.node = Address{"10.1.0.1:1"};
+  report.district = District{"z1"};
+  report.boot = 5;
+  scope.spawn(reporting());
+  run(3s);
+}
+
+ControlCluster::~ControlCluster() {
+  scope.clear();
+  nodes.clear();
+}
+
+Task<void> ControlCluster::reporting() {
+  for (;;) {
+    if (follows && replica(0).state().services().contains(ServiceName{"s1"})) {
+      auto& own = report.services[ServiceName{"s1"}];
+      own.epoch = service().epoch;
+      own.followed = replica(0).state().position();
+    }
+    auto bytes = packed(report);
+    for (std::size_t index = 0; index < 3 && reports; ++index) nodeDesk.tell(replicaAddress(index), "report", bytes);
+    co_await sleep(outside, 50ms);
+  }
+}
+
+bool ControlCluster::runUntil(Duration atMost, const std::function<bool()>& reached) {
+  auto deadline = world.now() + atMost;
+  while (world.now() < deadline && !reached()) run(5ms);
+  return reached();
+}
+
+DoorReply ControlCluster::ask(Task<DoorReply> task) {
+  std::optional<DoorReply> reply;
+  TaskScope own;
+  auto asking = [](Task<DoorReply> asked, std::optional<DoorReply>& reply) -> Task<void> { reply = co_await std::move(asked); };
+  own.spawn(asking(std::move(task), reply));
+  runUntil(10s, [&] { return reply.has_value(); });
+  REQUIRE(reply);
+  return *reply;
+}
+
+std::string ControlCluster::discovered(std::uint32_t syncReplicas) const {
+  return nlohmann::json{{"discovery", "beats"}, {"sync-replicas", syncReplicas}, {"quota", {{"connections", 10}, {"branches", {{"b", {{"connections", 10}}}}}}}}.dump();
+}
+
+void ControlCluster::plan(std::uint64_t mark, const std::string& service) {
+  nlohmann::json plan{{"mark", mark}, {"services", {{"s1", nlohmann::json::parse(service)}}}, {"kinds", nlohmann::json::object()}};
+  auto reply = ask(replica(0).replacePlan(plan.dump()));
+  INFO(reply.body);
+  REQUIRE(reply.status == 200);
+}
+
+void ControlCluster::start(const std::string& name, const std::string& role, Position position) {
+  DatabaseBeat beat;
+  beat.service = ServiceName{"s1"};
+  beat.database = DatabaseName{name};
+  beat.role = role;
+  beat.address = Address{"10.2.0." + name.substr(1) + ":1"};
+  beat.zone = District{"z1"};
+  beat.capacity = 10;
+  databases.add(beat, Place{Epoch{3}, position});
+}
+
+std::uint64_t ControlCluster::counted(const std::string& name) {
+  std::uint64_t sum = 0;
+  for (const auto& journal : journals)
+    if (auto found = journal->counters().find(name); found != journal->counters().end()) sum += found->second;
+  return sum;
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/tests/discovery_test.cpp
@@ -0,0 +1,282 @@
+#include <catch2/catch.hpp>
+
+#include "control/service_news.hpp"
+#include "tests/control_cluster.hpp"
+
+using namespace tamarindshift;
+
+namespace {
+
+struct Discovered : ControlCluster {
+  explicit Discovered(std::uint32_t syncReplicas = 0) {
+    start("d1", "primary", Position{100});
+    start("d2", "replica", Position{98});
+    start("d3", "replica", Position{95});
+    plan(1, discovered(syncReplicas));
+    REQUIRE(runUntil(5s, [&] { return promoted("d1"); }));
+    run(2s);
+  }
+  ServiceReport& own() { return report.services[ServiceName{"s1"}]; }
+  const EnrolledDatabase* enrolled(const std::string& name) { return replica(0).state().enrolled(ServiceName{"s1"}, DatabaseName{name}); }
+};
+
+}  // namespace
+
+TEST_CASE("databases are known by their beats before any plan, and the one that says so is the first primary") {
+  ControlCluster cluster;
+  cluster.start("d1", "replica", Position{90});
+  cluster.start("d2", "primary", Position{100});
+  cluster.run(2s);
+  const auto& state = cluster.replica(0).state();
+  CHECK(state.databases(ServiceName{"s1"}).size() == 2);
+  cluster.plan(1, cluster.discovered(0));
+  REQUIRE(cluster.runUntil(3s, [&] { return cluster.promoted("d2"); }));
+  CHECK(cluster.databases.statusCalls() == 0);
+  CHECK(cluster.databases.holders().empty());
+  auto green = cluster.replica(0).engine().greenLine();
+  auto shares = cluster.counted("duties.orders_not_held");
+  cluster.run(10s);
+  CHECK(cluster.replica(0).engine().greenLine() <= green + 4);
+  CHECK(cluster.counted("duties.orders_not_held") == shares);
+  CHECK(cluster.databases.statusCalls() == 0);
+}
+
+TEST_CASE("without a beat that says primary the best by STATUS is made one") {
+  ControlCluster cluster;
+  cluster.start("d1", "replica", Position{90});
+  cluster.start("d2", "replica", Position{100});
+  cluster.plan(1, cluster.discovered(0));
+  REQUIRE(cluster.runUntil(6s, [&] { return cluster.promoted("d2"); }));
+  CHECK(cluster.databases.at("d2").promoteCalls == 1);
+}
+
+TEST_CASE("a database that beats at the address of another takes its place in the list") {
+  Discovered cluster;
+  auto address = cluster.enrolled("d3")->address;
+  cluster.databases.at("d3").up = false;
+  cluster.start("d9", "replica", Position{0});
+  cluster.databases.at("d9").beat.address = address;
+  cluster.databases.tell("d9");
+  REQUIRE(cluster.runUntil(2s, [&] { return cluster.enrolled("d9") && cluster.enrolled("d9")->address == address; }));
+  CHECK_FALSE(cluster.enrolled("d3"));
+  CHECK(cluster.enrolled("d1"));
+}
+
+TEST_CASE("a late beat alters nothing, one with a lower number after three silent seconds does") {
+  Discovered cluster;
+  auto& own = cluster.databases.at("d2");
+  own.silent = true;
+  auto late = own.beat;
+  late.number -= 1;
+  late.role = "primary";
+  late.leaving = true;
+  CHECK(cluster.ask(cluster.replica(1).beat(late)).status == 200);
+  CHECK(cluster.replica(1).access().database(ServiceName{"s1"}, DatabaseName{"d2"})->beat.role == "replica");
+  cluster.run(4s);
+  CHECK_FALSE(cluster.replica(1).state().drained(ServiceName{"s1"}, DatabaseName{"d2"}));
+  auto again = own.beat;
+  again.number = 1;
+  again.position = Position{77};
+  CHECK(cluster.ask(cluster.replica(1).beat(again)).status == 200);
+  CHECK(cluster.replica(1).access().database(ServiceName{"s1"}, DatabaseName{"d2"})->beat.position == Position{77});
+}
+
+TEST_CASE("a beat that says leaving is answered once the drain is green, a Detach removes the database") {
+  Discovered cluster;
+  auto& own = cluster.databases.at("d3");
+  own.beat.leaving = true;
+  ++own.beat.number;
+  CHECK(cluster.ask(cluster.replica(2).beat(own.beat)).status == 200);
+  CHECK(cluster.replica(2).state().drained(ServiceName{"s1"}, DatabaseName{"d3"}));
+  own.silent = true;
+  ++own.beat.number;
+  CHECK(cluster.ask(cluster.replica(1).detach(own.beat)).status == 200);
+  REQUIRE(cluster.runUntil(2s, [&] { return !cluster.enrolled("d3"); }));
+  ++own.beat.number;
+  CHECK(cluster.ask(cluster.replica(1).detach(own.beat)).status == 200);
+  CHECK_FALSE(cluster.enrolled("d3"));
+}
+
+TEST_CASE("without a primary component a new database is told to come back") {
+  Discovered cluster;
+  for (std::size_t other : {1, 2}) {
+    cluster.network.cut("10.0.0.1", "10.0.0." + std::to_string(other + 1));
+    cluster.network.cut("10.0.0." + std::to_string(other + 1), "10.0.0.1");
+  }
+  cluster.run(4s);
+  auto beat = cluster.databases.at("d3").beat;
+  beat.database = DatabaseName{"d7"};
+  beat.address = Address{"10.2.0.7:1"};
+  auto reply = cluster.ask(cluster.replica(0).beat(beat));
+  CHECK(reply.status == 503);
+  CHECK(reply.comeBack);
+}
+
+TEST_CASE("a database silent for a minute is removed, the primary is not") {
+  Discovered cluster;
+  cluster.databases.at("d3").silent = true;
+  cluster.run(50s);
+  CHECK(cluster.enrolled("d3"));
+  cluster.run(15s);
+  CHECK_FALSE(cluster.enrolled("d3"));
+  cluster.databases.at("d1").silent = true;
+  cluster.run(70s);
+  CHECK(cluster.enrolled("d1"));
+  CHECK(cluster.promoted("d1"));
+}
+
+TEST_CASE("nodes that do not reach a crashed primary have it replaced at once, and no lease is waited out") {
+  Discovered cluster;
+  cluster.databases.at("d1").up = false;
+  cluster.own().working = true;
+  cluster.own().suspects = {DatabaseName{"d1"}};
+  auto since = cluster.world.now();
+  REQUIRE(cluster.runUntil(3s, [&] { return cluster.promoted("d2"); }));
+  CHECK(cluster.world.now() - since < 1200ms);
+  CHECK(cluster.databases.at("d1").statusCalls == 2);
+  CHECK(cluster.databases.at("d2").promoteCalls == 1);
+  CHECK(cluster.databases.holders().back().fence > 0);
+  CHECK(cluster.service().epoch == Epoch{2});
+}
+
+TEST_CASE("nodes that do not reach a primary whose STATUS is well have it kept") {
+  Discovered cluster;
+  cluster.own().working = true;
+  cluster.own().suspects = {DatabaseName{"d1"}};
+  cluster.run(20s);
+  CHECK(cluster.promoted("d1"));
+  CHECK(cluster.service().epoch == Epoch{1});
+  CHECK(cluster.databases.statusCalls() <= 22);
+}
+
+TEST_CASE("a crashed primary that no one works at is replaced after its silence") {
+  Discovered cluster;
+  cluster.databases.at("d1").dark = true;
+  CHECK_FALSE(cluster.runUntil(700ms, [&] { return !cluster.promoted("d1"); }));
+  REQUIRE(cluster.runUntil(6s, [&] { return cluster.promoted("d2"); }));
+}
+
+TEST_CASE("a node that has not reported the new epoch costs the lease") {
+  Discovered cluster;
+  cluster.follows = false;
+  cluster.databases.at("d1").up = false;
+  cluster.own().working = true;
+  cluster.own().suspects = {DatabaseName{"d1"}};
+  REQUIRE(cluster.runUntil(2s, [&] { return cluster.service().epoch == Epoch{2}; }));
+  auto since = cluster.world.now();
+  REQUIRE(cluster.runUntil(5s, [&] { return cluster.databases.at("d2").promoteCalls > 0; }));
+  CHECK(cluster.world.now() - since > 2200ms);
+}
+
+TEST_CASE("a report of another boot than the enrolled one does not count") {
+  Discovered cluster;
+  cluster.databases.at("d1").up = false;
+  cluster.own().working = true;
+  cluster.own().suspects = {DatabaseName{"d1"}};
+  REQUIRE(cluster.runUntil(2s, [&] { return cluster.service().epoch == Epoch{2}; }));
+  CHECK(cluster.databases.at("d2").promoteCalls == 0);
+  cluster.follows = false;
+  cluster.report.boot = 6;
+  cluster.own().epoch = Epoch{1};
+  CHECK_FALSE(cluster.runUntil(1500ms, [&] { return cluster.databases.at("d2").promoteCalls > 0; }));
+}
+
+TEST_CASE("a planned change lets nodes finish, demotes, and promotes what holds the final position") {
+  Discovered cluster;
+  cluster.follows = false;
+  auto& former = cluster.databases.at("d1");
+  former.beat.leaving = true;
+  cluster.databases.tell("d1");
+  REQUIRE(cluster.runUntil(2s, [&] { return cluster.service().epoch == Epoch{2}; }));
+  CHECK(cluster.service().planned);
+  cluster.run(600ms);
+  CHECK(former.demotedWith.empty());
+  former.place.position = Position{120};
+  cluster.follows = true;
+  REQUIRE(cluster.runUntil(1s, [&] { return !former.demotedWith.empty(); }));
+  CHECK(former.demotedWith.front() == Epoch{4});
+  cluster.run(400ms);
+  CHECK(cluster.databases.at("d2").promoteCalls == 0);
+  cluster.databases.at("d2").place.position = Position{120};
+  auto since = cluster.world.now();
+  REQUIRE(cluster.runUntil(2s, [&] { return cluster.promoted("d2"); }));
+  CHECK(cluster.world.now() - since < 900ms);
+}
+
+TEST_CASE("a chosen database that is refused is left for another, an unanswered call is repeated") {
+  Discovered cluster;
+  cluster.databases.at("d2").promotion = PromotionOutcome::refused;
+  cluster.databases.at("d3").promotion = PromotionOutcome::unanswered;
+  cluster.databases.at("d1").up = false;
+  cluster.own().working = true;
+  cluster.own().suspects = {DatabaseName{"d1"}};
+  REQUIRE(cluster.runUntil(8s, [&] { return cluster.databases.at("d3").promoteCalls >= 2; }));
+  CHECK(cluster.databases.at("d2").promoteCalls == 1);
+  cluster.databases.at("d3").promotion = PromotionOutcome::led;
+  REQUIRE(cluster.runUntil(8s, [&] { return cluster.promoted("d3"); }));
+  CHECK(cluster.service().epoch == Epoch{3});
+}
+
+TEST_CASE("an accepted promotion counts once the database says so itself, or STATUS does") {
+  Discovered cluster;
+  cluster.databases.at("d2").leadsWhenAccepted = false;
+  cluster.databases.at("d1").up = false;
+  cluster.own().working = true;
+  cluster.own().suspects = {DatabaseName{"d1"}};
+  REQUIRE(cluster.runUntil(3s, [&] { return cluster.databases.at("d2").promoteCalls > 0; }));
+  cluster.run(2s);
+  CHECK_FALSE(cluster.service().promoted);
+  cluster.databases.at("d2").silent = true;
+  cluster.databases.at("d2").beat.role = "primary";
+  REQUIRE(cluster.runUntil(3s, [&] { return cluster.promoted("d2"); }));
+}
+
+TEST_CASE("where commits are replicated, the chosen one must hold what was acknowledged") {
+  Discovered cluster(1);
+  cluster.own().acknowledged = Place{Epoch{3}, Position{99}};
+  cluster.own().working = true;
+  cluster.own().suspects = {DatabaseName{"d1"}};
+  cluster.run(200ms);
+  cluster.databases.at("d1").up = false;
+  CHECK_FALSE(cluster.runUntil(5s, [&] { return cluster.databases.at("d2").promoteCalls + cluster.databases.at("d3").promoteCalls > 0; }));
+  cluster.databases.at("d3").place.position = Position{99};
+  REQUIRE(cluster.runUntil(8s, [&] { return cluster.promoted("d3"); }));
+  CHECK(cluster.databases.at("d2").promoteCalls == 0);
+}
+
+TEST_CASE("enrolments are in the news and in the snapshot, also of services no plan names") {
+  NewsBoard board;
+  ControlState state(board);
+  std::uint64_t position = 0;
+  auto apply = [&]<class Body>(ControlMatter matter, const Body& body) {
+    Action action;
+    action.update = packed(ControlUpdate{matter, 0, packed(body)});
+    return state.applyGreen(action, ++position);
+  };
+  auto enrol = [&](const char* service, const char* database, const char* address) {
+    return apply(ControlMatter::enrolDatabase, EnrolmentUpdate{ServiceName{service}, DatabaseName{database}, Address{address}, District{"z1"}, 10, 0, 1, "replica"});
+  };
+  CHECK(enrol("s1", "d1", "10.2.0.1:1") == "held");
+  CHECK(enrol("s2", "d2", "10.2.0.2:1") == "held");
+  PlanUpdate plan{R"({"mark":1,"services":{"s1":{"discovery":"beats","quota":{"connections":10,"branches":{"b":{"connections":10}}}},
+    "s3":{"databases":{"x":{"address":"10.2.0.9:1","cap":10}},"quota":{"connections":10,"branches":{"b":{"connections":10}}}}},"kinds":{}})"};
+  CHECK(apply(ControlMatter::plan, plan) == "held");
+  CHECK(enrol("s3", "d5", "10.2.0.5:1") != "held");
+  const auto& table = board.find("s1")->table;
+  REQUIRE(table.contains("database/d1"));
+  CHECK(unpacked<DatabaseNews>(table.at("database/d1"))->address == Address{"10.2.0.1:1"});
+  CHECK(apply(ControlMatter::drainDatabase, DatabaseUpdate{ServiceName{"s2"}, DatabaseName{"d2"}, 0, 2, false}) == "held");
+  NewsBoard otherBoard;
+  ControlState other(otherBoard);
+  REQUIRE(other.restore(state.snapshot()));
+  CHECK(other.enrolled(ServiceName{"s2"}, DatabaseName{"d2"})->address == Address{"10.2.0.2:1"});
+  CHECK(other.drained(ServiceName{"s2"}, DatabaseName{"d2"}));
+  CHECK(otherBoard.find("s1")->table.contains("database/d1"));
+  CHECK(enrol("s1", "d4", "10.2.0.2:1") == "held");
+  CHECK_FALSE(state.enrolled(ServiceName{"s2"}, DatabaseName{"d2"}));
+  CHECK_FALSE(state.drained(ServiceName{"s2"}, DatabaseName{"d2"}));
+  CHECK(apply(ControlMatter::recovery, RecoveryUpdate{ServiceName{"s1"}, Epoch{}, DatabaseName{"d4"}, "", false}) == "held");
+  CHECK(apply(ControlMatter::removeDatabase, DatabaseUpdate{ServiceName{"s1"}, DatabaseName{"d4"}, 0, 0, true}) != "held");
+  CHECK(apply(ControlMatter::removeDatabase, DatabaseUpdate{ServiceName{"s1"}, DatabaseName{"d1"}, 0, 0, true}) == "held");
+  CHECK_FALSE(board.find("s1")->table.contains("database/d1"));
+}
--- /dev/null
+++ b/tests/scripted_databases.cpp
@@ -0,0 +1,82 @@
+#include "tests/scripted_databases.hpp"
+
+namespace tamarindshift {
+
+void ScriptedDatabases::add(const DatabaseBeat& beat, Place place) {
+  auto& added = databases_[beat.database];
+  added = Database{};
+  added.beat = beat;
+  added.place = place;
+  scope_.spawn(beats(beat.database));
+}
+
+void ScriptedDatabases::tell(const std::string& name) {
+  auto& own = at(name);
+  ++own.beat.number;
+  if (own.up && !own.dark && !own.silent) scope_.spawn(pass(own.beat));
+}
+
+std::uint64_t ScriptedDatabases::statusCalls() const {
+  std::uint64_t sum = 0;
+  for (const auto& [name, database] : databases_) sum += database.statusCalls;
+  return sum;
+}
+
+Task<void> ScriptedDatabases::pass(DatabaseBeat beat) { co_await deliver_(beat); }
+
+Task<void> ScriptedDatabases::beats(DatabaseName name) {
+  for (;;) {
+    tell(name.get());
+    co_await sleep(clock_, 1200ms);
+  }
+}
+
+Task<bool> ScriptedDatabases::answers(DatabaseName name, Instant deadline) {
+  auto found = databases_.find(name);
+  if (found == databases_.end()) co_return false;
+  if (found->second.dark) co_await sleep(clock_, deadline - clock_.now());
+  else co_await sleep(clock_, 1ms);
+  co_return found->second.up && !found->second.dark;
+}
+
+Task<std::optional<DatabaseStanding>> ScriptedDatabases::status(DatabaseTarget target, Instant deadline) {
+  ++databases_[target.database].statusCalls;
+  bool answered = co_await answers(target.database, deadline);
+  if (!answered) co_return std::nullopt;
+  co_return standing(databases_[target.database]);
+}
+
+Task<std::optional<DatabaseStanding>> ScriptedDatabases::demote(DatabaseTarget target, Epoch epoch, Instant deadline) {
+  bool answered = co_await answers(target.database, deadline);
+  if (!answered) co_return std::nullopt;
+  auto& own = databases_[target.database];
+  own.demotedWith.push_back(epoch);
+  if (own.beat.role == "primary" && epoch > own.place.epoch) {
+    own.demotedAt = clock_.now();
+    own.beat.role = "replica";
+    tell(target.database.get());
+  }
+  co_return standing(own);
+}
+
+Task<PromotionOutcome> ScriptedDatabases::promote(DatabaseTarget target, Epoch, DutyHolder holder, Instant deadline) {
+  holders_.push_back(holder);
+  auto& own = databases_[target.database];
+  ++own.promoteCalls;
+  own.promotedAt = clock_.now();
+  if (own.promotion == PromotionOutcome::unanswered) co_await sleep(clock_, deadline - clock_.now());
+  else co_await sleep(clock_, 5ms);
+  if (own.promotion == PromotionOutcome::accepted && own.leadsWhenAccepted) scope_.spawn(lead(target.database));
+  co_return own.promotion;
+}
+
+Task<void> ScriptedDatabases::lead(DatabaseName name) {
+  co_await sleep(clock_, 300ms);
+  auto& own = databases_[name];
+  if (own.beat.role == "primary") co_return;
+  own.beat.role = "primary";
+  own.place.epoch = Epoch{own.place.epoch.get() + 1};
+  tell(name.get());
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/tests/scripted_databases.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <functional>
+
+#include "base/gate.hpp"
+#include "base/task_scope.hpp"
+#include "control/access_messages.hpp"
+#include "control/database_control.hpp"
+#include "edge/door.hpp"
+
+namespace tamarindshift {
+
+class ScriptedDatabases : public DatabaseControl {
+ public:
+  struct Database {
+    DatabaseBeat beat;
+    Place place;
+    bool up = true;
+    bool dark = false;
+    bool silent = false;
+    PromotionOutcome promotion = PromotionOutcome::accepted;
+    bool leadsWhenAccepted = true;
+    std::uint64_t statusCalls = 0;
+    std::uint64_t promoteCalls = 0;
+    std::vector<Epoch> demotedWith;
+    Instant demotedAt{};
+    Instant promotedAt{};
+  };
+  using Deliver = std::function<Task<DoorReply>(DatabaseBeat)>;
+
+  ScriptedDatabases(Clock& clock, Deliver deliver) : clock_(clock), deliver_(std::move(deliver)) {}
+  Database& at(const std::string& name) { return databases_.at(DatabaseName{name}); }
+  void add(const DatabaseBeat& beat, Place place);
+  void tell(const std::string& name);
+  std::uint64_t statusCalls() const;
+  const std::vector<DutyHolder>& holders() const { return holders_; }
+
+  Task<std::optional<DatabaseStanding>> status(DatabaseTarget target, Instant deadline) override;
+  Task<std::optional<DatabaseStanding>> demote(DatabaseTarget target, Epoch epoch, Instant deadline) override;
+  Task<PromotionOutcome> promote(DatabaseTarget target, Epoch epoch, DutyHolder holder, Instant deadline) override;
+
+ private:
+  Task<void> beats(DatabaseName name);
+  Task<void> lead(DatabaseName name);
+  Task<void> pass(DatabaseBeat beat);
+  Task<bool> answers(DatabaseName name, Instant deadline);
+  DatabaseStanding standing(const Database& database) const { return DatabaseStanding{database.beat.role, database.place.epoch, database.place.position, {}}; }
+
+  Clock& clock_;
+  Deliver deliver_;
+  std::map<DatabaseName, Database> databases_;
+  std::vector<DutyHolder> holders_;
+  TaskScope scope_;
+};
+
+}  // namespace tamarindshift
