--- a/src/pool/guide.cpp
+++ b/src/pool/guide.cpp
@@ -91,6 +91,14 @@
   return std::min(*own, *fleet);
 }
 
+bool Guide::routesKnown() const {
+  if (!anyLease()) return false;
+  return std::all_of(fleetPlan_.kinds.begin(), fleetPlan_.kinds.end(), [this](const auto& each) {
+    const auto* own = service(each.second);
+    return own && own->plan && own->plan->mark >= fleetPlan_.mark && own->plan->kinds.contains(each.first) && leased(each.second);
+  });
+}
+
 bool Guide::leased(const ServiceName& name) const { return leaseUntil(name).has_value(); }
 
 bool Guide::draining() const { return nodeKnown_ && node_news_.draining; }
--- a/src/pool/guide.hpp
+++ b/src/pool/guide.hpp
@@ -34,6 +34,8 @@
   PlanMark planMark() const { return fleetPlan_.mark; }
   const std::map<std::string, std::uint64_t>& limits() const { return fleetPlan_.limits; }
   bool draining() const;
+  // whether every route of the newest plan that is known here is known here too, under a lease
+  bool routesKnown() const;
   bool anyLease() const { return feed_.leaseUntil(fleetTopic).has_value(); }
   void refresh();
   Gate& changed() { return feed_.changed(); }
--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -17,7 +17,7 @@
     return nullptr;
   }
   if (!route(host)) {
-    refusal = guide_.anyLease() ? refused(StatementFault::noDatabase, "no such database") : refused(StatementFault::busy, "no current lease");
+    refusal = guide_.routesKnown() ? refused(StatementFault::noDatabase, "no such database") : refused(StatementFault::busy, "no current lease");
     return nullptr;
   }
   auto session = std::make_shared<ClientSession>();
@@ -85,12 +85,9 @@
 
 std::optional<std::string> Pooler::notReady() const {
   if (draining()) return "this node is leaving";
-  if (!guide_.anyLease()) return "no current lease";
+  if (!guide_.routesKnown()) return "routes are not all known under a lease";
   bool works = false;
-  for (const auto& [name, view] : guide_.services()) {
-    if (!guide_.leased(name)) return "no current lease";
-    works = works || allowed(view) > 0;
-  }
+  for (const auto& [name, view] : guide_.services()) works = works || allowed(view) > 0;
   if (!works) return "no share of any service yet";
   return std::nullopt;
 }
@@ -177,7 +174,7 @@
 
 StatementReply Pooler::begin(ClientSession& session, const Statement& statement) {
   auto found = route(session.host);
-  if (!found) return refused(guide_.anyLease() ? StatementFault::noDatabase : StatementFault::busy, "no route to this database now");
+  if (!found) return refused(guide_.routesKnown() ? StatementFault::noDatabase : StatementFault::busy, "no route to this database now");
   ClientTransaction transaction;
   transaction.begin = statement;
   transaction.kind = found->name;
@@ -212,6 +209,9 @@
         if (!kind.host.empty()) hosts_[kind.host].push_back(kindName);
     }
   }
+  auto hindrance = notReady().value_or("");
+  if (hindrance != hindrance_) journal_.line(hindrance.empty() ? "ready" : "not ready: " + hindrance);
+  hindrance_ = hindrance;
   pool_.forget(known);
   pool_.watch(settings_.suspicion);
   for (const auto& [name, view] : guide_.services()) careService(name, view);
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -97,6 +97,7 @@
   std::map<ServiceName, std::uint64_t> hostsAt_;
   std::set<Session> sessions_;
   std::optional<Instant> drainingSince_;
+  std::string hindrance_ = "not started";
   std::map<DatabaseName, std::uint32_t> claimed_;
   bool serving_ = false;
   bool serveAgain_ = false;
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -20,7 +20,7 @@
 
 void Pooler::serveOne(const DemandTable::Record& demand) {
   auto found = routeNamed(demand->kind);
-  if (!found) return demands_.refuse(demand, guide_.anyLease() ? StatementFault::noDatabase : StatementFault::busy, "the route is gone");
+  if (!found) return demands_.refuse(demand, guide_.routesKnown() ? StatementFault::noDatabase : StatementFault::busy, "the route is gone");
   const auto& service = found->kind->service;
   if (!guide_.leased(service)) return;
   const auto& view = *found->service;
--- a/src/pooler/pooler_transactions.cpp
+++ b/src/pooler/pooler_transactions.cpp
@@ -22,7 +22,7 @@
 Task<StatementReply> Pooler::runSingle(Session session, Statement statement) {
   auto arrived = clock_.now();
   auto found = route(session->host);
-  if (!found) co_return refused(guide_.anyLease() ? StatementFault::noDatabase : StatementFault::busy, "no route to this database now");
+  if (!found) co_return refused(guide_.routesKnown() ? StatementFault::noDatabase : StatementFault::busy, "no route to this database now");
   auto kind = found->name;
   const Statement* executes = statement.kind == StatementKind::execute ? &statement : nullptr;
   if (executes && !session->prepared.contains(statement.name)) co_return refused(StatementFault::unknownName, "no such prepared name");
@@ -94,7 +94,7 @@
   auto pause = leastPause;
   for (int attempt = 0; attempt < mostAttempts && clock_.now() < deadline; ++attempt) {
     auto found = routeNamed(kind);
-    if (!found) co_return refused(guide_.anyLease() ? StatementFault::noDatabase : StatementFault::busy, "the route is gone", TransactionState::failed);
+    if (!found) co_return refused(guide_.routesKnown() ? StatementFault::noDatabase : StatementFault::busy, "the route is gone", TransactionState::failed);
     bool atPrimary = !readOnly || found->kind->consistency == Consistency::primary;
     auto acquired = co_await acquire(session, kind, atPrimary, executes, arrived, deadline, avoid);
     if (!acquired.connection) co_return refused(acquired.fault, acquired.reason, TransactionState::failed);
--- a/src/real/tcp_link.cpp
+++ b/src/real/tcp_link.cpp
@@ -12,6 +12,14 @@
 
 namespace {
 
+// a peer never sends on a connection that we opened: if it can be read, it has ended
+void watchEnd(const std::shared_ptr<tcp::socket>& socket) {
+  socket->async_wait(tcp::socket::wait_read, [weak = std::weak_ptr<tcp::socket>(socket)](Error) {
+    Error ignored;
+    if (auto open = weak.lock()) open->close(ignored);
+  });
+}
+
 std::string framed(const Envelope& envelope) {
   auto size = static_cast<std::uint32_t>(envelope.body.size() + 1);
   std::string frame(4, '\0');
@@ -24,7 +32,7 @@
 }  // namespace
 
 TcpLink::TcpLink(boost::asio::io_context& context, Clock& clock, Journal& journal, Address own, Detours detours)
-    : context_(context), clock_(clock), journal_(journal), own_(std::move(own)), detours_(std::move(detours)), acceptor_(context) {}
+    : context_(context), clock_(clock), journal_(journal), own_(std::move(own)), detours_(std::move(detours)), boot_(static_cast<std::uint64_t>(clock.now().time_since_epoch().count())), acceptor_(context) {}
 
 std::optional<std::string> TcpLink::listen() {
   auto endpoint = endpointOf(own_);
@@ -67,13 +75,25 @@
     });
     if (error || size != body->size()) co_return;
     Envelope envelope{static_cast<Matter>(body->front()), body->substr(1)};
-    if (!from)
-      from = Address{envelope.body};
-    else
+    if (!from) {
+      auto blank = envelope.body.find(' ');
+      from = Address{envelope.body.substr(0, blank)};
+      auto boot = blank == std::string::npos ? std::string{} : envelope.body.substr(blank + 1);
+      auto [known, fresh] = boots_.try_emplace(*from, boot);
+      if (!fresh && std::exchange(known->second, boot) != boot) restarted(*from);
+    } else
       arrived(*from, envelope);
   }
 }
 
+// what was sent to a peer that has restarted is lost; without this the next message would be too
+void TcpLink::restarted(const Address& peer) {
+  auto found = outgoing_.find(peer);
+  if (found == outgoing_.end()) return;
+  Error ignored;
+  if (auto socket = found->second->socket.lock()) socket->close(ignored);
+}
+
 void TcpLink::pass(const Address& partner, Envelope envelope) {
   auto& outgoing = outgoing_[partner];
   if (!outgoing) {
@@ -112,10 +132,13 @@
     }
     Error ignored;
     socket->set_option(tcp::no_delay(true), ignored);
-    outgoing.backlog.push_front(framed(Envelope{Matter{}, own_.get()}));
+    outgoing.socket = socket;
+    watchEnd(socket);
+    outgoing.backlog.push_front(framed(Envelope{Matter{}, hello()}));
     outgoing.bytes += outgoing.backlog.front().size();
     for (;;) {
       while (outgoing.backlog.empty()) co_await outgoing.filled.wait(clock_);
+      if (!socket->is_open()) break;
       auto batch = std::make_shared<std::string>();
       while (!outgoing.backlog.empty() && batch->size() < 65536) {
         *batch += outgoing.backlog.front();
--- a/src/real/tcp_link.hpp
+++ b/src/real/tcp_link.hpp
@@ -23,10 +23,13 @@
     std::deque<std::string> backlog;
     std::size_t bytes = 0;
     Gate filled;
+    std::weak_ptr<boost::asio::ip::tcp::socket> socket;
   };
   static constexpr std::size_t mostBacklogBytes = 8u << 20;
   static constexpr std::size_t mostFrameBytes = 32u << 20;
 
+  void restarted(const Address& peer);
+  std::string hello() const { return own_.get() + " " + std::to_string(boot_); }
   Task<void> accept();
   Task<void> receive(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
   Task<void> send(Address partner);
@@ -36,6 +39,8 @@
   Journal& journal_;
   Address own_;
   Detours detours_;
+  std::uint64_t boot_;
+  std::map<Address, std::string> boots_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::map<Address, std::unique_ptr<Outgoing>> outgoing_;
   TaskScope scope_;
