--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -31,6 +31,7 @@
   Duration statusPatience = 500ms;
   Duration promotePatience = 1500ms;
   Duration nodeSilence = 2500ms;
+  Duration memberAway = 1s;
   Duration deadConnections = 10s;
   Duration orderPatience = 4s;
   Duration statementPatience = 10s;
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -7,8 +7,8 @@
 namespace tamarindshift {
 
 Duties::Duties(Clock& clock, Journal& journal, const Timings& timings, ReplicationEngine& engine, const ControlState& state,
-               AccessTables& access, DatabaseControl& databases, ServerId own)
-    : clock_(clock), journal_(journal), timings_(timings), engine_(engine), state_(state), access_(access), databases_(databases), own_(std::move(own)) {
+               AccessTables& access, DatabaseControl& databases, ServerId own, std::size_t losses)
+    : clock_(clock), journal_(journal), timings_(timings), engine_(engine), state_(state), access_(access), databases_(databases), own_(std::move(own)), losses_(losses) {
   scope_.spawn(run());
 }
 
@@ -32,6 +32,7 @@
 
 void Duties::pass() {
   access_.forgetNodesBefore(clock_.now() - 10 * timings_.nodeSilence);
+  members();
   if (!nodesBusy_) scope_.spawn(nodes());
   if (!enrolmentsBusy_) scope_.spawn(enrolments());
   for (const auto& [name, service] : state_.services()) {
@@ -56,6 +57,22 @@
   duties_[name].busy = false;
 }
 
+// a member that is away goes once those present can bear the losses promised without it: it was replaced
+void Duties::members() {
+  const auto& present = engine_.conf().set;
+  auto members = engine_.members();
+  std::erase_if(awaySince_, [&](const auto& each) { return present.contains(each.first) || !members.contains(each.first); });
+  if (losses_ == 0 || present.size() < 2 * losses_ + 1) return awaySince_.clear();
+  for (const auto& server : members) {
+    if (present.contains(server)) continue;
+    auto [away, fresh] = awaySince_.try_emplace(server, clock_.now());
+    if (fresh || clock_.now() - away->second < timings_.memberAway) continue;
+    away->second = clock_.now();
+    journal_.line("member " + text(server) + " was replaced and is let go");
+    engine_.requestLeave(server);
+  }
+}
+
 const AccessTables::Node* Duties::heard(const Address& node) const {
   auto found = access_.nodes().find(node);
   return found == access_.nodes().end() ? nullptr : &found->second;
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -12,7 +12,7 @@
 class Duties {
  public:
   Duties(Clock& clock, Journal& journal, const Timings& timings, ReplicationEngine& engine, const ControlState& state,
-         AccessTables& access, DatabaseControl& databases, ServerId own);
+         AccessTables& access, DatabaseControl& databases, ServerId own, std::size_t losses);
 
   bool onDuty() const;
   const std::map<ServiceName, std::string>& waits() const { return waits_; }
@@ -67,6 +67,7 @@
   Task<bool> order(ControlMatter matter, std::string body);
   Task<void> shares(ServiceName name);
   Task<void> nodes();
+  void members();
   Task<void> enrolments();
   Task<void> departures(ServiceName name);
   Task<void> returns(ServiceName name);
@@ -100,6 +101,8 @@
   AccessTables& access_;
   DatabaseControl& databases_;
   ServerId own_;
+  std::size_t losses_;
+  std::map<ServerId, Instant> awaySince_;
   std::map<ServiceName, ServiceDuty> duties_;
   std::map<ServiceName, std::string> waits_;
   bool nodesBusy_ = false;
--- a/src/control/replica_settings.hpp
+++ b/src/control/replica_settings.hpp
@@ -15,6 +15,8 @@
   Timings timings;
   EngineBounds bounds;
   bool mayFound = true;
+  // machines of the group that may be lost at once; 0 lets no member go by itself
+  std::size_t losses = 0;
 };
 
 }  // namespace tamarindshift
--- a/src/engine/core.cpp
+++ b/src/engine/core.cpp
@@ -23,6 +23,9 @@
   group_ = std::make_unique<SequencedGroup>(clock_, link_, journal_, member, settings_.seeds, settings_.timings);
   engine_ = std::make_unique<ReplicationEngine>(clock_, *group_, store_, application_, journal_, settings_.bounds);
   if (!engine_->recover(*records)) return "the store holds an unreadable record";
+  std::set<Address> addresses;
+  for (const auto& server : engine_->members()) addresses.insert(server.address);
+  group_->meet(addresses);
   link_.on(Matter::joinAsk, [this](const Address& from, const std::string& bytes) { onJoinAsk(from, bytes); });
   link_.on(Matter::joinSnapshot, [this](const Address& from, const std::string& bytes) {
     auto snapshot = unpacked<EngineSnapshot>(bytes);
--- a/src/engine/replication_engine.cpp
+++ b/src/engine/replication_engine.cpp
@@ -584,6 +584,13 @@
   return state_ == EngineState::nonPrim && started_ && lostNow() != lostAtExchange_;
 }
 
+Coverage ReplicationEngine::coverage(const std::set<ServerId>& servers) const {
+  std::size_t held = 0;
+  for (const auto& [server, line] : greenLines_) held += servers.contains(server);
+  if (held == greenLines_.size()) return Coverage::all;
+  return 2 * held > greenLines_.size() ? Coverage::majority : Coverage::minority;
+}
+
 void ReplicationEngine::writeIdentity(const IdentityRecord& identity, std::function<void()> synced) {
   identity_ = identity;
   serverId_ = identity.serverId;
--- a/src/engine/replication_engine.hpp
+++ b/src/engine/replication_engine.hpp
@@ -65,6 +65,7 @@
   void received(const std::vector<Delivery>& deliveries, std::function<void()> stable) override;
   bool hasLeft(const ServerId& server) const override { return left_.contains(server); }
   bool wantsExchange() const override;
+  Coverage coverage(const std::set<ServerId>& servers) const override;
 
  private:
   struct Waiting {
--- a/src/group/group_listener.hpp
+++ b/src/group/group_listener.hpp
@@ -7,6 +7,9 @@
 
 namespace tamarindshift {
 
+// what part of the persistent members a set of servers holds
+enum class Coverage { minority, majority, all };
+
 class GroupListener {
  public:
   virtual ~GroupListener() = default;
@@ -16,6 +19,7 @@
   virtual void received(const std::vector<Delivery>& deliveries, std::function<void()> stable) = 0;
   virtual bool hasLeft(const ServerId& server) const = 0;
   virtual bool wantsExchange() const = 0;
+  virtual Coverage coverage(const std::set<ServerId>&) const { return Coverage::majority; }
 };
 
 }  // namespace tamarindshift
--- a/src/group/sequenced_group.cpp
+++ b/src/group/sequenced_group.cpp
@@ -56,6 +56,11 @@
 
 void SequencedGroup::join(GroupListener& listener) { listener_ = &listener; }
 
+void SequencedGroup::meet(const std::set<Address>& addresses) {
+  for (const auto& address : addresses)
+    if (address != own_.server.address) known_.insert(address);
+}
+
 void SequencedGroup::setFoundation(std::set<ServerId> foundation) { foundation_ = std::move(foundation); }
 
 std::optional<std::set<ServerId>> SequencedGroup::unjoinedSeeds() const {
@@ -202,6 +207,17 @@
   return false;
 }
 
+// nobody is waited for when all are here, and a set that could do nothing alone waits longer
+Duration SequencedGroup::settlesIn(const std::set<Member>& candidates) const {
+  std::set<ServerId> servers;
+  for (const auto& member : candidates) servers.insert(member.server);
+  switch (listener_->coverage(servers)) {
+    case Coverage::all: return Duration::zero();
+    case Coverage::majority: return timings_.settle;
+    default: return 3 * timings_.settle;
+  }
+}
+
 void SequencedGroup::considerForming() {
   if (!listener_) return;
   auto now = clock_.now();
@@ -221,7 +237,7 @@
   }
   if (!unsettledSince_) unsettledSince_ = now;
   bool shrinks = !flushing_ && candidates.size() < members_.size() && std::includes(members_.begin(), members_.end(), candidates.begin(), candidates.end());
-  if (shrinks || now - *unsettledSince_ >= timings_.settle) startForming(candidates);
+  if (shrinks || now - *unsettledSince_ >= settlesIn(candidates)) startForming(candidates);
 }
 
 void SequencedGroup::startForming(std::set<Member> members) {
--- a/src/group/sequenced_group.hpp
+++ b/src/group/sequenced_group.hpp
@@ -22,6 +22,7 @@
   std::optional<Instant> provedAt() const override;
   std::set<ServerId> unjoined() const override;
 
+  void meet(const std::set<Address>& addresses);
   void setFoundation(std::set<ServerId> foundation);
   std::optional<std::set<ServerId>> unjoinedSeeds() const;
   std::optional<std::set<ServerId>> agreedFoundation() const;
@@ -71,6 +72,7 @@
 
   std::set<Member> reachable() const;
   bool isSequencer() const;
+  Duration settlesIn(const std::set<Member>& candidates) const;
   bool needsNewView(const std::set<Member>& reachable) const;
   void considerForming();
   void startForming(std::set<Member> members);
--- a/src/news/news_follower.cpp
+++ b/src/news/news_follower.cpp
@@ -99,7 +99,8 @@
       failed = true;
     }
     if (failed) journal_.count("news.shots_failed");
-    co_await sleep(clock_, failed ? timings_.pause : Duration{5ms});
+    failures_ = failed ? std::min(failures_ + 1, 3u) : 0;
+    co_await sleep(clock_, failed ? timings_.pause * failures_ : Duration{5ms});
     startAsks();
   }
 }
--- a/src/news/news_follower.hpp
+++ b/src/news/news_follower.hpp
@@ -47,6 +47,7 @@
   NewsBoard board_;
   std::map<Topic, Followed> topics_;
   std::map<Address, std::uint64_t> turns_;
+  std::uint32_t failures_ = 0;
   std::uint64_t lastTurn_ = 0;
   Gate changed_;
   TaskScope scope_;
--- a/src/pool/guide.cpp
+++ b/src/pool/guide.cpp
@@ -99,6 +99,14 @@
   });
 }
 
+bool Guide::servicesKnown() const {
+  if (!anyLease() || fleetPlan_.kinds.empty()) return false;
+  return std::all_of(fleetPlan_.kinds.begin(), fleetPlan_.kinds.end(), [this](const auto& each) {
+    const auto* own = service(each.second);
+    return own && own->plan && leased(each.second);
+  });
+}
+
 bool Guide::leased(const ServiceName& name) const { return leaseUntil(name).has_value(); }
 
 bool Guide::draining() const { return nodeKnown_ && node_news_.draining; }
--- a/src/pool/guide.hpp
+++ b/src/pool/guide.hpp
@@ -36,6 +36,8 @@
   bool draining() const;
   // whether every route of the newest plan that is known here is known here too, under a lease
   bool routesKnown() const;
+  // whether there is news of every service, under a lease
+  bool servicesKnown() const;
   bool anyLease() const { return feed_.leaseUntil(fleetTopic).has_value(); }
   void refresh();
   Gate& changed() { return feed_.changed(); }
--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -85,7 +85,7 @@
 
 std::optional<std::string> Pooler::notReady() const {
   if (draining()) return "this node is leaving";
-  if (!guide_.routesKnown()) return "routes are not all known under a lease";
+  if (!guide_.servicesKnown()) return "no news of every service under a lease";
   bool works = false;
   for (const auto& [name, view] : guide_.services()) works = works || allowed(view) > 0;
   if (!works) return "no share of any service yet";
