--- a/src/group/sequenced_group.cpp
+++ b/src/group/sequenced_group.cpp
@@ -207,8 +207,9 @@
   return false;
 }
 
-// nobody is waited for when all are here, and a set that could do nothing alone waits longer
+// nobody is waited for when all are here at last, and a set that could do nothing alone waits longer
 Duration SequencedGroup::settlesIn(const std::set<Member>& candidates) const {
+  if (candidates == members_) return timings_.settle;
   std::set<ServerId> servers;
   for (const auto& member : candidates) servers.insert(member.server);
   switch (listener_->coverage(servers)) {
