--- /dev/null
+++ b/tests/pooler_trial.hpp
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <memory>
+
+#include "pooler/pooler.hpp"
+#include "simulated/simulated_clock.hpp"
+#include "simulated/simulated_journal.hpp"
+#include "tests/scripted_back_ends.hpp"
+#include "tests/scripted_news.hpp"
+
+namespace tamarindshift {
+
+struct Asked {
+  std::string id;
+  std::string text;
+  Instant askedAt{};
+  Instant repliedAt{};
+  std::optional<StatementReply> reply;
+  Duration taken() const { return repliedAt - askedAt; }
+  std::string outcome() const;
+};
+
+class PoolerTrial;
+
+// a client with the values, prepared names and transaction that it was acknowledged
+class TrialClient {
+ public:
+  TrialClient(PoolerTrial& trial, std::string name, const std::string& host);
+  ~TrialClient();
+  // OK or the word of the fault
+  std::string ask(const std::string& text);
+  std::shared_ptr<Asked> start(const std::string& text);
+  std::string finish(const std::shared_ptr<Asked>& asked);
+  void leave();
+  const std::string& name() const { return name_; }
+
+  std::shared_ptr<ClientSession> session;
+  std::shared_ptr<Asked> last;
+  StatementReply refusal;
+
+ private:
+  friend class PoolerTrial;
+  Task<void> asking(std::shared_ptr<Asked> asked);
+  void judge(const Asked& asked);
+
+  PoolerTrial& trial_;
+  std::string name_;
+  std::string host_;
+  std::map<std::string, std::string> values_;
+  std::map<std::string, PreparedStatement> prepared_;
+  std::uint64_t pinned_ = 0;
+  bool inTransaction_ = false;
+  Instant transactionAt_{};
+  std::vector<std::string> writes_;
+  std::uint64_t lastNumber_ = 0;
+};
+
+// One pooler on simulated time with scripted databases and news. Whatever a test asks, the databases must have run
+// it as the clients' acknowledged state says, and promises given to clients must hold.
+class PoolerTrial {
+ public:
+  struct Choice {
+    std::uint64_t seed = 1;
+    std::uint32_t share = 4;
+    PoolerSettings settings;
+    bool published = true;
+  };
+  PoolerTrial() : PoolerTrial(Choice{}) {}
+  explicit PoolerTrial(Choice choice);
+  ~PoolerTrial();
+
+  void run(Duration duration) { world.runUntil(world.now() + duration); }
+  bool runUntil(Duration atMost, const std::function<bool()>& reached);
+  std::unique_ptr<TrialClient> client(const std::string& name, const std::string& host = "strict");
+
+  void publishFleet();
+  void publishService(const std::string& name = "s1");
+  void primary(std::uint64_t epoch, const std::string& name, bool promoted, bool planned = false, const std::string& service = "s1");
+  void share(std::uint32_t most, const std::string& service = "s1");
+  void knows(const std::string& name, const std::string& zone = "z1", const std::string& service = "s1");
+  void drained(const std::string& name);
+  // the database itself is primary from now on, of a new term
+  void leads(const std::string& name);
+  void route(const std::string& name, Consistency consistency, std::uint32_t order = 1);
+  void endLease() { news.endLease("s1"); }
+  void renewLease() { news.renewLease("s1"); }
+
+  std::vector<ScriptedRun> runsOf(const std::string& text) const;
+  std::size_t committed(const std::string& id) const;
+  std::vector<std::string> idsOf(const std::string& text) const;
+  const NodeReport& report() const { return reports.back(); }
+  const ServiceReport& serviceReport() const { return reports.back().services.at(ServiceName{"s1"}); }
+  std::uint64_t counted(const std::string& name) const;
+
+  World world;
+  SimulatedClock clock;
+  ScriptedNews news;
+  Guide guide;
+  SimulatedJournal journal;
+  ScriptedBackEnds backEnds;
+  PoolerSettings settings;
+  std::map<KindName, PlanKind> kinds;
+  std::vector<NodeReport> reports;
+  std::vector<std::string> violations;
+  std::optional<Pooler> pooler;
+
+ private:
+  friend class TrialClient;
+  void observe(const ScriptedRun& run);
+  void checkPromises();
+
+  std::map<std::string, TrialClient*> clients_;
+  std::vector<std::pair<Instant, Place>> acknowledged_;
+  std::map<std::string, std::string> acknowledgedWrites_;
+  std::set<std::string> promisedNotKept_;
+  std::map<std::string, Place> places_;
+  std::uint64_t planMark_ = 0;
+  TaskScope scope_;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/tests/scripted_back_ends.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+
+#include "base/gate.hpp"
+#include "pooler/back_end.hpp"
+#include "pooler/pooled_back_end.hpp"
+
+namespace tamarindshift {
+
+// what a scripted database does with a statement; at `unsent` the connection turns out to be closed
+enum class ScriptedOutcome {
+  busy,
+  behind,
+  readOnly,
+  failed,
+  expired,
+  unknownName,
+  lostAfterRunning,
+  lostBeforeRunning,
+  unsent,
+  slow,
+  silent,
+};
+
+enum class ScriptedOpening { accepted, refused, overloaded, misdirected, hangs };
+
+struct ScriptedRun {
+  std::uint64_t number = 0;
+  std::uint64_t connection = 0;
+  std::string database;
+  Statement statement;
+  std::optional<Place> after;
+  std::map<std::string, std::string> values;
+  std::map<std::string, PreparedStatement> prepared;
+  Place place;
+  bool inTransaction = false;
+  bool ran = false;
+  Instant at{};
+  std::string stamp;
+};
+
+struct ScriptedDatabase {
+  std::string name;
+  bool primary = false;
+  Place place;
+  Duration work = 5ms;
+  Duration slowness = 300ms;
+  Duration openWork = 2ms;
+  Duration lag = 2ms;
+  bool follows = true;
+  bool dark = false;
+  std::map<StatementKind, std::deque<ScriptedOutcome>> next;
+  ScriptedOpening opening = ScriptedOpening::accepted;
+  std::uint32_t connections = 0;
+  std::uint32_t mostConnections = 0;
+  std::uint32_t openings = 0;
+  Instant lastOpening{};
+  std::vector<std::string> committed;
+};
+
+class ScriptedConnection;
+
+class ScriptedBackEnds : public BackEnds {
+ public:
+  explicit ScriptedBackEnds(Clock& clock) : clock_(clock) {}
+
+  ScriptedDatabase& add(const std::string& name, bool primary, Place place);
+  ScriptedDatabase& at(const std::string& name) { return databases_.at(name); }
+  const std::map<std::string, ScriptedDatabase>& databases() const { return databases_; }
+  void script(const std::string& name, StatementKind kind, ScriptedOutcome outcome) { at(name).next[kind].push_back(outcome); }
+  // closes all connections of a database from its side
+  void breakOff(const std::string& name);
+  Task<BackEndOpening> open(DatabaseTarget target, Instant deadline) override;
+
+  std::vector<ScriptedRun> runs;
+  std::vector<std::string> violations;
+  std::function<void(const ScriptedRun&)> observed;
+
+ private:
+  friend class ScriptedConnection;
+  struct Wire;
+  Task<BackEndReply> run(std::shared_ptr<Wire> wire, Statement statement, std::optional<Place> after, Instant deadline);
+  BackEndReply execute(Wire& wire, std::size_t number, std::optional<ScriptedOutcome> outcome);
+  StatementFault effect(Wire& wire, ScriptedRun& run);
+  void commit(ScriptedDatabase& database, std::vector<std::string> ids);
+  void close(Wire& wire);
+  static void rollBack(Wire& wire);
+
+  Clock& clock_;
+  std::map<std::string, ScriptedDatabase> databases_;
+  std::vector<std::weak_ptr<Wire>> wires_;
+  std::uint64_t lastConnection_ = 0;
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/tests/scripted_news.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <set>
+
+#include "control/service_news.hpp"
+#include "news/news_feed.hpp"
+
+namespace tamarindshift {
+
+// news that a test publishes itself, under a lease that goes on until the test ends it
+class ScriptedNews : public NewsFeed {
+ public:
+  explicit ScriptedNews(Clock& clock) : clock_(clock) {}
+
+  std::optional<Instant> leaseUntil(const Topic& topic) override {
+    if (ended_.contains(topic)) return std::nullopt;
+    return clock_.now() + 2s;
+  }
+  std::vector<DatabaseSign> signs(const Topic&) override { return {}; }
+  std::uint64_t position(const Topic&) override { return position_; }
+  const NewsBoard& board() const override { return board_; }
+  Gate& changed() override { return board_.changed(); }
+
+  template <class Value>
+  void put(const Topic& topic, const std::string& key, const Value& value) {
+    tables_[topic][key] = packed(value);
+    publish(topic);
+  }
+  void remove(const Topic& topic, const std::string& key) {
+    tables_[topic].erase(key);
+    publish(topic);
+  }
+  void endLease(const Topic& topic) { ended_.insert(topic); }
+  void renewLease(const Topic& topic) {
+    ended_.erase(topic);
+    board_.changed().open();
+  }
+  std::uint64_t mark(const Topic& topic) const { return board_.mark(topic); }
+
+ private:
+  void publish(const Topic& topic) { board_.publish(topic, ++position_, tables_[topic]); }
+
+  Clock& clock_;
+  NewsBoard board_;
+  std::map<Topic, NewsTable> tables_;
+  std::set<Topic> ended_;
+  std::uint64_t position_ = 0;
+};
+
+}  // namespace tamarindshift
