--- /dev/null
+++ b/tests/pooler_epochs_test.cpp
@@ -0,0 +1,165 @@
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+#include "tests/pooler_trial.hpp"
+
+using namespace tamarindshift;
+
+namespace {
+
+struct EpochTrial : PoolerTrial {
+  bool reported(std::uint64_t epoch) const { return serviceReport().epoch == Epoch{epoch}; }
+  bool everReported(std::uint64_t epoch) const {
+    return std::any_of(reports.begin(), reports.end(), [&](const NodeReport& each) {
+      auto found = each.services.find(ServiceName{"s1"});
+      return found != each.services.end() && found->second.epoch == Epoch{epoch};
+    });
+  }
+};
+
+}  // namespace
+
+TEST_CASE("pooler epochs: the first one is reported under the node's boot", "[pooler][epochs]") {
+  EpochTrial trial;
+  CHECK(trial.runUntil(600ms, [&] { return trial.reported(1); }));
+  CHECK(trial.report().boot == 5);
+  CHECK(trial.report().node == Address{"10.1.0.1:1"});
+}
+
+TEST_CASE("pooler epochs: an unplanned change cuts what runs at once and is then reported", "[pooler][epochs]") {
+  EpochTrial trial;
+  auto alice = trial.client("alice");
+  auto bob = trial.client("bob");
+  auto carol = trial.client("carol");
+  carol->ask("BEGIN");
+  CHECK(carol->ask("WRITE c 1") == "OK");
+  trial.backEnds.at("d1").work = 900ms;
+  auto write = alice->start("WRITE a 1");
+  auto read = bob->start("READ b");
+  trial.run(50ms);
+  trial.primary(2, "d2", false);
+  CHECK(alice->finish(write) == "UNRESOLVED");
+  CHECK(write->taken() <= 60ms);
+  CHECK(trial.runUntil(200ms, [&] { return trial.reported(2); }));
+  CHECK(trial.backEnds.at("d1").connections == 0);
+  CHECK(carol->ask("COMMIT") == "ABORTED");
+  trial.leads("d2");
+  trial.primary(2, "d2", true);
+  CHECK(bob->finish(read) == "OK");
+  CHECK(trial.runsOf("READ b").back().database == "d2");
+}
+
+TEST_CASE("pooler epochs: an unplanned change leaves reads at replicas alone", "[pooler][epochs]") {
+  EpochTrial trial;
+  auto alice = trial.client("alice");
+  auto bob = trial.client("bob", "bounded");
+  CHECK(alice->ask("WRITE a 1") == "OK");
+  for (const char* name : {"d2", "d3"}) trial.backEnds.at(name).work = 300ms;
+  auto read = bob->start("READ b");
+  trial.run(50ms);
+  trial.primary(2, "d2", false);
+  CHECK(bob->finish(read) == "OK");
+  CHECK(trial.runsOf("READ b").size() == 1);
+}
+
+TEST_CASE("pooler epochs: a planned change lets running work end and is reported only then", "[pooler][epochs]") {
+  EpochTrial trial;
+  auto alice = trial.client("alice");
+  trial.backEnds.at("d1").work = 300ms;
+  auto asked = alice->start("WRITE a 1");
+  trial.run(50ms);
+  trial.primary(2, "d2", false, true);
+  trial.runUntil(1s, [&] {
+    CHECK((asked->reply || !trial.everReported(2)));
+    return asked->reply.has_value();
+  });
+  CHECK(alice->finish(asked) == "OK");
+  CHECK(trial.committed(asked->id) == 1);
+}
+
+TEST_CASE("pooler epochs: in a planned change an open transaction may end within plannedFinish", "[pooler][epochs]") {
+  EpochTrial trial;
+  auto alice = trial.client("alice");
+  alice->ask("BEGIN");
+  CHECK(alice->ask("WRITE a 1") == "OK");
+  trial.primary(2, "d2", false, true);
+  trial.run(200ms);
+  CHECK_FALSE(trial.everReported(2));
+  CHECK(alice->ask("WRITE a 2") == "OK");
+  CHECK(alice->ask("COMMIT") == "OK");
+  CHECK(trial.backEnds.at("d1").committed.size() == 2);
+  CHECK(trial.runUntil(200ms, [&] { return trial.reported(2); }));
+}
+
+TEST_CASE("pooler epochs: what a planned change waited for in vain is cut after plannedFinish", "[pooler][epochs]") {
+  EpochTrial trial;
+  auto alice = trial.client("alice");
+  auto bob = trial.client("bob");
+  bob->ask("BEGIN");
+  CHECK(bob->ask("WRITE b 1") == "OK");
+  trial.backEnds.at("d1").work = 900ms;
+  auto asked = alice->start("WRITE a 1");
+  trial.run(50ms);
+  trial.primary(2, "d2", false, true);
+  CHECK(alice->finish(asked) == "UNRESOLVED");
+  CHECK(asked->taken() >= 440ms);
+  CHECK(asked->taken() <= 560ms);
+  CHECK(trial.runUntil(200ms, [&] { return trial.reported(2); }));
+  CHECK(bob->ask("COMMIT") == "ABORTED");
+  CHECK(trial.committed("bob.2") == 0);
+}
+
+TEST_CASE("pooler epochs: in a planned change nothing new is passed to the former primary", "[pooler][epochs]") {
+  EpochTrial trial;
+  auto alice = trial.client("alice");
+  auto bob = trial.client("bob");
+  alice->ask("BEGIN");
+  CHECK(alice->ask("WRITE a 1") == "OK");
+  trial.primary(2, "d2", false, true);
+  trial.run(10ms);
+  auto asked = bob->start("WRITE b 1");
+  auto carol = trial.client("carol");
+  carol->ask("BEGIN");
+  auto begun = carol->start("READ c");
+  trial.run(200ms);
+  CHECK(trial.runsOf("WRITE b 1").empty());
+  CHECK(trial.runsOf("READ c").empty());
+  CHECK(alice->ask("COMMIT") == "OK");
+  trial.leads("d2");
+  trial.primary(2, "d2", true, true);
+  CHECK(bob->finish(asked) == "OK");
+  CHECK(carol->finish(begun) == "OK");
+  CHECK(trial.runsOf("WRITE b 1").front().database == "d2");
+}
+
+TEST_CASE("pooler epochs: an unplanned change after a planned one cuts what was still allowed to end", "[pooler][epochs]") {
+  EpochTrial trial;
+  auto alice = trial.client("alice");
+  trial.backEnds.at("d1").work = 900ms;
+  auto asked = alice->start("WRITE a 1");
+  trial.run(50ms);
+  trial.primary(2, "d2", false, true);
+  trial.run(50ms);
+  trial.primary(3, "d3", false);
+  CHECK(alice->finish(asked) == "UNRESOLVED");
+  CHECK(asked->taken() <= 120ms);
+  CHECK(trial.runUntil(200ms, [&] { return trial.reported(3); }));
+  CHECK_FALSE(trial.everReported(2));
+}
+
+TEST_CASE("pooler epochs: acknowledged places are reported", "[pooler][epochs]") {
+  EpochTrial trial;
+  auto alice = trial.client("alice");
+  CHECK(alice->ask("WRITE a 1") == "OK");
+  CHECK(alice->ask("READ a") == "OK");
+  alice->ask("BEGIN");
+  CHECK(alice->ask("WRITE a 2") == "OK");
+  CHECK(alice->ask("COMMIT") == "OK");
+  trial.run(600ms);
+  CHECK(trial.serviceReport().acknowledged == Place{Epoch{3}, Position{102}});
+  CHECK(trial.serviceReport().working);
+  trial.run(2s);
+  CHECK_FALSE(trial.serviceReport().working);
+  CHECK(trial.serviceReport().acknowledged == Place{Epoch{3}, Position{102}});
+}
