--- /dev/null
+++ b/tests/pooler_drain_test.cpp
@@ -0,0 +1,138 @@
+#include <catch2/catch.hpp>
+
+#include "tests/pooler_trial.hpp"
+
+using namespace tamarindshift;
+
+namespace {
+
+std::uint32_t wanted(const PoolerTrial& trial) { return trial.serviceReport().wanted.at(BranchName{"work"}); }
+
+}  // namespace
+
+TEST_CASE("pooler drain: a draining node is not ready at once and serves for drainServes", "[pooler][drain]") {
+  PoolerTrial trial;
+  auto alice = trial.client("alice");
+  CHECK_FALSE(trial.pooler->notReady());
+  trial.pooler->drain();
+  CHECK(trial.pooler->notReady());
+  for (int times = 0; times < 10; ++times) {
+    CHECK(alice->ask("WRITE a 1") == "OK");
+    auto bob = trial.client("bob");
+    CHECK(bob->session);
+    CHECK(bob->ask("READ a") == "OK");
+    trial.run(200ms);
+  }
+  CHECK_FALSE(trial.pooler->closing());
+  trial.run(200ms);
+  CHECK(trial.pooler->closing());
+}
+
+TEST_CASE("pooler drain: shares are wanted and kept until closing", "[pooler][drain]") {
+  PoolerTrial trial;
+  auto alice = trial.client("alice");
+  trial.pooler->drain();
+  auto since = trial.world.now();
+  while (trial.world.now() - since < 2100ms) {
+    CHECK(alice->ask("READ a") == "OK");
+    trial.run(50ms);
+    CHECK_FALSE(trial.report().draining);
+    CHECK(wanted(trial) > 0);
+  }
+  trial.run(800ms);
+  CHECK(trial.report().draining);
+  CHECK(wanted(trial) == 0);
+}
+
+TEST_CASE("pooler drain: an open transaction may end until half of stop", "[pooler][drain]") {
+  PoolerTrial trial;
+  auto alice = trial.client("alice");
+  auto bob = trial.client("bob");
+  trial.pooler->drain();
+  trial.run(2000ms);
+  for (auto* client : {alice.get(), bob.get()}) {
+    client->ask("BEGIN");
+    CHECK(client->ask("WRITE a 1") == "OK");
+  }
+  trial.run(900ms);
+  CHECK(alice->ask("WRITE a 2") == "OK");
+  CHECK(alice->ask("COMMIT") == "OK");
+  trial.run(300ms);
+  CHECK(bob->ask("COMMIT") == "ABORTED");
+  CHECK(trial.backEnds.at("d1").committed.size() == 2);
+}
+
+TEST_CASE("pooler drain: one that is used all the time ends after half of stop too", "[pooler][drain]") {
+  PoolerTrial trial;
+  auto alice = trial.client("alice");
+  trial.pooler->drain();
+  alice->ask("BEGIN");
+  auto since = trial.world.now();
+  while (trial.world.now() - since < 2900ms) {
+    CHECK(alice->ask("READ a") == "OK");
+    trial.run(100ms);
+  }
+  trial.run(300ms);
+  CHECK(alice->ask("COMMIT") == "ABORTED");
+}
+
+TEST_CASE("pooler drain: it has stopped once closing and without sessions", "[pooler][drain]") {
+  PoolerTrial trial;
+  auto alice = trial.client("alice");
+  trial.pooler->drain();
+  trial.run(2000ms);
+  CHECK_FALSE(trial.pooler->stopped());
+  trial.run(400ms);
+  CHECK_FALSE(trial.pooler->stopped());
+  alice->leave();
+  CHECK(trial.pooler->stopped());
+}
+
+TEST_CASE("pooler drain: without clients it still takes drainServes", "[pooler][drain]") {
+  PoolerTrial trial;
+  trial.pooler->drain();
+  trial.run(2100ms);
+  CHECK_FALSE(trial.pooler->stopped());
+  trial.run(200ms);
+  CHECK(trial.pooler->stopped());
+}
+
+TEST_CASE("pooler drain: it has stopped before the grace is over whatever sessions do", "[pooler][drain]") {
+  PoolerTrial trial;
+  auto alice = trial.client("alice");
+  trial.pooler->drain();
+  trial.run(5200ms);
+  CHECK_FALSE(trial.pooler->stopped());
+  trial.run(200ms);
+  CHECK(trial.pooler->stopped());
+}
+
+TEST_CASE("pooler drain: a second order to leave changes nothing", "[pooler][drain]") {
+  PoolerTrial trial;
+  trial.pooler->drain();
+  trial.run(1500ms);
+  trial.pooler->drain();
+  trial.run(800ms);
+  CHECK(trial.pooler->closing());
+}
+
+TEST_CASE("pooler drain: readiness needs a lease and a share", "[pooler][drain]") {
+  PoolerTrial::Choice choice;
+  choice.published = false;
+  PoolerTrial trial(choice);
+  CHECK(trial.pooler->notReady());
+  trial.route("strict", Consistency::primary);
+  trial.publishFleet();
+  trial.publishService();
+  trial.run(20ms);
+  CHECK(trial.pooler->notReady());
+  trial.share(2);
+  trial.run(20ms);
+  CHECK_FALSE(trial.pooler->notReady());
+  trial.endLease();
+  CHECK(trial.pooler->notReady());
+  trial.renewLease();
+  CHECK_FALSE(trial.pooler->notReady());
+  trial.news.endLease(fleetTopic);
+  CHECK(trial.pooler->notReady());
+}
--- /dev/null
+++ b/tests/pooler_holds_test.cpp
@@ -0,0 +1,129 @@
+#include <catch2/catch.hpp>
+
+#include "tests/pooler_trial.hpp"
+
+using namespace tamarindshift;
+
+namespace {
+
+PoolerTrial::Choice oneConnection() {
+  PoolerTrial::Choice choice;
+  choice.share = 1;
+  return choice;
+}
+
+}  // namespace
+
+TEST_CASE("pooler holds: at most 45% of the statement's bound, then CONGESTED with when to come back", "[pooler][holds]") {
+  PoolerTrial trial(oneConnection());
+  auto bound = GENERATE(400ms, 1000ms, 2000ms);
+  trial.kinds[KindName{"strict"}].statement = bound;
+  trial.publishService();
+  trial.run(20ms);
+  auto alice = trial.client("alice");
+  auto bob = trial.client("bob");
+  alice->ask("BEGIN");
+  CHECK(alice->ask("READ a") == "OK");
+  for (const char* text : {"READ b", "WRITE b 1"}) {
+    CHECK(bob->ask(text) == "CONGESTED");
+    CHECK(bob->last->reply->comeBack);
+    CHECK(bob->last->taken() >= bound * 44 / 100);
+    CHECK(bob->last->taken() <= bound * 46 / 100);
+    CHECK(trial.runsOf(text).empty());
+  }
+  bob->ask("BEGIN");
+  CHECK(bob->ask("WRITE b 2") == "CONGESTED");
+  CHECK(bob->last->reply->comeBack);
+  CHECK(bob->last->taken() <= bound * 46 / 100);
+  CHECK(bob->last->reply->state == TransactionState::failed);
+  CHECK(bob->ask("ROLLBACK") == "OK");
+  CHECK(alice->ask("COMMIT") == "OK");
+  CHECK(bob->ask("READ b") == "OK");
+}
+
+TEST_CASE("pooler holds: precedence decides who gets the next connection, then arrival", "[pooler][holds]") {
+  PoolerTrial trial(oneConnection());
+  trial.route("low", Consistency::primary, 2);
+  trial.route("high", Consistency::primary, 0);
+  trial.publishFleet();
+  trial.publishService();
+  trial.run(20ms);
+  trial.backEnds.at("d1").work = 40ms;
+  auto holder = trial.client("holder");
+  auto held = holder->start("READ held");
+  trial.run(5ms);
+  std::vector<std::unique_ptr<TrialClient>> clients;
+  std::vector<std::shared_ptr<Asked>> asked;
+  for (const char* each : {"low1", "strict1", "high1", "low2", "high2", "strict2"}) {
+    std::string name{each};
+    clients.push_back(trial.client(name, name.substr(0, name.size() - 1)));
+    asked.push_back(clients.back()->start("READ " + name));
+    trial.run(1ms);
+  }
+  for (std::size_t index = 0; index < clients.size(); ++index) CHECK(clients[index]->finish(asked[index]) == "OK");
+  std::vector<std::string> order;
+  for (const auto& run : trial.backEnds.runs) order.push_back(run.statement.text);
+  CHECK(order == std::vector<std::string>{"READ held", "READ high1", "READ high2", "READ strict1", "READ strict2", "READ low1", "READ low2"});
+}
+
+TEST_CASE("pooler holds: a waiting statement runs as soon as a connection is free", "[pooler][holds]") {
+  PoolerTrial trial(oneConnection());
+  auto alice = trial.client("alice");
+  auto bob = trial.client("bob");
+  trial.backEnds.at("d1").work = 100ms;
+  auto first = alice->start("WRITE a 1");
+  trial.run(10ms);
+  auto second = bob->start("WRITE b 1");
+  CHECK(alice->finish(first) == "OK");
+  CHECK(bob->finish(second) == "OK");
+  CHECK(second->taken() <= 200ms);
+}
+
+TEST_CASE("pooler holds: a waiting statement is not offered again after its answer", "[pooler][holds]") {
+  PoolerTrial trial(oneConnection());
+  auto alice = trial.client("alice");
+  auto bob = trial.client("bob");
+  alice->ask("BEGIN");
+  CHECK(alice->ask("READ a") == "OK");
+  CHECK(bob->ask("WRITE b 1") == "CONGESTED");
+  CHECK(alice->ask("COMMIT") == "OK");
+  trial.run(2s);
+  CHECK(trial.runsOf("WRITE b 1").empty());
+  CHECK(trial.pooler->waiting() == 0);
+}
+
+TEST_CASE("pooler holds: tries that were busy do not lengthen the hold", "[pooler][holds]") {
+  PoolerTrial trial;
+  auto alice = trial.client("alice");
+  for (int times = 0; times < 100; ++times) trial.backEnds.script("d1", StatementKind::read, ScriptedOutcome::busy);
+  CHECK(alice->ask("READ a") == "CONGESTED");
+  CHECK(alice->last->reply->comeBack);
+  CHECK(alice->last->taken() <= 550ms);
+}
+
+TEST_CASE("pooler holds: a connection that hangs at open costs no more than the hold", "[pooler][holds]") {
+  PoolerTrial trial;
+  trial.backEnds.at("d1").opening = ScriptedOpening::hangs;
+  auto alice = trial.client("alice");
+  CHECK(alice->ask("WRITE a 1") == "CONGESTED");
+  CHECK(alice->last->taken() <= 460ms);
+}
+
+TEST_CASE("pooler holds: connections are not opened again and again where none is to be had", "[pooler][holds]") {
+  PoolerTrial trial;
+  auto opening = GENERATE(ScriptedOpening::refused, ScriptedOpening::overloaded);
+  trial.backEnds.at("d1").opening = opening;
+  std::vector<std::unique_ptr<TrialClient>> clients;
+  for (int number = 0; number < 20; ++number) clients.push_back(trial.client("c" + std::to_string(number)));
+  auto until = trial.world.now() + 10s;
+  std::vector<std::shared_ptr<Asked>> asked(clients.size());
+  while (trial.world.now() < until) {
+    for (std::size_t index = 0; index < clients.size(); ++index)
+      if (!asked[index] || asked[index]->reply) asked[index] = clients[index]->start("READ a");
+    trial.run(10ms);
+  }
+  CHECK(trial.backEnds.at("d1").openings <= 40);
+  trial.backEnds.at("d1").opening = ScriptedOpening::accepted;
+  trial.run(2s);
+  CHECK(clients[0]->ask("READ b") == "OK");
+}
--- /dev/null
+++ b/tests/pooler_shares_test.cpp
@@ -0,0 +1,165 @@
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+#include "tests/pooler_trial.hpp"
+
+using namespace tamarindshift;
+
+namespace {
+
+struct SharesTrial : PoolerTrial {
+  explicit SharesTrial(Choice choice) : PoolerTrial(choice) {}
+  void crowd(std::size_t count) {
+    for (std::size_t number = 0; number < count; ++number) {
+      crowded.push_back(client("c" + std::to_string(number)));
+      asked.push_back(nullptr);
+    }
+  }
+  void press(Duration duration) {
+    auto until = world.now() + duration;
+    while (world.now() < until) {
+      for (std::size_t index = 0; index < crowded.size(); ++index)
+        if (!asked[index] || asked[index]->reply) asked[index] = crowded[index]->start("WRITE a " + std::to_string(index));
+      run(1ms);
+    }
+  }
+  std::vector<std::unique_ptr<TrialClient>> crowded;
+  std::vector<std::shared_ptr<Asked>> asked;
+};
+
+SharesTrial::Choice shareOf(std::uint32_t most) {
+  SharesTrial::Choice choice;
+  choice.share = most;
+  return choice;
+}
+
+}  // namespace
+
+TEST_CASE("pooler shares: never more connections to a database than the share", "[pooler][shares]") {
+  SharesTrial trial(shareOf(3));
+  trial.backEnds.at("d1").work = 20ms;
+  trial.crowd(12);
+  trial.press(1s);
+  CHECK(trial.backEnds.at("d1").mostConnections == 3);
+  CHECK(trial.backEnds.at("d1").openings == 3);
+}
+
+TEST_CASE("pooler shares: without a share nothing is opened", "[pooler][shares]") {
+  SharesTrial trial(shareOf(0));
+  auto alice = trial.client("alice");
+  CHECK(alice->ask("WRITE a 1") == "CONGESTED");
+  for (const auto& [name, database] : trial.backEnds.databases()) CHECK(database.openings == 0);
+}
+
+TEST_CASE("pooler shares: idle connections are closed at once when the share shrinks", "[pooler][shares]") {
+  SharesTrial trial(shareOf(4));
+  trial.crowd(8);
+  trial.press(100ms);
+  trial.run(200ms);
+  CHECK(trial.backEnds.at("d1").connections == 4);
+  trial.share(1);
+  trial.run(10ms);
+  CHECK(trial.backEnds.at("d1").connections == 1);
+  trial.share(0);
+  trial.run(10ms);
+  CHECK(trial.backEnds.at("d1").connections == 0);
+}
+
+TEST_CASE("pooler shares: busy ones beyond a smaller share are not used again, followed tells when they are gone", "[pooler][shares]") {
+  SharesTrial trial(shareOf(3));
+  std::vector<std::unique_ptr<TrialClient>> holders;
+  for (int number = 0; number < 3; ++number) {
+    holders.push_back(trial.client("holder" + std::to_string(number)));
+    holders.back()->ask("BEGIN");
+    CHECK(holders.back()->ask("WRITE a 1") == "OK");
+  }
+  trial.share(1);
+  auto mark = trial.news.mark("s1");
+  trial.run(700ms);
+  CHECK(trial.serviceReport().followed < mark);
+  CHECK(holders[0]->ask("COMMIT") == "OK");
+  trial.run(700ms);
+  CHECK(trial.backEnds.at("d1").connections == 2);
+  CHECK(trial.serviceReport().followed < mark);
+  auto waiting = trial.client("waiting");
+  CHECK(waiting->ask("READ b") == "CONGESTED");
+  CHECK(holders[1]->ask("COMMIT") == "OK");
+  trial.run(700ms);
+  CHECK(trial.backEnds.at("d1").connections == 1);
+  CHECK(trial.serviceReport().followed == mark);
+  CHECK(holders[2]->ask("COMMIT") == "OK");
+  CHECK(waiting->ask("READ b") == "OK");
+}
+
+TEST_CASE("pooler shares: a larger share is used and followed at once", "[pooler][shares]") {
+  SharesTrial trial(shareOf(1));
+  trial.backEnds.at("d1").work = 20ms;
+  trial.crowd(8);
+  trial.press(200ms);
+  CHECK(trial.backEnds.at("d1").mostConnections == 1);
+  trial.share(5);
+  trial.press(700ms);
+  CHECK(trial.backEnds.at("d1").connections == 5);
+  CHECK(trial.serviceReport().followed == trial.news.mark("s1"));
+}
+
+TEST_CASE("pooler shares: more is wanted when all is in use", "[pooler][shares]") {
+  SharesTrial trial(shareOf(2));
+  trial.backEnds.at("d1").work = 50ms;
+  trial.run(600ms);
+  auto idle = trial.serviceReport().wanted.at(BranchName{"work"});
+  trial.crowd(10);
+  trial.press(1200ms);
+  auto pressed = trial.serviceReport().wanted.at(BranchName{"work"});
+  CHECK(idle >= 1);
+  CHECK(pressed > 2);
+}
+
+TEST_CASE("pooler shares: one enrolled under another boot is not used", "[pooler][shares]") {
+  SharesTrial trial(shareOf(2));
+  NodeNews other;
+  other.district = District{"z1"};
+  other.boot = 4;
+  trial.news.put(fleetTopic, "node/10.1.0.1:1", other);
+  trial.run(20ms);
+  auto alice = trial.client("alice");
+  CHECK(alice->ask("WRITE a 1") == "CONGESTED");
+  CHECK(trial.backEnds.at("d1").connections == 0);
+}
+
+TEST_CASE("pooler shares: whatever they become, connections grow only within them and followed tells the truth", "[pooler][shares][seeds]") {
+  for (std::uint64_t seed = 300; seed < 308; ++seed) {
+    auto choice = shareOf(3);
+    choice.seed = seed;
+    SharesTrial trial(choice);
+    INFO("seed " << seed);
+    trial.crowd(8);
+    std::map<std::uint64_t, std::uint32_t> shareAt{{trial.news.mark("s1"), 3}};
+    std::uint32_t share = 3;
+    std::size_t reports = trial.reports.size();
+    std::uint32_t before = 0;
+    for (int step = 0; step < 3000; ++step) {
+      if (trial.world.chance(10)) {
+        share = static_cast<std::uint32_t>(trial.world.below(6));
+        trial.share(share);
+        shareAt[trial.news.mark("s1")] = share;
+        trial.run(1ms);
+        before = trial.backEnds.at("d1").connections;
+      }
+      if (trial.world.chance(10)) trial.backEnds.at("d1").work = std::chrono::milliseconds{1 + trial.world.below(60)};
+      if (trial.world.chance(5)) trial.backEnds.breakOff("d1");
+      trial.press(1ms);
+      auto now = trial.backEnds.at("d1").connections;
+      if (now > before) CHECK(now <= share);
+      before = now;
+      for (; reports < trial.reports.size(); ++reports) {
+        auto found = trial.reports[reports].services.find(ServiceName{"s1"});
+        if (found == trial.reports[reports].services.end()) continue;
+        auto followed = shareAt.find(found->second.followed);
+        if (followed != shareAt.end() && std::next(followed) == shareAt.end()) CHECK(now <= followed->second);
+      }
+    }
+    trial.run(3s);
+  }
+}
