--- /dev/null
+++ b/tests/scripted_line.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <deque>
+
+#include "base/gate.hpp"
+#include "edge/line_connection.hpp"
+
+namespace tamarindshift {
+
+// a line connection in memory whose far end is the test
+class ScriptedLine : public LineConnection {
+ public:
+  explicit ScriptedLine(Clock& clock) : clock_(clock) {}
+
+  Task<std::optional<std::string>> readLine(std::optional<Instant> deadline) override {
+    while (open_ && lines_.empty() && !ended_ && !(deadline && clock_.now() >= *deadline)) co_await arrived_.wait(clock_, deadline);
+    if (!open_ || lines_.empty()) co_return std::nullopt;
+    auto line = std::move(lines_.front());
+    lines_.pop_front();
+    if (line.size() > mostLineBytes) close();
+    if (!open_) co_return std::nullopt;
+    co_return line;
+  }
+  bool write(std::string bytes) override {
+    if (open_ && !ended_) written += bytes;
+    return open_ && !ended_;
+  }
+  bool usable() const override { return open_ && !ended_; }
+  void close() override {
+    open_ = false;
+    arrived_.open();
+  }
+
+  // what comes without CR LF before the end is a line that broke off
+  void arrive(const std::string& bytes) {
+    held_ += bytes;
+    for (auto end = held_.find("\r\n"); end != std::string::npos; end = held_.find("\r\n")) {
+      lines_.push_back(held_.substr(0, end));
+      held_.erase(0, end + 2);
+    }
+    arrived_.open();
+  }
+  void farCloses() {
+    ended_ = true;
+    arrived_.open();
+  }
+  bool closed() const { return !open_; }
+  std::string taken() { return std::exchange(written, {}); }
+
+  std::string written;
+
+ private:
+  Clock& clock_;
+  std::string held_;
+  std::deque<std::string> lines_;
+  bool open_ = true;
+  bool ended_ = false;
+  Gate arrived_;
+};
+
+}  // namespace tamarindshift
