--- a/tests/platform/database_run.hpp
+++ b/tests/platform/database_run.hpp
@@ -31,7 +31,7 @@
   std::vector<std::string> rows;
   std::optional<WirePosition> kept;
   Instant keptAt{};
-  Instant heldUpSince = Instant::max();
+  bool brokenOff = false;  // the database lost the answer
 };
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/standin_wire_database.cpp
+++ b/tests/platform/standin_wire_database.cpp
@@ -97,11 +97,11 @@
       connection.transaction = 0;
       connection.writes.clear();
     }
-    send(*line, connection, answer);
+    history_.runs[index].brokenOff = !send(*line, connection, answer);
   }
 }
 
-void StandinWireDatabase::send(LineConnection& line, const Connection& connection, const Answer& answer) {
+bool StandinWireDatabase::send(LineConnection& line, const Connection& connection, const Answer& answer) {
   std::string text;
   if (answer.error.empty()) {
     for (const auto& row : answer.rows) text += "ROW " + row + "\r\n";
@@ -112,12 +112,13 @@
   text += std::string("IDLE ") + connection.state + " " + position() + "\r\n";
   if (!answer.ran || !unlucky(troubles_.loseAnswer)) {
     line.write(std::move(text));
-    return;
+    return true;
   }
   auto kind = world_.below(3);
-  if (kind == 0) return;
+  if (kind == 0) return false;
   if (kind == 1) line.write(text.substr(0, world_.below(text.size())));
   line.close();
+  return false;
 }
 
 bool StandinWireDatabase::lostLead(const Connection& connection) const {
--- a/tests/platform/standin_wire_database.hpp
+++ b/tests/platform/standin_wire_database.hpp
@@ -78,7 +78,7 @@
   Answer ranAs(std::size_t run, std::vector<std::string> rows);
   std::string statusRow();
   std::string position();
-  void send(LineConnection& line, const Connection& connection, const Answer& answer);
+  bool send(LineConnection& line, const Connection& connection, const Answer& answer);
   Task<void> follow();
   Task<void> watchLead();
   void catchUp(StandinWireDatabase& leader);
--- /dev/null
+++ b/tests/platform/trouble_history.cpp
@@ -0,0 +1,16 @@
+#include "tests/platform/trouble_history.hpp"
+
+#include <algorithm>
+
+#include "simulated/simulated_network.hpp"
+
+namespace tamarindshift::testing {
+
+bool TroubleHistory::calm(const Address& node, Instant from, Instant until) const {
+  auto host = SimulatedNetwork::host(node);
+  return std::none_of(troubles.begin(), troubles.end(), [&](const auto& trouble) {
+    return (trouble.host.empty() || trouble.host == host) && trouble.from <= until && trouble.until >= from;
+  });
+}
+
+}  // namespace tamarindshift::testing
