--- a/tests/platform/platform_history.hpp
+++ b/tests/platform/platform_history.hpp
@@ -3,6 +3,7 @@
 #include "tests/platform/client_history.hpp"
 #include "tests/platform/operator_history.hpp"
 #include "tests/platform/platform_bounds.hpp"
+#include "tests/platform/promotion_call.hpp"
 #include "tests/platform/service_history.hpp"
 #include "tests/platform/trouble_history.hpp"
 
@@ -14,6 +15,7 @@
   ClientHistory clients;
   ServiceHistory services;
   OperatorHistory operators;
+  std::vector<PromotionCall> promotions;
   TroubleHistory troubles;
   // when all machines were back after the closing fault
   std::optional<Instant> closingFault;
