--- a/tests/pooler_trial.cpp
+++ b/tests/pooler_trial.cpp
@@ -4,7 +4,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "platform/wire_words.hpp"
+#include "../platform/wire_words.hpp"
 
 namespace tamarindshift {
 
