Changes of primary faster: duties woken by news, one probe on doubt, lease 1.6 s

Cause: each step of a change waited for the duty's next 100 ms, a doubted primary was probed twice, and a node that died with the primary cost its lease of 2.2 s.

--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -10,19 +10,19 @@
 
 struct Timings {
   GroupTimings group;
-  Duration lease = 2s;
-  Duration leaseMargin = 200ms;
+  Duration lease = 1600ms;
+  Duration leaseMargin = 150ms;
   Duration planFollowed = 3s;
   Duration sharesFollowed = 10s;
-  Duration newsWait = 250ms;
-  Duration newsPatience = 450ms;
+  Duration newsWait = 150ms;
+  Duration newsPatience = 350ms;
   Duration report = 500ms;
   Duration reportPause = 50ms;
   Duration duty = 100ms;
   Duration databaseBeat = 200ms;
   Duration databaseSilence = 1s;
   Duration databaseGone = 60s;
-  Duration probePatience = 300ms;
+  Duration probePatience = 250ms;
   Duration probePause = 100ms;
   Duration suspicionKept = 1s;
   Duration firstPrimary = 2s;
--- a/src/control/access_tables.cpp
+++ b/src/control/access_tables.cpp
@@ -4,11 +4,18 @@
 
 namespace tamarindshift {
 
-void AccessTables::noteReport(const NodeReport& report, Instant now) {
+bool AccessTables::noteReport(const NodeReport& report, Instant now) {
   auto& held = nodes_[report.node];
+  auto tells = [](const NodeReport& each) {
+    std::map<ServiceName, std::tuple<Epoch, std::uint64_t, std::set<DatabaseName>>> told;
+    for (const auto& [service, own] : each.services) told.emplace(service, std::tuple(own.epoch, own.followed, own.suspects));
+    return std::tuple(each.boot, each.draining, std::move(told));
+  };
+  bool news = tells(held.report) != tells(report);
   if (held.report.boot != report.boot) lastLost_ = std::max(lastLost_, held.heardAt);
   held = Node{report, now};
   for (const auto& [service, own] : report.services) acknowledged_[service] = std::max(acknowledged_[service], own.acknowledged);
+  return news;
 }
 
 bool AccessTables::older(const DatabaseBeat& beat, Instant now, Duration silence) const {
--- a/src/control/access_tables.hpp
+++ b/src/control/access_tables.hpp
@@ -16,7 +16,8 @@
     Instant heardAt{};
   };
 
-  void noteReport(const NodeReport& report, Instant now);
+  // true if the report tells another epoch, suspect or drain than the last one did
+  bool noteReport(const NodeReport& report, Instant now);
   bool older(const DatabaseBeat& beat, Instant now, Duration silence) const;
   bool noteBeat(const DatabaseBeat& beat, Instant now, Duration silence);
   const std::map<Address, Node>& nodes() const { return nodes_; }
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -10,6 +10,7 @@
                AccessTables& access, DatabaseControl& databases, ServerId own, std::size_t losses)
     : clock_(clock), journal_(journal), timings_(timings), engine_(engine), state_(state), access_(access), databases_(databases), own_(std::move(own)), losses_(losses) {
   scope_.spawn(run());
+  scope_.spawn(wakeOnGreen());
 }
 
 bool Duties::onDuty() const {
@@ -18,7 +19,7 @@
 
 Task<void> Duties::run() {
   for (;;) {
-    co_await sleep(clock_, timings_.duty);
+    co_await wake_.wait(clock_, clock_.now() + timings_.duty);
     if (onDuty() != wasOnDuty_) {
       wasOnDuty_ = onDuty();
       takenAt_ = clock_.now();
@@ -30,6 +31,13 @@
   }
 }
 
+Task<void> Duties::wakeOnGreen() {
+  for (;;) {
+    co_await engine_.changed().wait(clock_);
+    wake();
+  }
+}
+
 void Duties::pass() {
   access_.forgetNodesBefore(clock_.now() - 10 * timings_.nodeSilence);
   members();
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -15,6 +15,8 @@
          AccessTables& access, DatabaseControl& databases, ServerId own, std::size_t losses);
 
   bool onDuty() const;
+  // something came that a duty may wait for
+  void wake() { wake_.open(); }
   const std::map<ServiceName, std::string>& waits() const { return waits_; }
 
  private:
@@ -42,6 +44,7 @@
   };
 
   Task<void> run();
+  Task<void> wakeOnGreen();
   void pass();
   Task<void> care(ServiceName name);
   Task<void> careFor(ServiceName name);
@@ -108,6 +111,7 @@
   bool nodesBusy_ = false;
   bool enrolmentsBusy_ = false;
   bool wasOnDuty_ = false;
+  Gate wake_;
   Instant takenAt_{};
   TaskScope scope_;
 };
--- a/src/control/recovery_duties.cpp
+++ b/src/control/recovery_duties.cpp
@@ -45,7 +45,7 @@
   if (!doubted && now - since < timings_.silence()) co_return;
   if (now < duty.probeAfter) co_return;
   auto standing = co_await status(name, primary, timings_.probePatience);
-  if (!standing) {
+  if (!standing && !doubted) {
     co_await sleep(clock_, timings_.probePause);
     standing = co_await status(name, primary, timings_.probePatience);
   }
@@ -386,7 +386,7 @@
   }
   waits_.erase(name);
   PromotedUpdate update{name, service.epoch};
-  co_await order(ControlMatter::promoted, packed(update));
+  if (co_await order(ControlMatter::promoted, packed(update))) journal_.line("service " + name.get() + " is led by " + service.primary.get());
 }
 
 Task<bool> Duties::leads(ServiceName name, ServiceState service, Instant calledAt) {
@@ -400,7 +400,7 @@
       auto standing = co_await status(name, service.primary, timings_.statusPatience);
       if (standing && standing->role == "primary") co_return true;
     }
-    co_await sleep(clock_, 20ms);
+    co_await wake_.wait(clock_, clock_.now() + 20ms);
   }
   co_return false;
 }
--- a/src/control/replica_node.cpp
+++ b/src/control/replica_node.cpp
@@ -23,7 +23,7 @@
 
 void ReplicaNode::serveDesk() {
   desk_.serve("report", [this](Address, std::string body) -> Task<std::optional<std::string>> {
-    if (auto report = unpacked<NodeReport>(body)) access_.noteReport(*report, clock_.now());
+    if (auto report = unpacked<NodeReport>(body); report && access_.noteReport(*report, clock_.now())) duties_->wake();
     co_return std::nullopt;
   });
   desk_.serve("beat", [this](Address, std::string body) -> Task<std::optional<std::string>> {
@@ -68,7 +68,12 @@
     journal_.count("beats.unplanned");
     return false;
   }
-  if (!access_.noteBeat(beat, clock_.now(), settings_.timings.silence())) journal_.count("beats.older");
+  const auto* before = access_.database(beat.service, beat.database);
+  bool news = !before || before->beat.role != beat.role || before->beat.leaving != beat.leaving;
+  if (!access_.noteBeat(beat, clock_.now(), settings_.timings.silence()))
+    journal_.count("beats.older");
+  else if (news)
+    duties_->wake();
   if (!relay) return true;
   auto bytes = packed(beat);
   for (const auto& partner : group().joinedPartners()) desk_.tell(partner, "beat", bytes);
--- a/src/pooler/pooler_settings.hpp
+++ b/src/pooler/pooler_settings.hpp
@@ -11,8 +11,8 @@
   Timings timings;
   std::size_t sessions = 20000;
   std::size_t waiting = 2000;
-  Duration suspicion = 400ms;
-  Duration plannedFinish = 400ms;
+  Duration suspicion = 300ms;
+  Duration plannedFinish = 250ms;
   Duration drainServes = 2200ms;
 };
 
