--- a/src/group/sequenced_group.cpp
+++ b/src/group/sequenced_group.cpp
@@ -214,7 +214,7 @@
   for (const auto& member : candidates) servers.insert(member.server);
   switch (listener_->coverage(servers)) {
     case Coverage::all: return Duration::zero();
-    case Coverage::majority: return timings_.settle;
+    case Coverage::majority: return 2 * timings_.settle;
     default: return 3 * timings_.settle;
   }
 }
@@ -326,6 +326,16 @@
   }
   journal_.line("view " + text(view_) + " of" + names);
   listener_->regularConfiguration(configuration);
+  scope_.spawn(proveSoon());
+}
+
+// two heartbeats at once, so that a new view is proved without waiting for the next ones
+Task<void> SequencedGroup::proveSoon() {
+  auto view = view_;
+  for (int left = 2; left > 0 && view == view_ && !flushing_; --left) {
+    sendBeats();
+    co_await sleep(clock_, 20ms);
+  }
 }
 
 void SequencedGroup::multicast(const ViewId& view, std::string payload, bool durable) {
--- a/src/group/sequenced_group.hpp
+++ b/src/group/sequenced_group.hpp
@@ -60,6 +60,7 @@
 
   Task<void> work();
   Task<void> beat();
+  Task<void> proveSoon();
   void sendBeats();
   void onBeat(const GroupBeat& beat);
   void onSubmit(const GroupSubmit& submit);
--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -28,6 +28,16 @@
   return session;
 }
 
+Task<std::shared_ptr<ClientSession>> Pooler::openWhenKnown(std::string host, StatementReply& refusal) {
+  auto until = clock_.now() + settings_.setupPatience;
+  for (;;) {
+    auto session = open(host, refusal);
+    bool mayCome = refusal.fault == StatementFault::busy && !closing() && sessions_.size() < settings_.sessions;
+    if (session || !mayCome || clock_.now() >= until) co_return session;
+    co_await cared_.wait(clock_, until);
+  }
+}
+
 Task<StatementReply> Pooler::run(Session session, Statement statement) {
   session->busy = true;
   session->usedAt = clock_.now();
@@ -227,6 +237,7 @@
     }
   }
   serve();
+  cared_.open();
 }
 
 void Pooler::careService(const ServiceName& name, const Guide::ServiceView& view) {
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -20,6 +20,8 @@
 
   // nothing, with the fault and reason left in `refusal`, where no session can be had
   std::shared_ptr<ClientSession> open(const std::string& host, StatementReply& refusal);
+  // waits a little until the routes are known
+  Task<std::shared_ptr<ClientSession>> openWhenKnown(std::string host, StatementReply& refusal);
   Task<StatementReply> run(std::shared_ptr<ClientSession> session, Statement statement);
   void gone(const std::shared_ptr<ClientSession>& session);
 
@@ -102,6 +104,7 @@
   bool serving_ = false;
   bool serveAgain_ = false;
   Gate reportNow_;
+  Gate cared_;
   TaskScope scope_;
 };
 
--- a/src/real/tcp_link.cpp
+++ b/src/real/tcp_link.cpp
@@ -80,16 +80,18 @@
       from = Address{envelope.body.substr(0, blank)};
       auto boot = blank == std::string::npos ? std::string{} : envelope.body.substr(blank + 1);
       auto [known, fresh] = boots_.try_emplace(*from, boot);
-      if (!fresh && std::exchange(known->second, boot) != boot) restarted(*from);
+      bool restarted = !fresh && std::exchange(known->second, boot) != boot;
+      heardFrom(*from, restarted);
     } else
       arrived(*from, envelope);
   }
 }
 
-// what was sent to a peer that has restarted is lost; without this the next message would be too
-void TcpLink::restarted(const Address& peer) {
+// what was sent to a peer that has restarted is lost; without this the next message would be too.
+// A connection asked for while the peer was silent is asked for anew.
+void TcpLink::heardFrom(const Address& peer, bool restarted) {
   auto found = outgoing_.find(peer);
-  if (found == outgoing_.end()) return;
+  if (found == outgoing_.end() || (!restarted && !found->second->connecting)) return;
   Error ignored;
   if (auto socket = found->second->socket.lock()) socket->close(ignored);
 }
@@ -116,23 +118,25 @@
   while (endpoint) {
     while (outgoing.backlog.empty()) co_await outgoing.filled.wait(clock_);
     auto socket = std::make_shared<tcp::socket>(context_);
-    auto limit = clock_.after(500ms, [weak = std::weak_ptr<tcp::socket>(socket)] {
+    auto limit = clock_.after(250ms, [weak = std::weak_ptr<tcp::socket>(socket)] {
       Error ignored;
       if (auto open = weak.lock()) open->close(ignored);
     });
+    outgoing.socket = socket;
+    outgoing.connecting = true;
     auto [connectError] = co_await Completion<Error>([&](auto done) {
       socket->async_connect(*endpoint, [socket, done](Error error) { done(error); });
     });
+    outgoing.connecting = false;
     clock_.cancel(limit);
     if (connectError) {
       outgoing.backlog.clear();
       outgoing.bytes = 0;
-      co_await sleep(clock_, 50ms);
+      co_await sleep(clock_, 20ms);
       continue;
     }
     Error ignored;
     socket->set_option(tcp::no_delay(true), ignored);
-    outgoing.socket = socket;
     watchEnd(socket);
     outgoing.backlog.push_front(framed(Envelope{Matter{}, hello()}));
     outgoing.bytes += outgoing.backlog.front().size();
--- a/src/real/tcp_link.hpp
+++ b/src/real/tcp_link.hpp
@@ -24,11 +24,12 @@
     std::size_t bytes = 0;
     Gate filled;
     std::weak_ptr<boost::asio::ip::tcp::socket> socket;
+    bool connecting = false;
   };
   static constexpr std::size_t mostBacklogBytes = 8u << 20;
   static constexpr std::size_t mostFrameBytes = 32u << 20;
 
-  void restarted(const Address& peer);
+  void heardFrom(const Address& peer, bool restarted);
   std::string hello() const { return own_.get() + " " + std::to_string(boot_); }
   Task<void> accept();
   Task<void> receive(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
