--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -25,6 +25,8 @@
   Duration probePatience = 250ms;
   Duration probePause = 100ms;
   Duration suspicionKept = 1s;
+  Duration strainKept = 200ms;
+  Duration reliefPause = 8s;
   Duration firstPrimary = 2s;
   Duration leadPatience = 1s;
   Duration databaseOut = 5s;
--- a/src/control/access_messages.hpp
+++ b/src/control/access_messages.hpp
@@ -11,7 +11,8 @@
   std::map<BranchName, std::uint32_t> wanted;
   std::set<DatabaseName> suspects;
   bool working = false;
-  MSGPACK_DEFINE(followed, epoch, acknowledged, wanted, suspects, working)
+  std::set<DatabaseName> strained;
+  MSGPACK_DEFINE(followed, epoch, acknowledged, wanted, suspects, working, strained)
 };
 
 struct NodeReport {
--- a/src/control/access_tables.cpp
+++ b/src/control/access_tables.cpp
@@ -7,8 +7,8 @@
 bool AccessTables::noteReport(const NodeReport& report, Instant now) {
   auto& held = nodes_[report.node];
   auto tells = [](const NodeReport& each) {
-    std::map<ServiceName, std::tuple<Epoch, std::uint64_t, std::set<DatabaseName>>> told;
-    for (const auto& [service, own] : each.services) told.emplace(service, std::tuple(own.epoch, own.followed, own.suspects));
+    std::map<ServiceName, std::tuple<Epoch, std::uint64_t, std::set<DatabaseName>, std::set<DatabaseName>>> told;
+    for (const auto& [service, own] : each.services) told.emplace(service, std::tuple(own.epoch, own.followed, own.suspects, own.strained));
     return std::tuple(each.boot, each.draining, std::move(told));
   };
   bool news = tells(held.report) != tells(report);
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -30,6 +30,8 @@
     Instant sharesMovedAt{};
     std::map<Address, std::pair<std::uint64_t, Instant>> reservedSeenAt;
     Instant silentSince{};
+    std::optional<Instant> strainedSince;
+    std::optional<Instant> relievedAt;
     Instant probeAfter{};
     Instant promoteAfter{};
     Duration promotePause{};
@@ -83,6 +85,10 @@
   bool everyNodeLeftOldEpochs(const ServiceName& name, const ServiceState& service) const;
   bool leasesOver(const ServiceName& name) const;
   bool suspected(const ServiceName& name, const DatabaseName& database) const;
+  bool strained(const ServiceName& name, const DatabaseName& database) const;
+  bool mostSay(const ServiceName& name, const DatabaseName& database, std::set<DatabaseName> ServiceReport::*told) const;
+  bool hasBetter(const ServiceName& name) const;
+  Task<void> relieve(ServiceName name);
   bool fresh(const AccessTables::Database& sign) const { return clock_.now() - sign.heardAt <= timings_.silence(); }
   bool saysPrimary(const ServiceName& name, const DatabaseName& database) const;
   bool discovered(const ServiceName& name) const;
--- a/src/control/recovery_duties.cpp
+++ b/src/control/recovery_duties.cpp
@@ -38,7 +38,7 @@
   if (!silent && !renounced && !doubted) {
     duty.silentSince = Instant{};
     waits_.erase(name);
-    co_return;
+    co_return co_await relieve(name);
   }
   if (duty.silentSince == Instant{}) duty.silentSince = now;
   auto since = silent ? duty.takenAt : std::max(duty.silentSince, duty.seenAt);
@@ -56,6 +56,33 @@
   co_await recover(name, standing ? "primary says it is none" : silent ? "primary is silent" : "primary does not answer");
 }
 
+bool Duties::hasBetter(const ServiceName& name) const {
+  const auto& service = state_.services().at(name);
+  auto databases = state_.databases(name);
+  return std::any_of(databases.begin(), databases.end(), [&](const auto& each) {
+    const auto* sign = access_.database(name, each.first);
+    return each.first != service.primary && !service.drained.contains(each.first) && sign && fresh(*sign) && sign->beat.role == "replica" &&
+           !strained(name, each.first) && !suspected(name, each.first);
+  });
+}
+
+// a primary that most nodes find strained gives its place to a replica that is not, in order and not too often
+Task<void> Duties::relieve(ServiceName name) {
+  auto& duty = duties_[name];
+  auto primary = state_.services().at(name).primary;
+  bool settled = clock_.now() - duty.seenAt > timings_.lease && (!duty.relievedAt || clock_.now() - *duty.relievedAt > timings_.reliefPause);
+  if (!discovered(name) || !settled || !strained(name, primary) || !hasBetter(name)) {
+    duty.strainedSince.reset();
+    co_return;
+  }
+  if (!duty.strainedSince) duty.strainedSince = clock_.now();
+  if (clock_.now() - *duty.strainedSince < timings_.strainKept) co_return;
+  duty.strainedSince.reset();
+  duty.relievedAt = clock_.now();
+  journal_.count("duties.reliefs");
+  co_await recover(name, "primary is strained");
+}
+
 void Duties::wait(const ServiceName& name, const std::string& reason) {
   if (waits_[name] == reason) return;
   waits_[name] = reason;
@@ -93,7 +120,11 @@
   return sign && sign->beat.role == "primary" && fresh(*sign);
 }
 
-bool Duties::suspected(const ServiceName& name, const DatabaseName& database) const {
+bool Duties::suspected(const ServiceName& name, const DatabaseName& database) const { return mostSay(name, database, &ServiceReport::suspects); }
+
+bool Duties::strained(const ServiceName& name, const DatabaseName& database) const { return mostSay(name, database, &ServiceReport::strained); }
+
+bool Duties::mostSay(const ServiceName& name, const DatabaseName& database, std::set<DatabaseName> ServiceReport::*told) const {
   std::size_t working = 0;
   std::size_t suspecting = 0;
   for (const auto& [address, node] : access_.nodes()) {
@@ -101,7 +132,7 @@
     auto own = node.report.services.find(name);
     if (own == node.report.services.end() || !own->second.working) continue;
     ++working;
-    if (own->second.suspects.contains(database)) ++suspecting;
+    if ((own->second.*told).contains(database)) ++suspecting;
   }
   return suspecting > 0 && 2 * suspecting >= working;
 }
@@ -144,7 +175,7 @@
   for (const auto& [database, own] : state_.databases(name)) {
     if (database == besides) continue;
     const auto* sign = access_.database(name, database);
-    bool lost = discovered(name) && ((sign && clock_.now() - sign->heardAt > 3 * timings_.silence()) || suspected(name, database));
+    bool lost = discovered(name) && ((sign && clock_.now() - sign->heardAt > 3 * timings_.silence()) || suspected(name, database) || strained(name, database));
     (drained.contains(database) || lost ? others : wanted).push_back(database);
   }
   return wanted.empty() && discovered(name) ? others : wanted;
@@ -246,7 +277,8 @@
   if (keepsAcknowledged(name) && !leaves && !retired && placeOf(best->standing) < access_.acknowledged(name))
     co_return wait(name, "no database holds all that was acknowledged");
   if (!onDuty()) co_return;
-  bool planned = service.promoted ? leaves && saysPrimary(name, service.primary) : service.planned;
+  bool orderly = leaves || reason == "primary is strained";
+  bool planned = service.promoted ? orderly && saysPrimary(name, service.primary) : service.planned;
   journal_.line("service " + name.get() + " recovers to " + best->database.get() + ": " + reason);
   RecoveryUpdate update{name, service.epoch, best->database, reason, planned};
   co_await order(ControlMatter::recovery, packed(update));
--- a/src/pooler/back_end_pool.cpp
+++ b/src/pooler/back_end_pool.cpp
@@ -4,6 +4,12 @@
 
 namespace tamarindshift {
 
+namespace {
+
+constexpr std::uint32_t learnt = 40;
+
+}  // namespace
+
 BackEndPool::BackEndPool(Clock& clock, BackEnds& backEnds, Journal& journal, std::function<void()> changed)
     : clock_(clock), backEnds_(backEnds), journal_(journal), changed_(std::move(changed)) {}
 
@@ -143,6 +149,22 @@
   shelf.suspect = false;
   auto micros = static_cast<double>(taken.count());
   shelf.meanTaken = shelf.meanTaken * 0.9 + micros * 0.1;
+  if (shelf.replies < learnt) {
+    ++shelf.replies;
+    shelf.usualTaken += (micros - shelf.usualTaken) / shelf.replies;
+  } else if (shelf.meanTaken < 2 * shelf.usualTaken) {
+    shelf.usualTaken += (micros - shelf.usualTaken) * 0.005;
+  }
+}
+
+void BackEndPool::ended(const DatabaseName& database, bool well) {
+  auto& shelf = shelves_[database];
+  shelf.faulty = shelf.faulty * 0.95 + (well ? 0 : 0.05);
+}
+
+bool BackEndPool::Shelf::strained() const {
+  bool slow = replies >= learnt && meanTaken > 3.5 * usualTaken && meanTaken > 20000;
+  return slow || faulty > 0.1;
 }
 
 void BackEndPool::unreachable(const DatabaseName& database) {
@@ -168,12 +190,13 @@
   }
 }
 
-void BackEndPool::cutBusy(const DatabaseName& database, bool onlyPrimaryWork, Epoch before) {
+void BackEndPool::cutBusy(const DatabaseName& database, bool onlyPrimaryWork, Epoch before, bool notRunning) {
   auto found = shelves_.find(database);
   if (found == shelves_.end()) return;
   auto busy = found->second.busy;
   for (const auto& connection : busy) {
     if (onlyPrimaryWork ? !connection->asPrimary || connection->epoch >= before : connection->asPrimary) continue;
+    if (notRunning && connection->running) continue;
     journal_.count("pool.cut");
     drop(connection);
   }
--- a/src/pooler/back_end_pool.hpp
+++ b/src/pooler/back_end_pool.hpp
@@ -24,6 +24,11 @@
     Instant behindUntil{};
     Place place;
     double meanTaken = 8000;
+    double usualTaken = 0;
+    double faulty = 0;
+    std::uint32_t replies = 0;
+    // its work takes far longer than it used to, or fails too often, while it answers
+    bool strained() const;
     std::uint32_t total() const { return static_cast<std::uint32_t>(idle.size() + busy.size()) + opening; }
   };
 
@@ -42,10 +47,12 @@
   void trim(const DatabaseName& database, std::uint32_t most);
   void forget(const std::set<DatabaseName>& known);
   void heard(const DatabaseName& database, Duration taken);
+  // a statement ended by its database's doing, well or not
+  void ended(const DatabaseName& database, bool well);
   void unreachable(const DatabaseName& database);
   // databases that left running work without a word for longer than `patience`
   void watch(Duration patience);
-  void cutBusy(const DatabaseName& database, bool onlyPrimaryWork, Epoch before);
+  void cutBusy(const DatabaseName& database, bool onlyPrimaryWork, Epoch before, bool notRunning = false);
   std::size_t connections() const;
 
  private:
--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -256,7 +256,8 @@
       for (const auto& connection : shelf.busy)
         if (connection->target.service == name && connection->asPrimary && connection->epoch < watch.seen) runs = true;
     if (runs && now >= watch.finishUntil)
-      for (const auto& [database, news] : view.databases) pool_.cutBusy(database, true, watch.seen);
+      for (const auto& [database, news] : view.databases)
+        pool_.cutBusy(database, true, watch.seen, view.primary.planned && now < watch.finishUntil + settings_.plannedFinish);
     if (!runs) {
       watch.confirmed = watch.seen;
       sendReport();
@@ -272,12 +273,12 @@
       DatabaseTarget target{name, database, news.address};
       pool_.open(target, 400ms);
     }
-    if (shelf.suspect && !watch.suspects.contains(database)) {
-      watch.suspects.insert(database);
-      sendReport();
-    } else if (!shelf.suspect) {
-      watch.suspects.erase(database);
-    }
+    bool told = watch.suspects.contains(database) == shelf.suspect && watch.strained.contains(database) == shelf.strained();
+    if (told) continue;
+    auto mark = [&database](std::set<DatabaseName>& marked, bool is) { is ? void(marked.insert(database)) : void(marked.erase(database)); };
+    mark(watch.suspects, shelf.suspect);
+    mark(watch.strained, shelf.strained());
+    sendReport();
   }
   if (within) watch.followed = view.mark;
 }
@@ -300,6 +301,7 @@
     own.epoch = watch.confirmed;
     own.acknowledged = watch.acknowledged;
     own.suspects = watch.suspects;
+    own.strained = watch.strained;
     own.working = now - watch.workedAt < 1s;
     std::size_t held = 0;
     for (const auto& [database, news] : view.databases)
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -76,6 +76,7 @@
     double taken = shelf ? std::max(shelf->meanTaken, 1000.0) : 8000;
     double score = (busy + 1) * taken;
     if (news.zone != settings_.zone) score += 1000;
+    if (shelf) score *= 1 + 20 * shelf->faulty;
     if (database == primary) score = score * 3 + 5000;
     if (shelf && shelf->behindUntil > now && shelf->place < *after) score += 1e9;
     if (demand.avoid.contains(database)) score += 1e10;
@@ -148,6 +149,10 @@
   connection->usedAt = askedAt;
   auto reply = co_await connection->link->run(std::move(statement), after, deadline);
   connection->running = false;
+  if (!connection->cut) {
+    bool well = reply.fate == BackEndFate::replied && reply.fault != StatementFault::failed && reply.fault != StatementFault::timedOut;
+    pool_.ended(target.database, well);
+  }
   if (reply.fate == BackEndFate::replied) {
     pool_.heard(target.database, clock_.now() - askedAt);
     auto& shelf = pool_.shelf(target.database);
--- a/src/pooler/service_watch.hpp
+++ b/src/pooler/service_watch.hpp
@@ -14,6 +14,7 @@
   DatabaseName primary;
   Instant finishUntil{};
   std::set<DatabaseName> suspects;
+  std::set<DatabaseName> strained;
   Freshness freshness;
   Instant workedAt{};
   double demand = 0;
