--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -85,6 +85,9 @@
   void failTransaction(ClientSession& session);
   std::uint32_t allowed(const Guide::ServiceView& view) const;
   Duration statementBound(const KindName& kind) const;
+  // how long work that may be done again is waited for, from what such work usually takes
+  Duration patience(const Connection& connection, const KindName& kind) const;
+  void noteTaken(const KindName& kind, Duration taken);
 
   Clock& clock_;
   Guide& guide_;
@@ -97,6 +100,7 @@
   std::map<ServiceName, ServiceWatch> watches_;
   std::map<std::string, std::vector<KindName>> hosts_;
   std::map<ServiceName, std::uint64_t> hostsAt_;
+  std::map<KindName, double> usualTaken_;
   std::set<Session> sessions_;
   std::optional<Instant> drainingSince_;
   std::string hindrance_ = "not started";
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -140,6 +140,20 @@
   return finishing && view->primary.planned && Epoch{connection->epoch.get() + 1} == view->primary.epoch;
 }
 
+Duration Pooler::patience(const Connection& connection, const KindName& kind) const {
+  auto usual = usualTaken_.find(kind);
+  const auto* shelf = pool_.find(connection->target.database);
+  if (usual == usualTaken_.end() || !shelf) return statementBound(kind);
+  auto expected = 8 * std::max(usual->second, shelf->meanTaken);
+  return std::max(settings_.leastPatience, Duration{static_cast<Duration::rep>(expected)});
+}
+
+void Pooler::noteTaken(const KindName& kind, Duration taken) {
+  auto micros = static_cast<double>(taken.count());
+  auto [usual, fresh] = usualTaken_.try_emplace(kind, micros);
+  if (!fresh) usual->second += (micros - usual->second) * 0.05;
+}
+
 Task<BackEndReply> Pooler::runOn(Connection connection, Statement statement, std::optional<Place> after, Instant deadline) {
   auto askedAt = clock_.now();
   const auto& target = connection->target;
--- a/src/pooler/pooler_settings.hpp
+++ b/src/pooler/pooler_settings.hpp
@@ -12,6 +12,7 @@
   std::size_t sessions = 20000;
   std::size_t waiting = 2000;
   Duration suspicion = 300ms;
+  Duration leastPatience = 250ms;
   Duration plannedFinish = 250ms;
   Duration setupPatience = 1s;
   Duration drainServes = 2200ms;
--- a/src/pooler/pooler_transactions.cpp
+++ b/src/pooler/pooler_transactions.cpp
@@ -45,7 +45,10 @@
       pool_.release(connection);
       continue;
     }
-    auto reply = co_await runOn(connection, statement, acquired.after, deadline);
+    auto until = keeps ? deadline : std::min(deadline, clock_.now() + patience(connection, kind));
+    auto askedAt = clock_.now();
+    auto reply = co_await runOn(connection, statement, acquired.after, until);
+    if (reply.fate == BackEndFate::replied) noteTaken(kind, clock_.now() - askedAt);
     if (reply.fate != BackEndFate::replied) {
       pool_.drop(connection);
       if (reply.fate == BackEndFate::lost) {
@@ -156,7 +159,8 @@
       co_return refused(StatementFault::aborted, "the transaction's connection was lost", TransactionState::failed);
     }
     if (keeps) transaction.wrote = true;
-    auto reply = co_await runOn(connection, statement, std::nullopt, deadline);
+    auto until = std::min(deadline, clock_.now() + patience(connection, transaction.kind));
+    auto reply = co_await runOn(connection, statement, std::nullopt, until);
     if (reply.fate != BackEndFate::replied) {
       pool_.drop(connection);
       failTransaction(*session);
