--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -75,7 +75,7 @@
     double busy = shelf ? static_cast<double>(shelf->busy.size() + shelf->opening) : 0;
     double taken = shelf ? std::max(shelf->meanTaken, 1000.0) : 8000;
     double score = (busy + 1) * taken;
-    if (news.zone != settings_.zone) score += 1000;
+    if (news.zone != settings_.zone) score = score * 2 + 1000;
     if (shelf) score *= 1 + 20 * shelf->faulty;
     if (database == primary) score = score * 3 + 5000;
     if (shelf && shelf->behindUntil > now && shelf->place < *after) score += 1e9;
