build/scale: hollow nodes, points with real replicas, pieces, counts on simulated time

What the control plane costs at a size is measured with the nodes' own code: many agents and proxies without clients in one process, links metered by partner and subject.

--- /dev/null
+++ b/src/programs/scale.cpp
@@ -0,0 +1,63 @@
+#include <filesystem>
+#include <iostream>
+
+#include "runner/scale_runner.hpp"
+#include "scale/hollow_databases.hpp"
+#include "scale/hollow_host.hpp"
+#include "scale/pieces.hpp"
+#include "scale/simulated_figures.hpp"
+
+using namespace tamarindshift;
+
+namespace {
+
+template <class Host>
+int runHost(const ScaleSettings& settings) {
+  Daemon daemon("scale");
+  Host host(daemon, settings);
+  if (auto fault = host.start()) return complain("scale", *fault);
+  bool stopping = false;
+  return daemon.run([&] { stopping = true; }, [] {}, [&]() -> std::optional<int> { return stopping ? std::optional{0} : std::nullopt; });
+}
+
+int write(const ScaleSettings& settings, const Figures& figures) {
+  if (writeRow(settings.output, settings.title, figures)) return 0;
+  return complain("scale", "cannot append to " + settings.output + ", or its columns are others");
+}
+
+int runPoint(const ScaleSettings& settings) {
+  Daemon daemon("scale");
+  auto binaries = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+  auto runner = std::make_unique<ScaleRunner>(daemon, settings, binaries);
+  bool stopping = false;
+  TaskScope scope;
+  scope.spawn(runner->run());
+  return daemon.run([&] { stopping = true; }, [] {}, [&]() -> std::optional<int> {
+    if (!runner->ended() && !stopping) return std::nullopt;
+    auto faults = runner->faults();
+    if (stopping) faults.push_back("stopped before the end");
+    for (const auto& fault : faults) std::cout << "fault: " << fault << "\n";
+    auto figures = runner->figures();
+    scope.clear();
+    runner.reset();
+    if (!stopping && faults.empty()) return write(settings, figures);
+    return 1;
+  });
+}
+
+}  // namespace
+
+int main(int argumentCount, char** arguments) {
+  ScaleSettings settings;
+  Program program("scale", "measures what the control plane costs at a size, with hollow nodes beside a few real ones");
+  program.add(scaleSettings(settings));
+  if (auto code = program.read(argumentCount, arguments)) return *code;
+  const auto& part = settings.part;
+  if (part == "nodes") return runHost<HollowHost>(settings);
+  if (part == "databases") return runHost<HollowDatabases>(settings);
+  if (part == "pieces") return write(settings, measurePieces(settings.addresses.shape));
+  if (part == "counts") return write(settings, simulatedCounts(settings));
+  if (part == "losses") return write(settings, simulatedLosses(settings));
+  if (part == "run" || part == "clients") return runPoint(settings);
+  return complain("scale", "no such part: " + part);
+}
--- a/src/runner/child_process.hpp
+++ b/src/runner/child_process.hpp
@@ -12,6 +12,7 @@
   ChildProcess(const ChildProcess&) = delete;
   bool start();
   bool running();
+  int process() const { return process_; }
   void signal(int number);
   void kill();
 
--- /dev/null
+++ b/src/scale/hollow_node.cpp
@@ -0,0 +1,38 @@
+#include "scale/hollow_node.hpp"
+
+#include <algorithm>
+
+namespace tamarindshift {
+
+HollowNode::HollowNode(Clock& clock, Journal& journal, PartnerLink& agentLink, PartnerLink& proxyLink, WebLink& databases,
+                       const HollowNodeSettings& settings, std::uint64_t boot)
+    : settings_(settings), agentLink_(agentLink, traffic_, [this](const Address& partner) { return partnerClass(partner); }), proxyLink_(proxyLink, proxyTraffic_, [](const Address&) { return "inside"; }) {
+  agent_ = std::make_unique<AgentNode>(clock, agentLink_, journal, AgentSettings{settings_.agent, settings_.district, settings_.seeds, settings_.timings});
+  ProxySettings proxy;
+  proxy.agent = proxy.node = settings_.agent;
+  proxy.timings = settings_.timings;
+  proxy_ = std::make_unique<ProxyNode>(clock, proxyLink_, databases, journal, proxy, boot);
+}
+
+std::string HollowNode::partnerClass(const Address& partner) const {
+  if (partner == settings_.proxy) return "inside";
+  return settings_.isReplica(partner) ? "replica" : "agent";
+}
+
+bool HollowNode::leased() const {
+  const auto& services = proxy_->guide().services();
+  return !services.empty() && std::all_of(services.begin(), services.end(), [&](const auto& each) { return proxy_->guide().leased(each.first); });
+}
+
+bool HollowNode::follows(PlanMark mark) const {
+  const auto& guide = proxy_->guide();
+  if (guide.planMark() < mark) return false;
+  return std::all_of(guide.services().begin(), guide.services().end(), [&](const auto& each) { return each.second.plan && each.second.plan->mark >= mark; });
+}
+
+bool HollowNode::servedUnder(const ServiceName& service, Epoch epoch) const {
+  const auto* view = proxy_->guide().service(service);
+  return view && view->primary.promoted && view->primary.epoch >= epoch && proxy_->guide().leased(service);
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/scale/metered_link.cpp
@@ -0,0 +1,45 @@
+#include "scale/metered_link.hpp"
+
+#include <msgpack.hpp>
+
+namespace tamarindshift {
+
+MeteredLink::MeteredLink(PartnerLink& inner, Traffic& traffic, PartnerClass partnerClass)
+    : inner_(inner), traffic_(traffic), partnerClass_(std::move(partnerClass)) {
+  for (int number = 1; number < 64; ++number) {
+    auto matter = static_cast<Matter>(number);
+    inner_.on(matter, [this, matter](const Address& from, const std::string& body) {
+      Envelope envelope{matter, body};
+      traffic_.in[name(from, envelope)] += Flow{1, body.size() + frameHead};
+      arrived(from, envelope);
+    });
+  }
+}
+
+void MeteredLink::pass(const Address& partner, Envelope envelope) {
+  traffic_.out[name(partner, envelope)] += Flow{1, envelope.body.size() + frameHead};
+  inner_.pass(partner, std::move(envelope));
+}
+
+std::string MeteredLink::subject(const Envelope& envelope) {
+  switch (envelope.matter) {
+    case Matter::ask:
+      break;
+    case Matter::reply:
+      return "reply";
+    case Matter::groupBeat:
+      return "group-beat";
+    case Matter::joinSnapshot:
+      return "snapshot";
+    default:
+      return "group";
+  }
+  bool referenced = false;
+  auto reference = [](msgpack::type::object_type, std::size_t, void*) { return true; };
+  auto handle = msgpack::unpack(envelope.body.data(), envelope.body.size(), referenced, reference);
+  const auto& object = handle.get();
+  if (object.type != msgpack::type::ARRAY || object.via.array.size < 2) return "ask";
+  return object.via.array.ptr[1].as<std::string>();
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/scale/pieces.cpp
@@ -0,0 +1,202 @@
+#include "scale/pieces.hpp"
+
+#include <time.h>
+
+#include "control/access_tables.hpp"
+#include "control/beat_json.hpp"
+#include "control/control_state.hpp"
+#include "control/plan_reader.hpp"
+#include "control/service_news.hpp"
+#include "control/share_cut.hpp"
+#include "group/group_messages.hpp"
+#include "pool/session.hpp"
+#include "scale/scale_plan.hpp"
+#include "wire/desk_messages.hpp"
+
+namespace tamarindshift {
+
+namespace {
+
+double processorSeconds() {
+  timespec time{};
+  ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+// processor time of one call in microseconds; repeats for at least 50 ms
+double cost(const std::function<void()>& call) {
+  auto began = processorSeconds();
+  std::size_t calls = 0;
+  do {
+    call();
+    ++calls;
+  } while (processorSeconds() - began < 0.05);
+  return (processorSeconds() - began) / static_cast<double>(calls) * 1e6;
+}
+
+std::string asked(std::string subject, std::string body) { return packed(DeskAsk{1u << 30, std::move(subject), std::move(body)}); }
+
+class Pieces {
+ public:
+  explicit Pieces(const ScaleShape& shape) : shape_(shape), addresses_{"127.64", shape}, state_(board_), planText_(scalePlan(addresses_, 1)) {}
+
+  PieceFigures measure() {
+    note("services", static_cast<double>(shape_.services()));
+    planFigures();
+    enrolAll();
+    shareFigures();
+    publishFigures();
+    snapshotFigures();
+    newsFigures();
+    accessFigures();
+    groupFigures();
+    return std::move(figures_);
+  }
+
+ private:
+  void note(const std::string& name, double value) { figures_.emplace_back(name, value); }
+
+  std::string apply(ControlMatter matter, std::string body) {
+    Action action;
+    action.update = packed(ControlUpdate{matter, 0, std::move(body)});
+    lastActionBytes_ = packed(action).size();
+    return state_.applyGreen(action, ++position_);
+  }
+
+  void planFigures() {
+    note("plan_bytes", static_cast<double>(planText_.size()));
+    PlanReader reader;
+    note("plan_read_us", cost([&] { reader.read(planText_); }));
+    plan_ = reader.read(planText_);
+    note("plan_taken", plan_ ? 1 : 0);
+    PlanUpdate update{planText_};
+    apply(ControlMatter::plan, packed(update));
+    note("plan_action_bytes", static_cast<double>(lastActionBytes_));
+  }
+
+  void enrolAll() {
+    for (std::size_t index = 0; index < shape_.nodes; ++index) {
+      NodeUpdate update{addresses_.agent(index), shape_.district(index), index + 1};
+      apply(ControlMatter::enrolNode, packed(update));
+      weights_[update.node] = 1;
+    }
+    note("enrol_action_bytes", static_cast<double>(lastActionBytes_));
+  }
+
+  void shareFigures() {
+    auto service = plan_->services.begin()->second;
+    Wanted idle;
+    for (const auto& [node, weight] : weights_)
+      for (const auto& [branch, planned] : service.branches) idle[node][branch] = 1;
+    note("share_cut_us", cost([&] { cutShares(service, idle, weights_); }));
+    auto grants = cutShares(service, idle, weights_);
+    std::size_t without = 0;
+    for (const auto& [node, branches] : grants)
+      for (const auto& [branch, amount] : branches) without += amount == 0;
+    note("node_branches_without_a_connection", static_cast<double>(without));
+    for (const auto& [name, planned] : plan_->services) {
+      SharesUpdate update{name, state_.services().at(name).sharesAt, grants, {}};
+      apply(ControlMatter::shares, packed(update));
+    }
+    note("shares_action_bytes", static_cast<double>(lastActionBytes_));
+  }
+
+  void publishFigures() {
+    NodeUpdate update{addresses_.agent(0), shape_.district(0), 1};
+    note("action_us", cost([&] { apply(ControlMatter::enrolNode, packed(update)); }));
+  }
+
+  void snapshotFigures() {
+    auto snapshot = state_.snapshot();
+    note("snapshot_bytes", static_cast<double>(snapshot.size()));
+    note("snapshot_us", cost([&] { state_.snapshot(); }));
+    NewsBoard board;
+    ControlState joined(board);
+    note("snapshot_restore_us", cost([&] { joined.restore(snapshot); }));
+  }
+
+  std::size_t replyBytes(const Topic& topic, std::uint64_t have) {
+    FollowReply reply;
+    board_.fill(topic, have, reply);
+    reply.lease = 2s;
+    if (topic != fleetTopic)
+      for (std::size_t number = 1; number <= shape_.databasesPerService; ++number)
+        reply.signs.push_back(DatabaseSign{"d" + std::to_string(number), "replica", 2, 123456, 150ms, 120ms});
+    return packed(DeskReply{1u << 30, packed(reply)}).size();
+  }
+
+  void newsFigures() {
+    auto service = plan_->services.begin()->first.get();
+    FollowAsk ask{service, board_.mark(service)};
+    note("ask_bytes", static_cast<double>(asked("follow", packed(ask)).size()));
+    note("quiet_reply_bytes", static_cast<double>(replyBytes(service, board_.mark(service))));
+    std::size_t all = replyBytes(fleetTopic, 0);
+    note("fleet_table_bytes", static_cast<double>(all));
+    for (const auto& [name, planned] : plan_->services) all += replyBytes(name.get(), 0);
+    note("news_tables_bytes", static_cast<double>(all));
+    note("quiet_reply_us", cost([&] { replyBytes(service, board_.mark(service)); }));
+    const auto* fleet = board_.find(fleetTopic);
+    note("sources_us", cost([&] {
+           for (const auto& [key, value] : fleet->table)
+             if (key.starts_with("node/")) unpacked<NodeNews>(value);
+         }));
+  }
+
+  void accessFigures() {
+    NodeReport report;
+    report.node = addresses_.agent(0);
+    report.district = shape_.district(0);
+    report.boot = 1ull << 60;
+    report.lease = 1800ms;
+    for (const auto& [name, planned] : plan_->services) {
+      auto& own = report.services[name];
+      own.followed = 100000;
+      own.epoch = Epoch{2};
+      own.acknowledged = Place{Epoch{2}, Position{123456}};
+      for (const auto& [branch, each] : planned.branches) own.wanted[branch] = 1;
+    }
+    auto bytes = packed(report);
+    note("report_bytes", static_cast<double>(asked("report", bytes).size()));
+    AccessTables access;
+    auto now = Instant{} + 1h;
+    note("report_taken_us", cost([&] { access.noteReport(*unpacked<NodeReport>(bytes), now); }));
+    DatabaseBeat beat{ServiceName{"s100"}, DatabaseName{"d1"}, 1ull << 40, 1000, "replica", Epoch{2}, Position{123456}, 100ms, false};
+    note("beat_bytes", static_cast<double>(asked("beat", packed(beat)).size()));
+    note("beat_json_bytes", static_cast<double>(beatToJson(beat).size()));
+    for (const auto& settings : addresses_.databases()) {
+      beat.service = settings.service;
+      beat.database = settings.name;
+      access.noteBeat(beat, now, 1s);
+    }
+    note("signs_us", cost([&] { access.signs(ServiceName{"s1"}, now); }));
+  }
+
+  void groupFigures() {
+    GroupBeat beat;
+    beat.from = Member{ServerId{addresses_.replica(0), Incarnation{1ull << 60}}, Boot{1ull << 60}};
+    beat.view.coordinator = beat.from;
+    beat.sentAt = 1h;
+    for (std::size_t index = 1; index < shape_.replicas; ++index) {
+      beat.heard[Member{ServerId{addresses_.replica(index), Incarnation{1ull << 60}}, Boot{1ull << 60}}] = 1h;
+      beat.known.insert(addresses_.replica(index));
+    }
+    note("group_beat_bytes", static_cast<double>(packed(beat).size()));
+  }
+
+  ScaleShape shape_;
+  ScaleAddresses addresses_;
+  NewsBoard board_;
+  ControlState state_;
+  std::string planText_;
+  std::optional<Plan> plan_;
+  Weights weights_;
+  std::uint64_t position_ = 0;
+  std::size_t lastActionBytes_ = 0;
+  PieceFigures figures_;
+};
+
+}  // namespace
+
+PieceFigures measurePieces(const ScaleShape& shape) { return Pieces(shape).measure(); }
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/scale/quiet_journal.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/journal.hpp"
+
+namespace tamarindshift {
+
+class QuietJournal : public Journal {
+ public:
+  void line(const std::string&) override {}
+};
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/scale/scale_shape.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <algorithm>
+
+#include "simulated/fleet_shape.hpp"
+
+namespace tamarindshift {
+
+struct ScaleShape {
+  std::size_t replicas = 7;
+  std::size_t nodes = 20;
+  std::size_t databases = 47;
+  std::size_t databasesPerService = 3;
+  std::size_t zones = 6;
+  std::size_t regions = 3;
+  std::uint32_t connections = 480;
+  std::size_t services() const { return std::max<std::size_t>(1, (databases + databasesPerService - 1) / databasesPerService); }
+  std::size_t regionOfZone(std::size_t zone) const { return zone * regions / zones; }
+  District district(std::size_t index) const {
+    auto zone = index % zones;
+    return District{"r" + std::to_string(regionOfZone(zone) + 1) + "z" + std::to_string(zone + 1)};
+  }
+  FleetShape fleet() const {
+    FleetShape shape;
+    shape.replicas = replicas;
+    shape.machines = nodes;
+    shape.districts = zones;
+    shape.services = services();
+    shape.databases = databasesPerService;
+    shape.connections = connections;
+    shape.cap = connections + 20;
+    return shape;
+  }
+};
+
+}  // namespace tamarindshift
