--- a/src/programs/scale.cpp
+++ b/src/programs/scale.cpp
@@ -4,6 +4,8 @@
 #include "runner/scale_runner.hpp"
 #include "scale/hollow_databases.hpp"
 #include "scale/hollow_host.hpp"
+#include "scale/light_host.hpp"
+#include "scale/link_pieces.hpp"
 #include "scale/pieces.hpp"
 #include "scale/simulated_figures.hpp"
 
@@ -25,6 +27,13 @@
   return complain("scale", "cannot append to " + settings.output + ", or its columns are others");
 }
 
+int runPieces(const ScaleSettings& settings) {
+  auto figures = measurePieces(settings.addresses.shape);
+  auto report = std::find_if(figures.begin(), figures.end(), [](const auto& each) { return each.first == "report_bytes"; });
+  for (auto& each : measureLinkPieces(settings, static_cast<std::size_t>(report->second))) figures.push_back(std::move(each));
+  return write(settings, figures);
+}
+
 int runPoint(const ScaleSettings& settings) {
   Daemon daemon("scale");
   auto binaries = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
@@ -52,10 +61,12 @@
   Program program("scale", "measures what the control plane costs at a size, with hollow nodes beside a few real ones");
   program.add(scaleSettings(settings));
   if (auto code = program.read(argumentCount, arguments)) return *code;
+  settings.addresses.shape.connections = static_cast<std::uint32_t>(settings.connections);
   const auto& part = settings.part;
   if (part == "nodes") return runHost<HollowHost>(settings);
+  if (part == "zone") return runHost<LightHost>(settings);
   if (part == "databases") return runHost<HollowDatabases>(settings);
-  if (part == "pieces") return write(settings, measurePieces(settings.addresses.shape));
+  if (part == "pieces") return runPieces(settings);
   if (part == "counts") return write(settings, simulatedCounts(settings));
   if (part == "losses") return write(settings, simulatedLosses(settings));
   if (part == "run" || part == "clients") return runPoint(settings);
--- a/src/runner/scale_runner.cpp
+++ b/src/runner/scale_runner.cpp
@@ -40,7 +40,8 @@
   const auto& shape = settings_.addresses.shape;
   return {"--prefix", settings_.addresses.prefix, "--replicas", std::to_string(shape.replicas), "--nodes", std::to_string(shape.nodes),
           "--databases", std::to_string(shape.databases), "--databases-per-service", std::to_string(shape.databasesPerService),
-          "--zones", std::to_string(shape.zones), "--regions", std::to_string(shape.regions)};
+          "--zones", std::to_string(shape.zones), "--regions", std::to_string(shape.regions),
+          "--connections", std::to_string(shape.connections)};
 }
 
 void ScaleRunner::layOut() {
@@ -63,13 +64,14 @@
     add(Role::proxy, "proxy-" + number, "proxy",
         {"--address", addresses.proxy(index).get(), "--http", addresses.proxyDoor(index).get(), "--agent", addresses.agent(index).get()});
   }
-  for (auto first = settings_.real; first < shape.nodes; first += settings_.each) {
+  auto host = [&](const std::string& part, std::size_t first, std::size_t count) {
     auto arguments = shapeArguments();
-    auto count = std::min(settings_.each, shape.nodes - first);
-    for (const std::string& word : {std::string("--part"), std::string("nodes"), std::string("--first"), std::to_string(first), std::string("--count"), std::to_string(count), std::string("--control"), addresses.host(hosts_).get()})
-      arguments.push_back(word);
-    add(Role::hollow, "hollow-" + std::to_string(++hosts_), "scale", arguments);
-  }
+    auto control = addresses.host(hosts_).get();
+    arguments.insert(arguments.end(), {"--part", part, "--first", std::to_string(first), "--count", std::to_string(count), "--control", control, "--real", std::to_string(settings_.real)});
+    add(Role::hollow, part + "-" + std::to_string(++hosts_), "scale", arguments);
+  };
+  for (std::size_t zone = 0; settings_.light && zone < std::min(shape.zones, shape.nodes); ++zone) host("zone", zone, 0);
+  for (auto first = settings_.real; !settings_.light && first < shape.nodes; first += settings_.each) host("nodes", first, std::min(settings_.each, shape.nodes - first));
   for (const auto& database : addresses.databases()) {
     if (database.service != ServiceName{"s1"}) continue;
     std::string beatsTo;
@@ -80,8 +82,7 @@
   }
   for (std::size_t first = 1; first < shape.services(); first += 80) {
     auto arguments = shapeArguments();
-    for (const std::string& word : {std::string("--part"), std::string("databases"), std::string("--first"), std::to_string(first), std::string("--count"), std::string("80")})
-      arguments.push_back(word);
+    arguments.insert(arguments.end(), {"--part", "databases", "--first", std::to_string(first), "--count", "80"});
     add(Role::database, "databases-" + std::to_string(first), "scale", arguments);
   }
 }
@@ -174,7 +175,7 @@
   } else {
     co_await sleep(daemon_.clock, 5s);
     co_await window();
-    if (settings_.events) {
+    if (settings_.events && leased) {
       co_await planEvent();
       co_await primaryEvent();
       co_await joinEvent();
--- a/src/scale/figure_rows.hpp
+++ b/src/scale/figure_rows.hpp
@@ -11,7 +11,7 @@
 
 using Figures = std::vector<std::pair<std::string, double>>;
 
-// appends a row to a file of comma separated values, with a head line if the file is new
+// appends a row to a file of comma separated values, with a head line if the file is new; a row may end early
 inline bool writeRow(const std::string& path, const std::string& title, const Figures& figures) {
   std::ostringstream head;
   std::ostringstream row;
@@ -30,7 +30,7 @@
   std::ifstream before(path);
   std::string firstLine;
   bool fresh = !std::getline(before, firstLine);
-  if (!fresh && firstLine != head.str()) return false;
+  if (!fresh && !firstLine.starts_with(head.str())) return false;
   std::ofstream file(path, std::ios::app);
   if (fresh) file << head.str() << "\n";
   file << row.str() << "\n";
--- a/src/scale/pieces.cpp
+++ b/src/scale/pieces.cpp
@@ -9,7 +9,6 @@
 #include "control/service_news.hpp"
 #include "control/share_cut.hpp"
 #include "group/group_messages.hpp"
-#include "pool/session.hpp"
 #include "scale/scale_plan.hpp"
 #include "wire/desk_messages.hpp"
 
@@ -41,6 +40,8 @@
   explicit Pieces(const ScaleShape& shape) : shape_(shape), addresses_{"127.64", shape}, state_(board_), planText_(scalePlan(addresses_, 1)) {}
 
   PieceFigures measure() {
+    note("nodes", static_cast<double>(shape_.nodes));
+    note("databases", static_cast<double>(shape_.databases));
     note("services", static_cast<double>(shape_.services()));
     planFigures();
     enrolAll();
--- a/src/scale/scale_settings.hpp
+++ b/src/scale/scale_settings.hpp
@@ -17,12 +17,14 @@
   Duration patience = 60s;
   Duration betweenRegions = 30ms;
   bool events = true;
+  bool light = false;
   std::size_t seed = 1;
   std::size_t real = 2;
   std::size_t each = 30;
   std::size_t first = 0;
   std::size_t count = 0;
   std::size_t sessions = 4000;
+  std::size_t connections = 480;
   Address control;
 };
 
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -27,3 +27,6 @@
 set_tests_properties(day.generated PROPERTIES TIMEOUT 600)
 add_test(NAME day.generated.seed-70 COMMAND scenario --days small --seed 70)
 set_tests_properties(day.generated.seed-70 PROPERTIES TIMEOUT 120)
+
+add_test(NAME scale.small COMMAND scale --replicas 3 --nodes 4 --databases 6 --window 1000 --folder ${CMAKE_BINARY_DIR}/scale-small --prefix 127.78)
+set_tests_properties(scale.small PROPERTIES TIMEOUT 180 RUN_SERIAL ON)
