--- a/src/scale/light_zone.cpp
+++ b/src/scale/light_zone.cpp
@@ -52,7 +52,7 @@
       auto plan = zone.news<ServiceNews>(topic, "plan");
       if (!plan) continue;
       auto& own = report.services[ServiceName{topic}];
-      own.followed = zone.news<ShareNews>(topic, "share/" + address.get()).value_or(ShareNews{}).at;
+      own.followed = zone.board_.mark(topic);
       own.epoch = zone.news<PrimaryNews>(topic, "primary").value_or(PrimaryNews{}).epoch;
       for (const auto& [branch, planned] : plan->service.branches) own.wanted[branch] = 1;
       if (auto until = zone.leaseUntil(topic)) report.lease = std::max(report.lease, *until - zone.clock_.now());
--- a/src/scale/scale_addresses.hpp
+++ b/src/scale/scale_addresses.hpp
@@ -32,8 +32,8 @@
     for (std::size_t service = 1; service <= shape.services(); ++service)
       for (std::size_t number = 1; number <= shape.databasesPerService; ++number) {
         StandinDatabaseSettings own;
-        own.service = ServiceName{"s" + std::to_string(service)};
-        own.name = DatabaseName{"d" + std::to_string(number)};
+        own.service = ServiceName{numbered("s", service)};
+        own.name = DatabaseName{numbered("d", number)};
         own.address = database(service, number);
         own.platform = platform();
         own.cap = shape.connections + 20;
@@ -48,7 +48,7 @@
  private:
   Address node(std::size_t index, int port) const { return at(10 + index % shape.zones, index / shape.zones + 1, port); }
   Address at(std::size_t third, std::size_t fourth, std::size_t port) const {
-    return Address{prefix + "." + std::to_string(third) + "." + std::to_string(fourth) + ":" + std::to_string(port)};
+    return Address{numbered(numbered(numbered(prefix + ".", third).append("."), fourth).append(":"), port)};
   }
 };
 
--- a/src/scale/scale_shape.hpp
+++ b/src/scale/scale_shape.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "scale/numbered.hpp"
 #include "simulated/fleet_shape.hpp"
 
 namespace tamarindshift {
@@ -18,7 +19,7 @@
   std::size_t regionOfZone(std::size_t zone) const { return zone * regions / zones; }
   District district(std::size_t index) const {
     auto zone = index % zones;
-    return District{"r" + std::to_string(regionOfZone(zone) + 1) + "z" + std::to_string(zone + 1)};
+    return District{numbered(numbered("r", regionOfZone(zone) + 1).append("z"), zone + 1)};
   }
   FleetShape fleet() const {
     FleetShape shape;
