--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -19,6 +19,7 @@
   Duration report = 500ms;
   Duration reportPause = 50ms;
   Duration duty = 100ms;
+  Duration dutyPause = 5ms;
   Duration databaseBeat = 200ms;
   Duration databaseSilence = 1s;
   Duration databaseGone = 60s;
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -19,6 +19,7 @@
 
 Task<void> Duties::run() {
   for (;;) {
+    co_await sleep(clock_, timings_.dutyPause);
     co_await wake_.wait(clock_, clock_.now() + timings_.duty);
     if (onDuty() != wasOnDuty_) {
       wasOnDuty_ = onDuty();
@@ -138,8 +139,11 @@
 
 Task<void> Duties::shares(ServiceName name) {
   if (!state_.services().contains(name)) co_return;
-  auto service = state_.services().at(name);
+  const auto& service = state_.services().at(name);
   auto& duty = duties_[name];
+  if (clock_.now() < duty.sharesAfter && duty.sharesFor == state_.nodes().size()) co_return;
+  duty.sharesAfter = clock_.now() + 2 * timings_.duty;
+  duty.sharesFor = state_.nodes().size();
   Wanted wanted;
   Weights weights;
   for (const auto& [address, node] : state_.nodes()) {
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -28,6 +28,8 @@
     Place finalPlace;
     Instant demoteAskedAt{};
     Instant sharesMovedAt{};
+    Instant sharesAfter{};
+    std::size_t sharesFor = 0;
     std::map<Address, std::pair<std::uint64_t, Instant>> reservedSeenAt;
     Instant silentSince{};
     std::optional<Instant> strainedSince;
--- a/src/news/agent_node.hpp
+++ b/src/news/agent_node.hpp
@@ -28,6 +28,8 @@
   bool stopped() const;
 
  private:
+  static constexpr std::size_t homesInZone = 2;
+  const std::vector<Address>& zoneAgents() const;
   Task<void> partners();
   Task<DoorReply> askReplicas(std::string subject, std::string body);
   DoorReply status() const;
@@ -41,6 +43,8 @@
   NewsDesk newsDesk_;
   Instant reportedAt_{};
   std::optional<Instant> drainingSince_;
+  mutable std::vector<Address> zoneAgents_;
+  mutable std::uint64_t zoneAgentsAt_ = 0;
   TaskScope scope_;
 };
 
--- a/src/news/news_desk.cpp
+++ b/src/news/news_desk.cpp
@@ -29,7 +29,7 @@
     if (!until || *until <= clock_.now() || !board_.find(topic)) continue;
     board_.fill(topic, have, own);
     own.lease = *until - clock_.now();
-    own.signs = source_.signs(topic);
+    if (ask->signs) own.signs = source_.signs(topic);
     own.position = source_.position(topic);
   }
   co_return packed(reply);
--- a/src/news/news_messages.hpp
+++ b/src/news/news_messages.hpp
@@ -29,7 +29,8 @@
 
 struct FollowAsk {
   std::map<Topic, std::uint64_t> have;
-  MSGPACK_DEFINE(have)
+  bool signs = true;
+  MSGPACK_DEFINE(have, signs)
 };
 
 enum class FollowFate : std::uint8_t { changes = 0, snapshot = 1, notCurrent = 2 };
--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -299,7 +299,7 @@
     auto& own = report.services[name];
     own.followed = watch.followed;
     own.epoch = watch.confirmed;
-    own.acknowledged = watch.acknowledged;
+    if (view.plan->service.keepsAcknowledged()) own.acknowledged = watch.acknowledged;
     own.suspects = watch.suspects;
     own.strained = watch.strained;
     own.working = now - watch.workedAt < 1s;
@@ -314,9 +314,33 @@
   return report;
 }
 
+NodeReport Pooler::whatChanged(NodeReport report) {
+  auto now = clock_.now();
+  report.whole = now - toldWholeAt_ > 2 * settings_.timings.report || notReady();
+  if (report.whole) {
+    toldWholeAt_ = now;
+    told_ = report.services;
+    return report;
+  }
+  auto same = [](const ServiceReport& left, const ServiceReport& right) {
+    bool wants = std::all_of(right.wanted.begin(), right.wanted.end(), [&](const auto& each) {
+      auto before = left.wanted.find(each.first);
+      return before != left.wanted.end() && each.second <= before->second + 1 && before->second <= each.second + 2;
+    });
+    return wants && std::tie(left.epoch, left.followed, left.acknowledged, left.suspects, left.strained, left.working) ==
+                        std::tie(right.epoch, right.followed, right.acknowledged, right.suspects, right.strained, right.working);
+  };
+  std::erase_if(report.services, [&](const auto& each) {
+    auto before = told_.find(each.first);
+    return before != told_.end() && same(before->second, each.second);
+  });
+  for (const auto& [name, own] : report.services) told_[name] = own;
+  return report;
+}
+
 Task<void> Pooler::report() {
   for (;;) {
-    reports_(reportNow());
+    reports_(whatChanged(reportNow()));
     co_await sleep(clock_, 20ms);
     co_await reportNow_.wait(clock_, clock_.now() + settings_.timings.report);
   }
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -57,6 +57,7 @@
   void careService(const ServiceName& name, const Guide::ServiceView& view);
   void sendReport();
   NodeReport reportNow();
+  NodeReport whatChanged(NodeReport report);
   std::optional<Route> route(const std::string& host) const;
   std::optional<Route> routeNamed(const KindName& name) const;
 
@@ -108,6 +109,8 @@
   bool serving_ = false;
   bool serveAgain_ = false;
   Gate reportNow_;
+  std::map<ServiceName, ServiceReport> told_;
+  Instant toldWholeAt_{};
   Gate cared_;
   TaskScope scope_;
 };
