A share moves alone: entries of other nodes no longer change with it

Cause (brzo grown): each move of a share stamped all nodes' entries anew, so every move sent 76 entries to 76 nodes, and moves came every 0.8 s and service.

--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -20,6 +20,7 @@
   Duration reportPause = 50ms;
   Duration duty = 100ms;
   Duration dutyPause = 5ms;
+  Duration sharesPause = 2s;
   Duration databaseBeat = 200ms;
   Duration databaseSilence = 1s;
   Duration databaseGone = 60s;
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -281,7 +281,7 @@
   if (service.discovered)
     for (const auto& [database, own] : databases(name)) table["database/" + database.get()] = packed(DatabaseNews{own.address, own.zone, own.capacity});
   for (const auto& [database, mark] : state.drained) table["drained/" + database.get()] = packed(mark);
-  for (const auto& [node, branches] : state.grants) table["share/" + node.get()] = packed(ShareNews{state.sharesAt, branches});
+  for (const auto& [node, branches] : state.grants) table["share/" + node.get()] = packed(ShareNews{branches});
   board_.publish(name.get(), position_, std::move(table));
 }
 
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -168,7 +168,7 @@
         if (held == service.grants.end() || !held->second.contains(branch)) continue;
         pressing = pressing || (want > held->second.at(branch) && target[node][branch] > held->second.at(branch));
       }
-    if (!pressing || clock_.now() - duty.sharesMovedAt < timings_.lease / 2) co_return;
+    if (!pressing || clock_.now() - duty.sharesMovedAt < timings_.sharesPause) co_return;
     duty.sharesMovedAt = clock_.now();
     SharesUpdate update{name, service.sharesAt, lower, reserved};
     co_await order(ControlMatter::shares, packed(update));
--- a/src/control/service_news.hpp
+++ b/src/control/service_news.hpp
@@ -27,9 +27,8 @@
 };
 
 struct ShareNews {
-  std::uint64_t at = 0;
   std::map<BranchName, std::uint32_t> most;
-  MSGPACK_DEFINE(at, most)
+  MSGPACK_DEFINE(most)
 };
 
 struct NodeNews {
--- a/src/news/agent_node.hpp
+++ b/src/news/agent_node.hpp
@@ -39,12 +39,12 @@
   AgentSettings settings_;
   std::set<Address> replicas_;
   Desk desk_;
+  mutable std::vector<Address> zoneAgents_;
+  mutable std::uint64_t zoneAgentsAt_ = 0;
   NewsFollower news_;
   NewsDesk newsDesk_;
   Instant reportedAt_{};
   std::optional<Instant> drainingSince_;
-  mutable std::vector<Address> zoneAgents_;
-  mutable std::uint64_t zoneAgentsAt_ = 0;
   TaskScope scope_;
 };
 
