--- a/src/pooler/back_end_pool.cpp
+++ b/src/pooler/back_end_pool.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::uint32_t learnt = 40;
+constexpr Duration secondLook = 40ms;
 
 }  // namespace
 
@@ -183,13 +184,23 @@
     bool silent = std::any_of(shelf.busy.begin(), shelf.busy.end(), [&](const auto& connection) {
       return connection->running && now - connection->usedAt > limit && now - shelf.heardAt > limit;
     });
-    if (!silent) continue;
+    if (!silent) {
+      shelf.doubtedAt.reset();
+      continue;
+    }
+    if (!shelf.doubtedAt) shelf.doubtedAt = now;
+    if (now - *shelf.doubtedAt < secondLook) continue;
+    shelf.doubtedAt.reset();
     journal_.count("pool.silent");
     unreachable(database);
     cutBusy(database, false, Epoch{});
   }
 }
 
+bool BackEndPool::doubting() const {
+  return std::any_of(shelves_.begin(), shelves_.end(), [](const auto& each) { return each.second.doubtedAt.has_value(); });
+}
+
 void BackEndPool::cutBusy(const DatabaseName& database, bool onlyPrimaryWork, Epoch before, bool notRunning) {
   auto found = shelves_.find(database);
   if (found == shelves_.end()) return;
--- a/src/pooler/back_end_pool.hpp
+++ b/src/pooler/back_end_pool.hpp
@@ -21,6 +21,7 @@
     Instant heardAt{};
     bool suspect = false;
     Instant trialAt{};
+    std::optional<Instant> doubtedAt;
     Instant behindUntil{};
     Place place;
     double meanTaken = 8000;
@@ -50,8 +51,10 @@
   // a statement ended by its database's doing, well or not
   void ended(const DatabaseName& database, bool well);
   void unreachable(const DatabaseName& database);
-  // databases that left running work without a word for longer than `patience`
+  // suspects databases that left running work without a word for longer than `patience`, seen at two looks
+  // between which words that had come could be read
   void watch(Duration patience);
+  bool doubting() const;
   void cutBusy(const DatabaseName& database, bool onlyPrimaryWork, Epoch before, bool notRunning = false);
   std::size_t connections() const;
 
--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -196,7 +196,7 @@
 Task<void> Pooler::watch() {
   for (;;) {
     auto& changed = guide_.changed();
-    co_await changed.wait(clock_, clock_.now() + 100ms);
+    co_await changed.wait(clock_, clock_.now() + (pool_.doubting() ? 50ms : 100ms));
     care();
   }
 }
--- a/src/real/tcp_link.cpp
+++ b/src/real/tcp_link.cpp
@@ -2,6 +2,8 @@
 
 #include <cstring>
 
+#include <netinet/tcp.h>
+
 #include "real/completion.hpp"
 #include "real/endpoint.hpp"
 
@@ -12,6 +14,26 @@
 
 namespace {
 
+constexpr Duration unanswered = 1s;
+
+void breakWhenUnanswered(tcp::socket& socket) {
+  Error ignored;
+  using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  socket.set_option(UserTimeout(static_cast<int>(milliseconds(unanswered).count())), ignored);
+}
+
+// a connection whose far end is gone without a word must not be kept for ever
+void askWhetherAlive(tcp::socket& socket) {
+  Error ignored;
+  using Idle = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using Pause = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using Most = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(Idle(10), ignored);
+  socket.set_option(Pause(2), ignored);
+  socket.set_option(Most(3), ignored);
+}
+
 // a peer never sends on a connection that we opened: if it can be read, it has ended
 void watchEnd(const std::shared_ptr<tcp::socket>& socket) {
   socket->async_wait(tcp::socket::wait_read, [weak = std::weak_ptr<tcp::socket>(socket)](Error) {
@@ -62,6 +84,7 @@
 Task<void> TcpLink::receive(std::shared_ptr<tcp::socket> socket) {
   Error ignored;
   socket->set_option(tcp::no_delay(true), ignored);
+  askWhetherAlive(*socket);
   std::optional<Address> from;
   for (;;) {
     auto head = std::make_shared<std::uint32_t>(0);
@@ -137,6 +160,7 @@
     }
     Error ignored;
     socket->set_option(tcp::no_delay(true), ignored);
+    breakWhenUnanswered(*socket);
     watchEnd(socket);
     outgoing.backlog.push_front(framed(Envelope{Matter{}, hello()}));
     outgoing.bytes += outgoing.backlog.front().size();
