--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -160,15 +160,19 @@
   auto target = cutShares(without(state_.plan()->services.at(name), reserved), wanted, weights);
   if (target == service.grants && reserved == reservedBefore) co_return;
   auto lower = lowered(service.grants, target);
+  for (const auto& [node, share] : service.reserved)
+    if (!reserved.contains(node) && target.contains(node) && !lower.contains(node)) lower[node] = lowered({{node, share.most}}, target)[node];
   if (lower != service.grants || reserved != reservedBefore) {
-    bool pressing = reserved != reservedBefore || target.size() != service.grants.size();
+    bool nodesChanged = reserved != reservedBefore || target.size() != service.grants.size();
+    bool pressing = nodesChanged;
     for (const auto& [node, branches] : wanted)
       for (const auto& [branch, want] : branches) {
         auto held = service.grants.find(node);
         if (held == service.grants.end() || !held->second.contains(branch)) continue;
         pressing = pressing || (want > held->second.at(branch) && target[node][branch] > held->second.at(branch));
       }
-    if (!pressing || clock_.now() - duty.sharesMovedAt < timings_.sharesPause) co_return;
+    bool early = clock_.now() - duty.sharesMovedAt < timings_.sharesPause;
+    if (!pressing || (early && !(nodesChanged && everyNodeFollows(name, service)))) co_return;
     duty.sharesMovedAt = clock_.now();
     SharesUpdate update{name, service.sharesAt, lower, reserved};
     co_await order(ControlMatter::shares, packed(update));
@@ -179,9 +183,23 @@
   co_await order(ControlMatter::shares, packed(update));
 }
 
+// orders that do not wait for each other, so that they share their syncs
+Task<void> Duties::orderAll(Orders orders) {
+  auto left = std::make_shared<std::size_t>(orders.size());
+  for (auto& [matter, body] : orders) scope_.spawn(orderOne(matter, std::move(body), left));
+  while (*left > 0) co_await ordered_.wait(clock_);
+}
+
+Task<void> Duties::orderOne(ControlMatter matter, std::string body, std::shared_ptr<std::size_t> left) {
+  co_await order(matter, std::move(body));
+  --*left;
+  ordered_.open();
+}
+
 Task<void> Duties::nodes() {
   nodesBusy_ = true;
   std::vector<NodeReport> reports;
+  Orders orders;
   for (const auto& [address, node] : access_.nodes())
     if (clock_.now() - node.heardAt < timings_.nodeSilence) reports.push_back(node.report);
   for (const auto& report : reports) {
@@ -189,10 +207,11 @@
     NodeUpdate update{report.node, report.district, report.boot};
     bool same = known != state_.nodes().end() && known->second.boot == report.boot && known->second.district == report.district;
     if (!same && !report.draining)
-      co_await order(ControlMatter::enrolNode, packed(update));
+      orders.emplace_back(ControlMatter::enrolNode, packed(update));
     else if (same && report.draining && !known->second.draining)
-      co_await order(ControlMatter::drainNode, packed(update));
+      orders.emplace_back(ControlMatter::drainNode, packed(update));
   }
+  co_await orderAll(std::move(orders));
   std::vector<NodeUpdate> gone;
   for (const auto& [address, node] : state_.nodes()) {
     bool holds = std::any_of(state_.services().begin(), state_.services().end(), [&](const auto& each) { return each.second.holds(address); });
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -71,7 +71,10 @@
   Task<void> ask(ServiceName name, DatabaseName database, std::shared_ptr<Survey> survey);
   std::vector<DatabaseName> candidates(const ServiceName& name, const std::optional<DatabaseName>& besides) const;
   Task<std::optional<Candidate>> candidate(ServiceName name, std::optional<DatabaseName> besides);
+  using Orders = std::vector<std::pair<ControlMatter, std::string>>;
   Task<bool> order(ControlMatter matter, std::string body);
+  Task<void> orderAll(Orders orders);
+  Task<void> orderOne(ControlMatter matter, std::string body, std::shared_ptr<std::size_t> left);
   Task<void> shares(ServiceName name);
   Task<void> nodes();
   void members();
@@ -120,6 +123,7 @@
   bool enrolmentsBusy_ = false;
   bool wasOnDuty_ = false;
   Gate wake_;
+  Gate ordered_;
   Instant takenAt_{};
   TaskScope scope_;
 };
