--- /dev/null
+++ b/tests/platform/adapter_days_test.cpp
@@ -0,0 +1,52 @@
+#include <catch2/catch.hpp>
+
+#include "tests/platform/adapter_programs.hpp"
+#include "tests/platform/platform_world.hpp"
+
+using namespace tamarindshift;
+using namespace tamarindshift::testing;
+
+namespace {
+
+PlatformShape usual() {
+  PlatformShape shape;
+  shape.services = 2;
+  ClientKind kind;
+  shape.kinds = {kind};
+  return shape;
+}
+
+ViewId viewOf(PlatformWorld& world, const std::string& name) { return dynamic_cast<CoreProgram&>(world.process(name)->program()).replica().group().view(); }
+
+}  // namespace
+
+TEST_CASE("a complete group stays in the view it formed") {
+  PlatformWorld world(usual(), 1, [](PlatformProcess& process) { return adapterProgram(process); });
+  world.runUntil(3s);
+  auto formed = viewOf(world, "core-1");
+  for (const auto* name : {"core-2", "core-3"}) CHECK(viewOf(world, name) == formed);
+  world.runUntil(20s);
+  for (const auto* name : {"core-1", "core-2", "core-3"}) CHECK(viewOf(world, name) == formed);
+}
+
+TEST_CASE("a killed member that comes back costs two views and not views without end") {
+  PlatformWorld world(usual(), 1, [](PlatformProcess& process) { return adapterProgram(process); });
+  world.runUntil(5s);
+  auto before = viewOf(world, "core-1");
+  world.killProcess("core-3");
+  world.runUntil(9s);
+  auto after = viewOf(world, "core-1");
+  CHECK(after.counter - before.counter <= 4);
+  world.runUntil(20s);
+  CHECK(viewOf(world, "core-1") == after);
+}
+
+TEST_CASE("a replaced member is let go through the log and its vote with it") {
+  PlatformWorld world(usual(), 1, [](PlatformProcess& process) { return adapterProgram(process); });
+  world.runUntil(5s);
+  world.replaceCore("core-2", false, 2s);
+  world.runUntil(12s);
+  auto& engine = dynamic_cast<CoreProgram&>(world.process("core-1")->program()).replica().engine();
+  CHECK(engine.members().size() == 3);
+  for (const auto& member : engine.members()) CHECK(member.address != world.machine("core-2").internal());
+}
--- a/tests/platform/door_headers.hpp
+++ b/tests/platform/door_headers.hpp
@@ -2,17 +2,15 @@
 
 #include <string>
 
+#include "edge/door.hpp"
+
 namespace tamarindshift::testing {
 
-// empty where the request, or its kind of request, carries no such header
-template <class Request>
-std::string headerOf(const Request& request, const std::string& name) {
-  if constexpr (requires { request.headers.find(name); }) {
-    auto found = request.headers.find(name);
-    return found == request.headers.end() ? std::string{} : found->second;
-  } else {
-    return {};
-  }
+// empty where the request carries no such header
+inline std::string headerOf(const DoorRequest& request, const std::string& name) {
+  for (const auto& [key, value] : request.headers)
+    if (key == name) return value;
+  return {};
 }
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/platform_events.cpp
+++ b/tests/platform/platform_events.cpp
@@ -79,6 +79,28 @@
     if (lasting) later(*lasting, [this, left = words[1], right = words[2]] { world_.heal(left, right); });
     return true;
   };
+  events_["replace-core"] = [this](const Words& words) {
+    if (words.size() < 3 || !world_.process(words[1])) return false;
+    auto after = words.size() > 4 && words[3] == "after" ? durationText(words[4]) : std::optional<Duration>{2s};
+    if (!after || (words[2] != "planned" && words[2] != "lost")) return false;
+    world_.replaceCore(words[1], words[2] == "planned", *after);
+    return true;
+  };
+  events_["slow-disk"] = [this](const Words& words) {
+    auto lasting = lasts(words);
+    auto sync = words.size() > 2 ? durationText(words[2]) : std::nullopt;
+    if (!lasting || !sync || !world_.machines().contains(words[1])) return false;
+    world_.slowDisk(words[1], *sync);
+    later(*lasting, [this, name = words[1]] { world_.slowDisk(name, Duration::zero()); });
+    return true;
+  };
+  events_["ready"] = [this](const Words& words) {
+    if (words.size() < 2 || !world_.machines().contains(words[1])) return false;
+    auto* running = world_.process(words[1]);
+    auto reason = running ? running->program().notReady() : std::optional<std::string>{"not running"};
+    if (reason) faults_.push_back(words[1] + " is not ready: " + *reason);
+    return true;
+  };
   events_["add-access"] = [this](const Words&) {
     world_.addAccess();
     return true;
@@ -129,6 +151,30 @@
   return true;
 }
 
+void PlatformEvents::cutDatabase(const std::string& host, const Words& others, Duration lasting) {
+  std::vector<std::string> hosts;
+  for (const auto& other : others)
+    for (const auto& [name, machine] : world_.machines())
+      if (other == name || (other == "core" && machine.core) || (other == "access" && !machine.core)) hosts.push_back(name);
+  for (const auto& other : others)
+    if (other.starts_with("10.")) hosts.push_back(other);
+  for (const auto& other : hosts) {
+    world_.cut(host, other);
+    later(lasting, [this, host, other] { world_.heal(host, other); });
+  }
+}
+
+void PlatformEvents::afterAcknowledgement(std::size_t place, const Words& words) {
+  const auto& sent = world_.history().operators.sent[place];
+  if (sent.refusedAt) return;
+  if (!sent.acknowledgedAt) return later(1ms, [this, place, words] { afterAcknowledgement(place, words); });
+  auto resolved = words;
+  for (auto& word : resolved)
+    for (const auto& [name, machine] : world_.machines())
+      if (word == "acknowledger" && machine.control() == sent.node) word = name;
+  if (!happen(resolved)) faults_.push_back("no such event: " + words.front());
+}
+
 void PlatformEvents::releaseAll(std::size_t service, std::size_t index) {
   if (index > world_.shape().databases) return;
   world_.release(world_.database(service, index));
@@ -149,6 +195,19 @@
     }
     return true;
   };
+  events_["cut-database"] = [this](const Words& words) {
+    auto lasting = lasts(words);
+    auto from = std::find(words.begin(), words.end(), "from");
+    auto until = std::find(words.begin(), words.end(), "for");
+    if (!lasting || from >= until) return false;
+    Words others(std::next(from), until);
+    for (auto* database : databasesNamed(words)) {
+      if (std::find(others.begin(), others.end(), "replicas") != others.end())
+        for (auto* replica : world_.replicas(number(words[2]))) others.push_back(replica->host());
+      cutDatabase(database->host(), others, *lasting);
+    }
+    return true;
+  };
   events_["release"] = [this](const Words& words) {
     if (words.size() > 2 && words[1] == "all") {
       releaseAll(number(words[2]), 1);
@@ -201,6 +260,13 @@
     world_.configure(words.size() > 2 ? 1 : 0);
     return true;
   };
+  events_["after-ack"] = [this](const Words& words) {
+    if (words.size() < 2) return false;
+    auto place = world_.history().operators.sent.size();
+    world_.configure();
+    afterAcknowledgement(place, Words(words.begin() + 1, words.end()));
+    return true;
+  };
   events_["bad-configuration"] = [this](const Words&) {
     auto invalid = world_.configuration();
     invalid.revision += 100;
--- a/tests/platform/platform_events.hpp
+++ b/tests/platform/platform_events.hpp
@@ -12,6 +12,8 @@
   using Words = std::vector<std::string>;
   explicit PlatformEvents(PlatformWorld& world);
   bool happen(const Words& words);
+  // what was looked for during the day and not found
+  const std::vector<std::string>& faults() const { return faults_; }
 
  private:
   using Event = std::function<bool(const Words&)>;
@@ -24,9 +26,13 @@
   static std::optional<Duration> lasts(const Words& words);
   void crash(StandinDatabaseHost& database, std::optional<Duration> down);
   void releaseAll(std::size_t service, std::size_t number);
+  void cutDatabase(const std::string& host, const Words& others, Duration lasting);
+  // the event, once the configuration at this place of the history is acknowledged; its node is called acknowledger
+  void afterAcknowledgement(std::size_t place, const Words& words);
 
   PlatformWorld& world_;
   std::map<std::string, Event> events_;
+  std::vector<std::string> faults_;
 };
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/platform_machine.hpp
+++ b/tests/platform/platform_machine.hpp
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "base/address.hpp"
+#include "base/time.hpp"
 #include "simulated/simulated_disk.hpp"
 
 namespace tamarindshift::testing {
@@ -14,6 +15,12 @@
   bool core = false;
   bool firstStart = true;
   bool powered = true;
+  bool frozen = false;
+  // taken away for good
+  bool gone = false;
+  // when the operator and databases learn of it, and when they forget it
+  Instant listedFrom{};
+  Instant listedUntil = Instant::max();
   std::size_t lives = 0;
   SimulatedDisk disk;  // of core machines
 
@@ -21,7 +28,8 @@
   Address control() const { return at(8782); }
   Address front() const { return at(8784); }
   Address readiness() const { return at(8785); }
-  Address internal(int offset = 0) const { return at(7440 + offset); }
+  static constexpr int internalPort = 7440;
+  Address internal() const { return at(internalPort); }
 };
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/platform_process.hpp
+++ b/tests/platform/platform_process.hpp
@@ -25,6 +25,7 @@
   SimulatedLineLink& lines() { return lines_; }
   SimulatedWebLink& web() { return webLink_; }
   PlatformMachine& machine() { return machine_; }
+  const PlatformMachine& machine() const { return machine_; }
   const PlatformShape& shape() const { return shape_; }
   // the control addresses of core machines, as the settings file names them
   std::vector<Address> seeds;
@@ -37,6 +38,9 @@
   PlatformProgram& program() { return *program_; }
   // SIGTERM; `ended` once the program has stopped of itself
   void terminate(std::function<void()> ended);
+  // the program exits without being asked to
+  void endItself() { world_.at(world_.now(), endedItself); }
+  std::function<void()> endedItself = [] {};
   // silent: the machine lost its power, and far ends hear nothing
   void end(bool silent);
 
--- a/tests/platform/platform_program.hpp
+++ b/tests/platform/platform_program.hpp
@@ -1,6 +1,10 @@
 #pragma once
 
+#include <optional>
+#include <string>
+
 #include "base/task.hpp"
+#include "base/time.hpp"
 
 namespace tamarindshift::testing {
 
@@ -12,6 +16,8 @@
   virtual Task<void> stop() = 0;
   // SIGHUP
   virtual void settingsChanged() {}
+  virtual void diskSlowed(Duration) {}
+  virtual std::optional<std::string> notReady() const { return std::nullopt; }
 };
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/platform_script.cpp
+++ b/tests/platform/platform_script.cpp
@@ -140,12 +140,16 @@
     if (!events.happen(event.words)) faults.push_back("no such event: " + event.words.front());
   }
   world.runUntil(until_);
+  faults.insert(faults.end(), events.faults().begin(), events.faults().end());
   for (const auto& broken : world.finish()) faults.push_back(broken.rule + ": " + broken.text);
   for (const auto& fault : world.history().clients.faults) faults.push_back("client: " + fault);
   for (const auto& expectation : expectations_) {
     auto served = world.served(expectation.from, expectation.until);
     if (served < expectation.share) faults.push_back("served " + std::to_string(served) + " and not " + std::to_string(expectation.share));
   }
+  lines_ = world.lines();
+  summary_ = std::to_string(world.history().clients.operations.size()) + " operations, " + std::to_string(world.history().services.runs.size()) +
+             " runs at databases, served " + std::to_string(world.served(shape_.lead, until_));
   return faults;
 }
 
--- a/tests/platform/platform_script.hpp
+++ b/tests/platform/platform_script.hpp
@@ -11,9 +11,12 @@
  public:
   bool read(std::istream& text);
   const std::string& lastReason() const { return reason_; }
-  // the world it ran in, with what broke
+  // what broke
   std::vector<std::string> run(std::uint64_t seed, PlatformWorld::ProgramFactory factory);
   const PlatformShape& shape() const { return shape_; }
+  // of the last run
+  const std::vector<std::string>& lines() const { return lines_; }
+  const std::string& summary() const { return summary_; }
 
  private:
   using Words = std::vector<std::string>;
@@ -35,6 +38,8 @@
   std::vector<Expectation> expectations_;
   Duration until_ = 34s;
   std::string reason_;
+  std::vector<std::string> lines_;
+  std::string summary_;
 };
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -65,6 +65,32 @@
   startMachine(name);
 }
 
+void PlatformWorld::removeMachine(const std::string& name) {
+  auto& machine = machines_.at(name);
+  losePower(name);
+  machine.gone = true;
+  machine.listedUntil = world_.now() + shape_.bounds.seedLag;
+  endTrouble("down " + name);
+  coreEvent(name);
+}
+
+void PlatformWorld::replaceCore(const std::string& name, bool planned, Duration after) {
+  if (planned)
+    stopProcess(name, [this, name] { removeMachine(name); });
+  else
+    removeMachine(name);
+  world_.at(world_.now() + after, [this, zone = machines_.at(name).zone] {
+    auto index = static_cast<std::size_t>(std::count_if(machines_.begin(), machines_.end(), [](const auto& each) { return each.second.core; }));
+    auto added = "core-" + std::to_string(index + 1);
+    addMachine(added, true, index);
+    auto& machine = machines_.at(added);
+    machine.zone = zone;
+    machine.firstStart = false;
+    machine.listedFrom = world_.now() + shape_.bounds.seedLag;
+    startMachine(added);
+  });
+}
+
 void PlatformWorld::addService(std::size_t number) {
   auto name = "service-" + std::to_string(number);
   services_.push_back(std::make_unique<StandinWireService>(name, shape_.syncReplicas, lineNetwork_, history_.services));
@@ -112,7 +138,13 @@
 std::vector<Address> PlatformWorld::controlNodes() const {
   std::vector<Address> nodes;
   for (const auto& [name, machine] : machines_)
-    if (machine.core) nodes.push_back(machine.control());
+    if (machine.core && machine.listedFrom <= world_.now() && world_.now() < machine.listedUntil) nodes.push_back(machine.control());
+  return nodes;
+}
+
+std::vector<Address> PlatformWorld::seeds() const {
+  auto nodes = controlNodes();
+  if (nodes.size() > 3) nodes.erase(nodes.begin(), nodes.end() - 3);
   return nodes;
 }
 
@@ -123,7 +155,31 @@
   return found == processes_.end() ? nullptr : found->second.get();
 }
 
-std::string PlatformWorld::troubledHost(const std::string& name) { return machines_.at(name).core ? std::string{} : machines_.at(name).host; }
+// whether some running core machine reaches more than half of the core, itself among them
+bool PlatformWorld::coreSettled() const {
+  std::vector<const PlatformMachine*> running;
+  std::size_t all = 0;
+  for (const auto& [name, machine] : machines_) {
+    if (!machine.core || machine.gone) continue;
+    ++all;
+    if (processes_.contains(name) && !machine.frozen) running.push_back(&machine);
+  }
+  return std::any_of(running.begin(), running.end(), [&](const auto* one) {
+    auto reached = std::count_if(running.begin(), running.end(),
+                                 [&](const auto* other) { return network_.connected(one->control(), other->control()) && network_.connected(other->control(), one->control()); });
+    return 2 * static_cast<std::size_t>(reached) > all;
+  });
+}
+
+// the core is troubled at the moment of each event, and for as long as it does not stand
+void PlatformWorld::coreEvent(const std::string& name) {
+  if (!machines_.at(name).core) return;
+  history_.troubles.troubles.push_back(Trouble{{}, world_.now(), world_.now()});
+  if (coreSettled())
+    endTrouble("core");
+  else
+    beginTrouble("core", {});
+}
 
 void PlatformWorld::beginTrouble(const std::string& key, const std::string& host) {
   if (troubles_.contains(key)) return;
@@ -139,22 +195,22 @@
 }
 
 void PlatformWorld::startMachine(const std::string& name) {
-  if (process(name)) return;
+  if (process(name) || machines_.at(name).gone) return;
   auto& machine = machines_.at(name);
   machine.powered = true;
   reach_.dark(machine.host, false);
   lineNetwork_.powerOn(machine.host);
   endTrouble("down " + name);
-  history_.troubles.starts.push_back(ProcessStart{troubledHost(name), world_.now()});
-  if (machine.core) history_.troubles.starts.push_back(ProcessStart{machine.host, world_.now()});
+  history_.troubles.starts.push_back(ProcessStart{machine.host, world_.now()});
   auto process = std::make_unique<PlatformProcess>(world_, network_, lineNetwork_, web_, machine, shape_, sink());
-  process->seeds = controlNodes();
+  process->seeds = seeds();
   process->platformApi = platformApi;
-  ++machine.lives;
+  process->endedItself = [this, name, life = ++machine.lives] { ended(name, life); };
   auto& started = *process;
   processes_[name] = std::move(process);
   started.run(factory_(started));
   machine.firstStart = false;
+  coreEvent(name);
 }
 
 void PlatformWorld::endProcess(const std::string& name, bool silent) {
@@ -162,6 +218,11 @@
   if (found == processes_.end()) return;
   found->second->end(silent);
   processes_.erase(found);
+  if (silent) return;
+  // the files stay as the process left them
+  auto& disk = machines_.at(name).disk;
+  auto unsynced = std::exchange(disk.unsynced, {});
+  disk.synced.insert(disk.synced.end(), unsynced.begin(), unsynced.end());
 }
 
 void PlatformWorld::restartLater(const std::string& name) {
@@ -170,20 +231,28 @@
   });
 }
 
+void PlatformWorld::ended(const std::string& name, std::size_t life) {
+  if (!process(name) || machines_.at(name).lives != life) return;
+  endProcess(name, false);
+  restartLater(name);
+}
+
 void PlatformWorld::killProcess(const std::string& name) {
   if (!process(name)) return;
-  beginTrouble("down " + name, troubledHost(name));
+  beginTrouble("down " + name, machines_.at(name).host);
   endProcess(name, false);
+  coreEvent(name);
   restartLater(name);
 }
 
 void PlatformWorld::losePower(const std::string& name) {
   auto& machine = machines_.at(name);
-  beginTrouble("down " + name, troubledHost(name));
+  beginTrouble("down " + name, machines_.at(name).host);
   machine.powered = false;
   reach_.dark(machine.host, true);
   lineNetwork_.powerOff(machine.host);
   endProcess(name, true);
+  coreEvent(name);
   machine.disk.crash();
 }
 
@@ -192,46 +261,69 @@
   machines_.at(name).disk.empty();
 }
 
-void PlatformWorld::terminate(const std::string& name) {
+void PlatformWorld::stopProcess(const std::string& name, std::function<void()> then) {
   auto* running = process(name);
   if (!running) return;
   auto& machine = machines_.at(name);
   history_.troubles.stops.push_back(PlannedStop{machine.host, world_.now()});
-  if (machine.core) history_.troubles.stops.push_back(PlannedStop{{}, world_.now()});
-  auto life = machine.lives;
-  auto ended = [this, name, life] {
-    if (!process(name) || machines_.at(name).lives != life) return;
+  coreEvent(name);
+  auto end = [this, name, life = machine.lives, then = std::move(then)] {
+    if (process(name) && machines_.at(name).lives == life) then();
+  };
+  running->terminate(end);
+  world_.at(world_.now() + shape_.bounds.grace, end);
+}
+
+void PlatformWorld::terminate(const std::string& name) {
+  stopProcess(name, [this, name] {
     endProcess(name, false);
+    coreEvent(name);
     restartLater(name);
-  };
-  running->terminate(ended);
-  world_.at(world_.now() + shape_.bounds.grace, ended);
+  });
 }
 
 void PlatformWorld::freeze(const std::string& name, bool frozen) {
   if (frozen)
-    beginTrouble("frozen " + name, troubledHost(name));
+    beginTrouble("frozen " + name, machines_.at(name).host);
   else
     endTrouble("frozen " + name);
+  machines_.at(name).frozen = frozen;
+  coreEvent(name);
   auto* running = process(name);
   if (running && frozen) running->clock().freeze();
   if (running && !frozen) running->clock().thaw();
 }
 
+// a slowed core machine troubles all
+void PlatformWorld::slowed(const std::string& key, const std::string& name, bool slowed) {
+  if (!slowed) {
+    endTrouble(key);
+    return endTrouble("core " + key);
+  }
+  beginTrouble(key, machines_.at(name).host);
+  if (machines_.at(name).core) beginTrouble("core " + key, {});
+}
+
+void PlatformWorld::slowDisk(const std::string& name, Duration sync) {
+  slowed("slow disk " + name, name, sync > Duration::zero());
+  if (auto* running = process(name)) running->program().diskSlowed(sync > Duration::zero() ? sync : shape_.diskSync);
+}
+
 void PlatformWorld::slow(const std::string& name, Duration delay) {
-  if (delay > Duration::zero())
-    beginTrouble("slow " + name, troubledHost(name));
-  else
-    endTrouble("slow " + name);
+  slowed("slow " + name, name, delay > Duration::zero());
   if (auto* running = process(name)) running->clock().slowBy(delay);
 }
 
 void PlatformWorld::hangUp(const std::string& name) {
-  if (auto* running = process(name)) running->program().settingsChanged();
+  auto* running = process(name);
+  if (!running) return;
+  running->seeds = seeds();
+  running->program().settingsChanged();
 }
 
 void PlatformWorld::resetConnections(const std::string& name, unsigned perThousand) {
-  history_.troubles.troubles.push_back(Trouble{troubledHost(name), world_.now(), world_.now()});
+  history_.troubles.troubles.push_back(Trouble{machines_.at(name).host, world_.now(), world_.now()});
+  coreEvent(name);
   lineNetwork_.resetConnections(machines_.at(name).host, perThousand);
 }
 
@@ -245,15 +337,17 @@
 
 void PlatformWorld::cut(const std::string& left, const std::string& right) {
   for (const auto& name : {left, right})
-    if (machines_.contains(name)) beginTrouble("cut " + left + " " + right + " " + name, troubledHost(name));
+    if (machines_.contains(name)) beginTrouble("cut " + left + " " + right + " " + name, machines_.at(name).host);
   reach_.cut(hostOf(left), hostOf(right));
   reach_.cut(hostOf(right), hostOf(left));
+  if (machines_.contains(left) && machines_.contains(right) && machines_.at(left).core) coreEvent(right);
 }
 
 void PlatformWorld::heal(const std::string& left, const std::string& right) {
   for (const auto& name : {left, right}) endTrouble("cut " + left + " " + right + " " + name);
   reach_.heal(hostOf(left), hostOf(right));
   reach_.heal(hostOf(right), hostOf(left));
+  if (machines_.contains(left) && machines_.contains(right) && machines_.at(left).core) coreEvent(right);
 }
 
 StandinDatabaseHost* PlatformWorld::primary(std::size_t service) {
@@ -281,11 +375,13 @@
 void PlatformWorld::closingFault(bool losesPower, std::size_t disksLost, Duration down) {
   history_.closingFault = world_.now();
   for (auto& [name, machine] : machines_) {
-    if (losesPower)
+    if (machine.gone) continue;
+    if (losesPower) {
       losePower(name);
-    else {
-      beginTrouble("down " + name, troubledHost(name));
+    } else {
+      beginTrouble("down " + name, machine.host);
       endProcess(name, false);
+      coreEvent(name);
     }
     if (machine.core && disksLost > 0) {
       --disksLost;
--- a/tests/platform/platform_world.hpp
+++ b/tests/platform/platform_world.hpp
@@ -43,6 +43,9 @@
   void hangUp(const std::string& name);
   void resetConnections(const std::string& name, unsigned perThousand);
   void addAccess();
+  // an empty machine at another address takes the place of one that ends for good, by SIGTERM or without power
+  void replaceCore(const std::string& name, bool planned, Duration after);
+  void slowDisk(const std::string& name, Duration sync);
 
   // hosts of machines or databases
   void cut(const std::string& left, const std::string& right);
@@ -73,7 +76,14 @@
   std::vector<Address> controlNodes() const;
   void endProcess(const std::string& name, bool silent);
   void restartLater(const std::string& name);
-  std::string troubledHost(const std::string& name);
+  // by itself, in this life
+  void ended(const std::string& name, std::size_t life);
+  void stopProcess(const std::string& name, std::function<void()> then);
+  void removeMachine(const std::string& name);
+  std::vector<Address> seeds() const;
+  bool coreSettled() const;
+  void coreEvent(const std::string& name);
+  void slowed(const std::string& key, const std::string& name, bool slowed);
   void beginTrouble(const std::string& key, const std::string& host);
   void endTrouble(const std::string& key);
   std::string freshDatabase();
--- a/tests/platform/rule_checks.cpp
+++ b/tests/platform/rule_checks.cpp
@@ -1,6 +1,7 @@
 #include "tests/platform/rule_checks.hpp"
 
 #include "tests/platform/configuration_checks.hpp"
+#include "tests/platform/duty_checks.hpp"
 #include "tests/platform/order_checks.hpp"
 #include "tests/platform/statement_checks.hpp"
 
@@ -12,6 +13,7 @@
   StatementChecks(history, index, broken).check();
   ConfigurationChecks(history, index, broken).check();
   OrderChecks(history, index, broken).check();
+  DutyChecks(history, broken).check();
   return broken;
 }
 
--- a/tests/platform/rule_checks_test.cpp
+++ b/tests/platform/rule_checks_test.cpp
@@ -382,3 +382,19 @@
   made.history.troubles.troubles.push_back(Trouble{"10.2.0.1", HistoryMaker::at(10s), HistoryMaker::at(10400ms)});
   CHECK(broken(made) == "");
 }
+
+TEST_CASE("DUTY: calls to the platform name their holder, and the fence rises with it") {
+  auto calls = [](std::vector<PromotionCall> promotions) {
+    HistoryMaker made;
+    made.history.promotions = std::move(promotions);
+    return broken(made);
+  };
+  PromotionCall first{HistoryMaker::at(10s), "orders", "a", "core-1", "4", 200};
+  auto next = [&](const std::string& holder, const std::string& fence) { return PromotionCall{HistoryMaker::at(20s), "orders", "b", holder, fence, 200}; };
+  CHECK(calls({first, next("core-1", "4"), next("core-2", "5")}).empty());
+  CHECK(calls({first, next("", "5")}) == "DUTY");
+  CHECK(calls({first, next("core-2", "")}) == "DUTY");
+  CHECK(calls({first, next("core-2", "4")}) == "DUTY");
+  CHECK(calls({first, next("core-2", "3")}) == "DUTY");
+  CHECK(calls({first, next("core-1", "3")}) == "DUTY");
+}
--- a/tests/platform/straight_pooler.cpp
+++ b/tests/platform/straight_pooler.cpp
@@ -170,7 +170,8 @@
       knowledge_.primaries[service].clear();
       knowledge_.promotingSince[service] = clock_.now();
       auto body = Json{{"targetService", service}, {"id", next}}.dump();
-      co_await web_.call(platform_, "POST", "/promotion", std::move(body), clock_.now() + 1s);
+      WebHeaders headers{{"Tamarindshift-Duty-Holder", "core-1"}, {"Tamarindshift-Fence-Number", std::to_string(++knowledge_.fence)}};
+      co_await web_.call(platform_, "POST", "/promotion", std::move(body), clock_.now() + 1s, std::move(headers));
     }
   }
 }
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -21,6 +21,13 @@
   set_tests_properties(day.${name} PROPERTIES TIMEOUT 900)
 endforeach()
 
+file(GLOB PLATFORM_DAYS CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/platform/days/*.txt)
+foreach(day ${PLATFORM_DAYS})
+  get_filename_component(name ${day} NAME_WE)
+  add_test(NAME platform.${name} COMMAND platform-days --seeds 3 ${day})
+  set_tests_properties(platform.${name} PROPERTIES TIMEOUT 600)
+endforeach()
+
 add_test(NAME scenario.proxy-frozen.seed-1004 COMMAND scenario --seed 1004 ${CMAKE_SOURCE_DIR}/tests/scenarios/proxy-frozen.txt)
 
 add_test(NAME day.generated COMMAND scenario --days small --seed 1 --seeds 4)
