--- /dev/null
+++ b/tests/pooler_partial_news_test.cpp
@@ -0,0 +1,30 @@
+#include <catch2/catch.hpp>
+
+#include "tests/pooler_trial.hpp"
+
+using namespace tamarindshift;
+
+TEST_CASE("pooler routes: a node that knows the fleet and not each service refuses as CONGESTED", "[pooler][routes]") {
+  PoolerTrial::Choice choice;
+  choice.published = false;
+  PoolerTrial trial(choice);
+  trial.route("strict", Consistency::primary);
+  trial.kinds[KindName{"other"}] = trial.kinds.at(KindName{"strict"});
+  trial.kinds[KindName{"other"}].service = ServiceName{"s2"};
+  trial.kinds[KindName{"other"}].host = "other";
+  trial.publishFleet();
+  trial.run(150ms);
+  CHECK(trial.client("alice")->refusal.fault == StatementFault::busy);
+  CHECK(trial.client("bob", "other")->refusal.fault == StatementFault::busy);
+  CHECK(trial.client("carol", "nowhere")->refusal.fault == StatementFault::busy);
+  CHECK(trial.pooler->notReady());
+  trial.publishService("s1");
+  trial.run(150ms);
+  CHECK(trial.client("bob2", "other")->refusal.fault == StatementFault::busy);
+  CHECK(trial.client("carol2", "nowhere")->refusal.fault == StatementFault::busy);
+  trial.publishService("s2");
+  trial.run(150ms);
+  CHECK(trial.client("alice3")->session);
+  CHECK(trial.client("bob3", "other")->session);
+  CHECK(trial.client("carol3", "nowhere")->refusal.fault == StatementFault::noDatabase);
+}
--- /dev/null
+++ b/tests/tcp_link_test.cpp
@@ -0,0 +1,99 @@
+#include <catch2/catch.hpp>
+
+#include <cstring>
+
+#include "real/real_clock.hpp"
+#include "real/tcp_link.hpp"
+
+using namespace tamarindshift;
+using boost::asio::ip::tcp;
+
+namespace {
+
+struct SilentJournal : Journal {
+  void line(const std::string&) override {}
+};
+
+Address freeAddress(boost::asio::io_context& context) {
+  tcp::acceptor acceptor(context, tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0});
+  return Address{"127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())};
+}
+
+std::string frame(char matter, const std::string& body) {
+  auto size = static_cast<std::uint32_t>(body.size() + 1);
+  std::string bytes(4, '\0');
+  std::memcpy(bytes.data(), &size, 4);
+  return bytes + matter + body;
+}
+
+struct Trial {
+  boost::asio::io_context context{1};
+  RealClock clock{context};
+  SilentJournal journal;
+  Address ownAddress = freeAddress(context);
+  Address peerAddress = freeAddress(context);
+  TcpLink own{context, clock, journal, ownAddress, {}};
+  std::vector<std::string> heard;
+
+  tcp::endpoint endpoint(const Address& address) {
+    auto port = std::stoi(address.get().substr(address.get().find(':') + 1));
+    return tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(port)};
+  }
+  void listen(TcpLink& peer) {
+    REQUIRE_FALSE(peer.listen());
+    peer.on(Matter::ask, [this](const Address&, const std::string& body) { heard.push_back(body); });
+  }
+  bool runUntil(const std::function<bool()>& reached) {
+    auto until = std::chrono::steady_clock::now() + 10s;
+    while (!reached() && std::chrono::steady_clock::now() < until) context.run_one_for(std::chrono::milliseconds{50});
+    return reached();
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a message to a peer whose old life still holds its connection reaches the new life") {
+  Trial trial;
+  REQUIRE_FALSE(trial.own.listen());
+  tcp::socket kept(trial.context);
+  tcp::socket hello(trial.context);
+  bool accepted = false;
+  {
+    // an old life of the peer: it said hello, took a connection and vanished without closing it
+    tcp::acceptor acceptor(trial.context, trial.endpoint(trial.peerAddress));
+    hello.connect(trial.endpoint(trial.ownAddress));
+    boost::asio::write(hello, boost::asio::buffer(frame('\0', trial.peerAddress.get() + " 1")));
+    acceptor.async_accept(kept, [&](boost::system::error_code) { accepted = true; });
+    trial.own.pass(trial.peerAddress, Envelope{Matter::ask, "to the old life"});
+    REQUIRE(trial.runUntil([&] { return accepted && kept.available() > 0; }));
+  }
+  std::optional<TcpLink> peer;
+  peer.emplace(trial.context, trial.clock, trial.journal, trial.peerAddress, Detours{});
+  trial.listen(*peer);
+  bool answered = false;
+  trial.own.on(Matter::reply, [&](const Address&, const std::string&) { answered = true; });
+  peer->pass(trial.ownAddress, Envelope{Matter::reply, "here I am"});
+  REQUIRE(trial.runUntil([&] { return answered; }));
+  trial.own.pass(trial.peerAddress, Envelope{Matter::ask, "first to the new life"});
+  CHECK(trial.runUntil([&] { return !trial.heard.empty(); }));
+  REQUIRE(trial.heard.size() == 1);
+  CHECK(trial.heard.front() == "first to the new life");
+}
+
+TEST_CASE("a message to a peer that closed its connections goes down a new one") {
+  Trial trial;
+  REQUIRE_FALSE(trial.own.listen());
+  std::optional<TcpLink> peer;
+  peer.emplace(trial.context, trial.clock, trial.journal, trial.peerAddress, Detours{});
+  trial.listen(*peer);
+  trial.own.pass(trial.peerAddress, Envelope{Matter::ask, "before"});
+  REQUIRE(trial.runUntil([&] { return trial.heard.size() == 1; }));
+  peer.reset();
+  auto until = trial.clock.now() + 100ms;
+  trial.runUntil([&] { return trial.clock.now() >= until; });
+  peer.emplace(trial.context, trial.clock, trial.journal, trial.peerAddress, Detours{});
+  trial.listen(*peer);
+  trial.own.pass(trial.peerAddress, Envelope{Matter::ask, "after"});
+  CHECK(trial.runUntil([&] { return trial.heard.size() == 2; }));
+  CHECK(trial.heard.back() == "after");
+}
