--- a/src/scale/points.sh
+++ b/src/scale/points.sh
@@ -12,7 +12,7 @@
     --folder "$work/run" --output "$rows/$file.csv" "$@" > "$work/log" 2>&1 || echo "$file $nodes:$databases did not reach all: $(grep fault "$work/log")"
 }
 for each in 20:47 40:94 80:94 160:188 320:329 420:470; do point pieces $each --part pieces; done
-for each in 20:47 40:94 80:94 160:188 320:329 420:470; do point points $each --light true --patience 30000; done
+for each in 20:47 40:94 80:94 160:188 200:235 240:282 320:329 420:470; do point points $each --light true --patience 60000; done
 for each in 20:12 40:12 80:12 160:12 320:12 420:12 20:47 20:94 20:188 80:47; do point slices $each --events false --patience 30000; done
 point counts 20:470 --part counts
 point losses 12:6 --part losses
