--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -93,6 +93,8 @@
   return sessions_.empty() || since > settings_.timings.stop - 700ms;
 }
 
+bool Pooler::cutOff() const { return leasedAt_ && clock_.now() - *leasedAt_ > settings_.lapsePatience; }
+
 std::optional<std::string> Pooler::notReady() const {
   if (draining()) return "this node is leaving";
   if (!guide_.servicesKnown()) return "no news of every service under a lease";
@@ -203,6 +205,7 @@
 
 void Pooler::care() {
   guide_.refresh();
+  if (guide_.servicesKnown()) leasedAt_ = clock_.now();
   std::set<DatabaseName> known;
   bool routesChanged = false;
   for (const auto& [name, view] : guide_.services()) {
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -31,6 +31,8 @@
   // idle sessions are closed from then on, and no connection of a client is taken
   bool closing() const;
   bool stopped() const;
+  // had leases and has none for so long that clients fare better elsewhere
+  bool cutOff() const;
   std::optional<std::string> notReady() const;
   std::size_t sessions() const { return sessions_.size(); }
   const BackEndPool& pool() const { return pool_; }
@@ -87,7 +89,7 @@
   std::uint32_t allowed(const Guide::ServiceView& view) const;
   Duration statementBound(const KindName& kind) const;
   // how long work that may be done again is waited for, from what such work usually takes
-  Duration patience(const Connection& connection, const KindName& kind) const;
+  Duration patience(const Connection& connection, const KindName& kind, int attempt) const;
   void noteTaken(const KindName& kind, Duration taken);
 
   Clock& clock_;
@@ -104,6 +106,7 @@
   std::map<KindName, double> usualTaken_;
   std::set<Session> sessions_;
   std::optional<Instant> drainingSince_;
+  std::optional<Instant> leasedAt_;
   std::string hindrance_ = "not started";
   std::map<DatabaseName, std::uint32_t> claimed_;
   bool serving_ = false;
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -22,7 +22,10 @@
   auto found = routeNamed(demand->kind);
   if (!found) return demands_.refuse(demand, guide_.routesKnown() ? StatementFault::noDatabase : StatementFault::busy, "the route is gone");
   const auto& service = found->kind->service;
-  if (!guide_.leased(service)) return;
+  if (!guide_.leased(service)) {
+    if (cutOff()) demands_.refuse(demand, StatementFault::busy, "this node is cut off");
+    return;
+  }
   const auto& view = *found->service;
   std::optional<Place> after;
   auto databases = candidates(*demand, *found, after);
@@ -140,12 +143,14 @@
   return finishing && view->primary.planned && Epoch{connection->epoch.get() + 1} == view->primary.epoch;
 }
 
-Duration Pooler::patience(const Connection& connection, const KindName& kind) const {
+Duration Pooler::patience(const Connection& connection, const KindName& kind, int attempt) const {
   auto usual = usualTaken_.find(kind);
   const auto* shelf = pool_.find(connection->target.database);
   if (usual == usualTaken_.end() || !shelf) return statementBound(kind);
   auto expected = 8 * std::max(usual->second, shelf->meanTaken);
-  return std::max(settings_.leastPatience, Duration{static_cast<Duration::rep>(expected)});
+  auto least = settings_.leastPatience;
+  if (auto found = routeNamed(kind); found && found->kind->aim) least = std::max<Duration>(least, *found->kind->aim / 2);
+  return std::max(least, Duration{static_cast<Duration::rep>(expected)}) * (1 << std::min(attempt, 4));
 }
 
 void Pooler::noteTaken(const KindName& kind, Duration taken) {
--- a/src/pooler/pooler_settings.hpp
+++ b/src/pooler/pooler_settings.hpp
@@ -15,6 +15,7 @@
   Duration leastPatience = 250ms;
   Duration plannedFinish = 250ms;
   Duration setupPatience = 1s;
+  Duration lapsePatience = 400ms;
   Duration drainServes = 2200ms;
 };
 
--- a/src/pooler/pooler_transactions.cpp
+++ b/src/pooler/pooler_transactions.cpp
@@ -45,7 +45,7 @@
       pool_.release(connection);
       continue;
     }
-    auto until = keeps ? deadline : std::min(deadline, clock_.now() + patience(connection, kind));
+    auto until = keeps ? deadline : std::min(deadline, clock_.now() + patience(connection, kind, attempt));
     auto askedAt = clock_.now();
     auto reply = co_await runOn(connection, statement, acquired.after, until);
     if (reply.fate == BackEndFate::replied) noteTaken(kind, clock_.now() - askedAt);
@@ -159,7 +159,7 @@
       co_return refused(StatementFault::aborted, "the transaction's connection was lost", TransactionState::failed);
     }
     if (keeps) transaction.wrote = true;
-    auto until = std::min(deadline, clock_.now() + patience(connection, transaction.kind));
+    auto until = std::min(deadline, clock_.now() + patience(connection, transaction.kind, 0));
     auto reply = co_await runOn(connection, statement, std::nullopt, until);
     if (reply.fate != BackEndFate::replied) {
       pool_.drop(connection);
