--- a/src/runner/scale_runner.cpp
+++ b/src/runner/scale_runner.cpp
@@ -213,8 +213,8 @@
   perNode("node_in", network(traffic.in));
   perNode("node_inside_out", Traffic::sum(traffic.out, "inside/"));
   perNode("node_inside_in", Traffic::sum(traffic.in, "inside/"));
-  note("asks_per_topic_s", static_cast<double>(traffic.in["inside/follow"].messages) / took / hollow / static_cast<double>(shape.services() + 1));
-  note("home_asks_per_topic_s", static_cast<double>(traffic.out["replica/follow"].messages) / took / hollow * static_cast<double>(shape.nodes) / static_cast<double>((shape.services() + 1) * std::min(shape.zones, shape.nodes)));
+  note("inside_asks_s", static_cast<double>(traffic.in["inside/follow"].messages) / took / hollow);
+  note("replica_asks_per_zone_s", static_cast<double>(traffic.out["replica/follow"].messages) / took / hollow * static_cast<double>(shape.nodes) / static_cast<double>(std::min(shape.zones, shape.nodes)));
   perNode("node_report_out", traffic.out["replica/report"]);
   perNode("node_beat_out", traffic.out["replica/beat"]);
   perNode("node_replica_ask_out", traffic.out["replica/follow"]);
--- a/src/scale/light_zone.cpp
+++ b/src/scale/light_zone.cpp
@@ -19,12 +19,27 @@
 
 }  // namespace
 
-LightZone::Node::Node(LightZone& zone, boost::asio::io_context& context, std::size_t index)
+LightZone::Node::Node(LightZone& zone, boost::asio::io_context& context, std::size_t index, bool follows)
     : zone(zone), index(index), address(zone.addresses_.agent(index)), link(context, zone.clock_, zone.journal_, address, {}),
       metered(link, traffic, [&zone](const Address& partner) { return zone.addresses_.isReplica(partner) ? "replica" : "agent"; }),
-      desk(zone.clock_, metered), news(zone.clock_, desk, zone.board_, zone, zone.timings_.newsWait) {
+      desk(zone.clock_, metered) {
   for (std::size_t replica = 0; replica < zone.addresses_.shape.replicas; ++replica) replicas.push_back(zone.addresses_.replica(replica));
   std::rotate(replicas.begin(), replicas.begin() + static_cast<std::ptrdiff_t>(spread(address.get()) % replicas.size()), replicas.end());
+  if (!follows) return;
+  follower = std::make_unique<NewsFollower>(zone.clock_, desk, zone.journal_, [this](const Topic& topic) { return sources(topic); },
+                                            FollowTimings{zone.timings_.newsPatience});
+}
+
+std::vector<Address> LightZone::Node::sources(const Topic& topic) const {
+  std::vector<Address> sources;
+  auto home = spread(topic) % zone.homes();
+  for (std::size_t next = 0; next < zone.homes(); ++next) {
+    const auto& agent = zone.agents_[(home + next) % zone.agents_.size()];
+    if (agent == address) break;
+    sources.push_back(agent);
+  }
+  sources.insert(sources.end(), replicas.begin(), replicas.end());
+  return sources;
 }
 
 void LightZone::Node::tellAll(const std::string& subject, const std::string& bytes) {
@@ -40,35 +55,48 @@
 
 Task<void> LightZone::Node::report() {
   auto boot = freshEntropy();
-  co_await sleep(zone.clock_, Duration{index * 997 % 200 * 1000});
+  std::uint64_t told = 0;
+  Instant toldAt{};
+  co_await sleep(zone.clock_, zone.timings_.report * static_cast<Duration::rep>(index * 997 % 500) / 500);
   for (;;) {
-    NodeReport report;
-    report.node = address;
-    report.district = zone.addresses_.shape.district(index);
-    report.boot = boot;
-    report.mark = zone.news<FleetPlanNews>(fleetTopic, "plan").value_or(FleetPlanNews{}).mark;
-    for (const auto& topic : zone.topics_) {
-      if (topic == fleetTopic) continue;
-      auto plan = zone.news<ServiceNews>(topic, "plan");
-      if (!plan) continue;
-      auto& own = report.services[ServiceName{topic}];
-      own.followed = zone.board_.mark(topic);
-      own.epoch = zone.news<PrimaryNews>(topic, "primary").value_or(PrimaryNews{}).epoch;
-      for (const auto& [branch, planned] : plan->service.branches) own.wanted[branch] = 1;
-      if (auto until = zone.leaseUntil(topic)) report.lease = std::max(report.lease, *until - zone.clock_.now());
+    if (told != zone.changesOfServices_ || zone.clock_.now() - toldAt >= zone.timings_.report) {
+      NodeReport report;
+      report.node = address;
+      report.district = zone.addresses_.shape.district(index);
+      report.boot = boot;
+      report.mark = zone.news<FleetPlanNews>(fleetTopic, "plan").value_or(FleetPlanNews{}).mark;
+      report.services = zone.services_;
+      for (const auto& [service, own] : report.services)
+        if (auto until = zone.shared_->leaseUntil(service.get())) report.lease = std::max(report.lease, *until - zone.clock_.now());
+      tellAll("report", packed(report));
+      told = zone.changesOfServices_;
+      toldAt = zone.clock_.now();
     }
-    tellAll("report", packed(report));
-    co_await sleep(zone.clock_, zone.timings_.report);
+    co_await sleep(zone.clock_, zone.timings_.reportPause);
   }
 }
 
 LightZone::LightZone(boost::asio::io_context& context, Clock& clock, Journal& journal, const ScaleAddresses& addresses, std::size_t zone, std::size_t real)
     : clock_(clock), journal_(journal), addresses_(addresses), zone_(zone) {
+  std::vector<std::size_t> light;
   for (std::size_t index = zone; index < addresses_.shape.nodes; index += addresses_.shape.zones) {
     agents_.push_back(addresses_.agent(index));
-    if (index >= real) nodes_.push_back(std::make_unique<Node>(*this, context, index));
+    if (index >= real) light.push_back(index);
   }
   std::sort(agents_.begin(), agents_.end());
+  auto lightHomes = std::count_if(light.begin(), light.end(), [this](auto index) { return isHome(addresses_.agent(index)); });
+  bool allFollow = static_cast<std::size_t>(lightHomes) < homes();
+  for (auto index : light) nodes_.push_back(std::make_unique<Node>(*this, context, index, allFollow || isHome(addresses_.agent(index))));
+  for (const auto& node : nodes_)
+    if (!shared_) shared_ = node->follower.get();
+  for (auto& node : nodes_) {
+    auto& feed = node->follower ? *node->follower : *shared_;
+    node->news = std::make_unique<NewsDesk>(clock_, node->desk, feed.board(), feed, timings_.newsWait);
+  }
+}
+
+bool LightZone::isHome(const Address& agent) const {
+  return std::find(agents_.begin(), agents_.begin() + static_cast<std::ptrdiff_t>(homes()), agent) != agents_.begin() + static_cast<std::ptrdiff_t>(homes());
 }
 
 std::optional<std::string> LightZone::listen() {
@@ -76,72 +104,60 @@
     if (auto fault = node->link.listen()) return fault;
     scope_.spawn(node->report());
   }
-  scope_.spawn(keepTopics());
+  if (shared_) scope_.spawn(keepServices());
   return std::nullopt;
 }
 
-Task<void> LightZone::keepTopics() {
-  for (;;) {
-    if (topics_.insert(fleetTopic).second) follow(fleetTopic);
-    if (auto plan = news<FleetPlanNews>(fleetTopic, "plan"))
-      for (const auto& [kind, service] : plan->kinds)
-        if (topics_.insert(service.get()).second) follow(service.get());
-    co_await sleep(clock_, 200ms);
+std::map<ServiceName, ServiceReport> LightZone::services() const {
+  std::map<ServiceName, ServiceReport> services;
+  for (const auto& [topic, followed] : shared_->topics()) {
+    if (topic == fleetTopic) continue;
+    auto plan = news<ServiceNews>(topic, "plan");
+    if (!plan) continue;
+    auto& own = services[ServiceName{topic}];
+    own.followed = shared_->board().mark(topic);
+    own.epoch = news<PrimaryNews>(topic, "primary").value_or(PrimaryNews{}).epoch;
+    for (const auto& [branch, planned] : plan->service.branches) own.wanted[branch] = 1;
   }
+  return services;
 }
 
-void LightZone::follow(const Topic& topic) {
-  auto home = agents_[spread(topic) % agents_.size()];
-  bool homeIsReal = std::none_of(nodes_.begin(), nodes_.end(), [&](const auto& node) { return node->address == home; });
-  for (auto& node : nodes_) {
-    if (!homeIsReal && node->address != home) continue;
-    auto sources = node->replicas;
-    if (homeIsReal) sources.insert(sources.begin(), home);
-    node->followers[topic] = std::make_unique<Follower>(clock_, node->desk, board_, journal_, topic, [sources] { return sources; },
-                                                        FollowTimings{timings_.newsPatience, 50ms});
+Task<void> LightZone::keepServices() {
+  for (;;) {
+    services_ = services();
+    if (auto told = packed(services_); std::exchange(toldServices_, told) != told) ++changesOfServices_;
+    co_await shared_->changed().wait(clock_, clock_.now() + timings_.report);
+    co_await sleep(clock_, timings_.reportPause);
   }
 }
 
-std::vector<Follower*> LightZone::followers(const Topic& topic) {
-  std::vector<Follower*> found;
-  for (auto& node : nodes_)
-    if (auto own = node->followers.find(topic); own != node->followers.end()) found.push_back(own->second.get());
-  return found;
-}
-
-std::optional<Instant> LightZone::leaseUntil(const Topic& topic) {
-  std::optional<Instant> most;
-  for (auto* follower : followers(topic)) most = std::max(most, follower->leaseUntil());
-  return most;
-}
-
-std::vector<DatabaseSign> LightZone::signs(const Topic& topic) {
-  auto found = followers(topic);
-  return found.empty() ? std::vector<DatabaseSign>{} : found.front()->signs();
-}
-
 template <class News>
 std::optional<News> LightZone::news(const Topic& topic, const std::string& key) const {
-  const auto* entry = board_.find(topic);
+  const auto* entry = shared_->board().find(topic);
   if (!entry) return std::nullopt;
   auto found = entry->table.find(key);
   return found == entry->table.end() ? std::nullopt : unpacked<News>(found->second);
 }
 
 bool LightZone::leased() {
-  return topics_.size() > 1 && std::all_of(topics_.begin(), topics_.end(), [this](const auto& topic) { return leaseUntil(topic).has_value(); });
+  if (!shared_) return false;
+  const auto& topics = shared_->topics();
+  return topics.size() > 1 && std::all_of(topics.begin(), topics.end(), [this](const auto& each) { return shared_->leaseUntil(each.first).has_value(); });
 }
 
 bool LightZone::follows(PlanMark mark) {
-  return std::all_of(topics_.begin(), topics_.end(), [&](const auto& topic) {
-    if (topic == fleetTopic) return news<FleetPlanNews>(topic, "plan").value_or(FleetPlanNews{}).mark >= mark;
-    return news<ServiceNews>(topic, "plan").value_or(ServiceNews{}).mark >= mark;
+  if (!shared_) return false;
+  const auto& topics = shared_->topics();
+  return std::all_of(topics.begin(), topics.end(), [&](const auto& each) {
+    if (each.first == fleetTopic) return news<FleetPlanNews>(fleetTopic, "plan").value_or(FleetPlanNews{}).mark >= mark;
+    return news<ServiceNews>(each.first, "plan").value_or(ServiceNews{}).mark >= mark;
   });
 }
 
 bool LightZone::servedUnder(const ServiceName& service, Epoch epoch) {
+  if (!shared_) return false;
   auto primary = news<PrimaryNews>(service.get(), "primary");
-  return primary && primary->promoted && primary->epoch >= epoch && leaseUntil(service.get());
+  return primary && primary->promoted && primary->epoch >= epoch && shared_->leaseUntil(service.get());
 }
 
 Traffic LightZone::traffic() const {
--- a/src/scale/light_zone.hpp
+++ b/src/scale/light_zone.hpp
@@ -2,22 +2,21 @@
 
 #include "control/access_messages.hpp"
 #include "edge/door.hpp"
-#include "news/follower.hpp"
 #include "news/news_desk.hpp"
+#include "news/news_follower.hpp"
 #include "real/tcp_link.hpp"
 #include "scale/metered_link.hpp"
 #include "scale/scale_addresses.hpp"
 
 namespace tamarindshift {
 
-// all nodes of one zone that are not real: they share one board, ask as homes, reply, report and relay beats like agents,
-// but hold no sessions and do not follow each other; so that replicas and a real node see a zone of full size
-class LightZone : public NewsSource {
+// all nodes of one zone that are not real: homes follow like agents, other nodes follow only if a home is real and else
+// share the news of a home; all reply, report and relay beats like agents and hold no sessions, so that replicas and a
+// real node see a zone of full size
+class LightZone {
  public:
   LightZone(boost::asio::io_context& context, Clock& clock, Journal& journal, const ScaleAddresses& addresses, std::size_t zone, std::size_t real);
   std::optional<std::string> listen();
-  std::optional<Instant> leaseUntil(const Topic& topic) override;
-  std::vector<DatabaseSign> signs(const Topic& topic) override;
 
   std::size_t size() const { return nodes_.size(); }
   bool leased();
@@ -28,7 +27,8 @@
 
  private:
   struct Node : DoorKeeper {
-    Node(LightZone& zone, boost::asio::io_context& context, std::size_t index);
+    Node(LightZone& zone, boost::asio::io_context& context, std::size_t index, bool follows);
+    std::vector<Address> sources(const Topic& topic) const;
     Task<DoorReply> serve(DoorRequest request) override;
     void gone(ConnectionId) override {}
     Task<void> report();
@@ -40,14 +40,16 @@
     Traffic traffic;
     MeteredLink metered;
     Desk desk;
-    NewsDesk news;
     std::vector<Address> replicas;
-    std::map<Topic, std::unique_ptr<Follower>> followers;
+    std::unique_ptr<NewsFollower> follower;
+    std::unique_ptr<NewsDesk> news;
   };
 
-  Task<void> keepTopics();
-  void follow(const Topic& topic);
-  std::vector<Follower*> followers(const Topic& topic);
+  static constexpr std::size_t homesInZone = 2;
+  std::size_t homes() const { return std::min(homesInZone, agents_.size()); }
+  bool isHome(const Address& agent) const;
+  Task<void> keepServices();
+  std::map<ServiceName, ServiceReport> services() const;
   template <class News>
   std::optional<News> news(const Topic& topic, const std::string& key) const;
 
@@ -56,10 +58,12 @@
   const ScaleAddresses& addresses_;
   std::size_t zone_;
   Timings timings_;
-  NewsBoard board_;
   std::vector<Address> agents_;
   std::vector<std::unique_ptr<Node>> nodes_;
-  std::set<Topic> topics_;
+  NewsFollower* shared_ = nullptr;
+  std::map<ServiceName, ServiceReport> services_;
+  std::string toldServices_;
+  std::uint64_t changesOfServices_ = 0;
   TaskScope scope_;
 };
 
--- a/src/scale/link_pieces.cpp
+++ b/src/scale/link_pieces.cpp
@@ -24,6 +24,7 @@
   std::vector<DatabaseSign> signs(const Topic&) override {
     return std::vector<DatabaseSign>(3, DatabaseSign{"d1", "replica", 2, 123456, 150ms, 120ms});
   }
+  std::uint64_t position(const Topic&) override { return 1000; }
 
  private:
   Clock& clock_;
@@ -33,7 +34,11 @@
  public:
   explicit LinkPieces(const ScaleAddresses& addresses)
       : clock_(context_), source_(clock_), near_(context_, clock_, journal_, addresses.agent(0), {}), far_(context_, clock_, journal_, addresses.replica(0), {}), nearDesk_(clock_, near_), farDesk_(clock_, far_), news_(clock_, farDesk_, board_, source_, 0ms) {
-    board_.publish("s100", 1000, {{"plan", "news"}});
+    for (std::size_t service = 1; service <= addresses.shape.services(); ++service) {
+      auto topic = numbered("s", service);
+      board_.publish(topic, 1000, {{"plan", "news"}});
+      ask_.have[topic] = 1000;
+    }
     farDesk_.serve("report", [this](Address, std::string) -> Task<std::optional<std::string>> {
       ++reports_;
       co_return std::nullopt;
@@ -48,8 +53,7 @@
  private:
   Task<void> askOften(std::size_t often) {
     for (std::size_t shot = 0; shot < often; ++shot) {
-      FollowAsk ask{"s100", 1000};
-      auto bytes = co_await nearDesk_.ask(far_.own(), "follow", packed(ask), clock_.now() + 5s);
+      auto bytes = co_await nearDesk_.ask(far_.own(), "follow", packed(ask_), clock_.now() + 5s);
       auto reply = bytes ? unpacked<FollowReply>(*bytes) : std::nullopt;
       answered_ += reply.has_value();
     }
@@ -86,6 +90,7 @@
   Desk nearDesk_;
   Desk farDesk_;
   NewsBoard board_;
+  FollowAsk ask_;
   NewsDesk news_;
   std::size_t answered_ = 0;
   std::size_t running_ = 0;
--- a/src/scale/link_pieces.hpp
+++ b/src/scale/link_pieces.hpp
@@ -5,7 +5,7 @@
 
 namespace tamarindshift {
 
-// processor time of one ask with its reply, and of one report, over two real links in one process: both ends together
+// processor time of one ask for all topics with its reply, and of one report, over two real links in one process: both ends together
 Figures measureLinkPieces(const ScaleSettings& settings, std::size_t reportBytes);
 
 }  // namespace tamarindshift
--- a/src/scale/pieces.cpp
+++ b/src/scale/pieces.cpp
@@ -117,41 +117,48 @@
     note("snapshot_restore_us", cost([&] { joined.restore(snapshot); }));
   }
 
-  std::size_t replyBytes(const Topic& topic, std::uint64_t have) {
+  std::size_t replyBytes(const std::map<Topic, std::uint64_t>& have) {
     FollowReply reply;
-    board_.fill(topic, have, reply);
-    reply.lease = 2s;
-    if (topic != fleetTopic)
-      for (std::size_t number = 1; number <= shape_.databasesPerService; ++number)
-        reply.signs.push_back(DatabaseSign{"d" + std::to_string(number), "replica", 2, 123456, 150ms, 120ms});
+    for (const auto& [topic, mark] : have) {
+      auto& own = reply.topics[topic];
+      board_.fill(topic, mark, own);
+      own.lease = 1600ms;
+      own.position = position_;
+      if (topic != fleetTopic)
+        for (std::size_t number = 1; number <= shape_.databasesPerService; ++number)
+          own.signs.push_back(DatabaseSign{"d" + std::to_string(number), "replica", 2, 123456, 150ms, 120ms});
+    }
     return packed(DeskReply{1u << 30, packed(reply)}).size();
   }
 
+  std::map<Topic, std::uint64_t> marks() const {
+    std::map<Topic, std::uint64_t> marks;
+    for (const auto& [topic, entry] : board_.entries()) marks[topic] = entry->mark;
+    return marks;
+  }
+
   void newsFigures() {
-    auto service = plan_->services.begin()->first.get();
-    FollowAsk ask{service, board_.mark(service)};
+    FollowAsk ask;
+    ask.have = marks();
     note("ask_bytes", static_cast<double>(asked("follow", packed(ask)).size()));
-    note("quiet_reply_bytes", static_cast<double>(replyBytes(service, board_.mark(service))));
-    std::size_t all = replyBytes(fleetTopic, 0);
-    note("fleet_table_bytes", static_cast<double>(all));
-    for (const auto& [name, planned] : plan_->services) all += replyBytes(name.get(), 0);
-    note("news_tables_bytes", static_cast<double>(all));
-    note("quiet_reply_us", cost([&] { replyBytes(service, board_.mark(service)); }));
+    note("quiet_reply_bytes", static_cast<double>(replyBytes(ask.have)));
+    note("fleet_table_bytes", static_cast<double>(replyBytes({{fleetTopic, 0}})));
+    auto nothing = ask.have;
+    for (auto& [topic, mark] : nothing) mark = 0;
+    note("news_tables_bytes", static_cast<double>(replyBytes(nothing)));
+    note("quiet_reply_us", cost([&] { replyBytes(ask.have); }));
     const auto* fleet = board_.find(fleetTopic);
-    note("sources_us", cost([&] {
+    note("zone_agents_us", cost([&] {
            for (const auto& [key, value] : fleet->table)
              if (key.starts_with("node/")) unpacked<NodeNews>(value);
          }));
   }
 
   std::size_t newsBytesAfter(const std::function<void()>& change) {
-    std::map<Topic, std::uint64_t> marks;
-    for (const auto& [topic, entry] : board_.entries()) marks[topic] = entry->mark;
+    auto before = marks();
     change();
-    std::size_t all = 0;
-    for (const auto& [topic, mark] : marks)
-      if (board_.mark(topic) != mark) all += replyBytes(topic, mark);
-    return all;
+    std::erase_if(before, [this](const auto& each) { return board_.mark(each.first) == each.second; });
+    return replyBytes(before);
   }
 
   void changeFigures() {
@@ -172,7 +179,7 @@
     report.node = addresses_.agent(0);
     report.district = shape_.district(0);
     report.boot = 1ull << 60;
-    report.lease = 1800ms;
+    report.lease = 1500ms;
     for (const auto& [name, planned] : plan_->services) {
       auto& own = report.services[name];
       own.followed = 100000;
@@ -182,10 +189,14 @@
     }
     auto bytes = packed(report);
     note("report_bytes", static_cast<double>(asked("report", bytes).size()));
+    auto quiet = report;
+    quiet.services.clear();
+    quiet.whole = false;
+    note("quiet_report_bytes", static_cast<double>(asked("report", packed(quiet)).size()));
     AccessTables access;
     auto now = Instant{} + 1h;
     note("report_taken_us", cost([&] { access.noteReport(*unpacked<NodeReport>(bytes), now); }));
-    DatabaseBeat beat{ServiceName{"s100"}, DatabaseName{"d1"}, 1ull << 40, 1000, "replica", Epoch{2}, Position{123456}, 100ms, false};
+    DatabaseBeat beat{ServiceName{"s100"}, DatabaseName{"d1"}, 1ull << 40, 1000, "replica", Epoch{2}, Position{123456}, 100ms, false, {}, {}, 0};
     note("beat_bytes", static_cast<double>(asked("beat", packed(beat)).size()));
     note("beat_json_bytes", static_cast<double>(beatToJson(beat).size()));
     for (const auto& settings : addresses_.databases()) {
--- a/src/scale/simulated_scale.cpp
+++ b/src/scale/simulated_scale.cpp
@@ -5,7 +5,7 @@
 namespace tamarindshift {
 
 SimulatedScale::SimulatedScale(ScaleShape shape, std::uint64_t seed, Duration betweenRegions)
-    : addresses_{"10.1", shape}, betweenRegions_(betweenRegions), world_(seed), network_(world_), web_(network_), clock_(world_), journal_("scale", [](const std::string&) {}), outside_(web_, clock_, Address{"10.9.0.1:1"}) {
+    : addresses_{"10.1", shape}, betweenRegions_(betweenRegions), world_(seed), network_(world_), web_(network_), clock_(world_), journal_("scale", [](const std::string&) {}), outside_(web_, clock_, Address{"10.9.0.1:1"}), databaseControl_(outside_, addresses_.platform()) {
   for (std::size_t index = 0; index < shape.replicas; ++index) regions_[addresses_.replica(index)] = regionOf(index);
   for (std::size_t index = 0; index < shape.nodes; ++index)
     regions_[addresses_.agent(index)] = regions_[addresses_.proxy(index)] = regionOf(index);
@@ -21,8 +21,7 @@
     settings.address = addresses_.replica(index);
     settings.district = shape.district(index);
     settings.seeds = addresses_.seeds();
-    settings.platform = addresses_.platform();
-    own.node = std::make_unique<ReplicaNode>(clock_, *own.metered, *own.store, outside_, journal_, settings, world_.incarnation());
+    own.node = std::make_unique<ReplicaNode>(clock_, *own.metered, *own.store, databaseControl_, journal_, settings, world_.incarnation());
     if (own.node->start()) continue;
     own.door = std::make_unique<OperatorDoor>(*own.node, clock_);
     web_.attach(addresses_.replicaDoor(index), *own.door, clock_);
--- a/src/scale/simulated_scale.hpp
+++ b/src/scale/simulated_scale.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/operator_door.hpp"
+#include "pool/json_database_control.hpp"
 #include "scale/distant_link.hpp"
 #include "scale/hollow_node.hpp"
 #include "scale/scale_plan.hpp"
@@ -64,6 +65,7 @@
   SimulatedClock clock_;
   SimulatedJournal journal_;
   SimulatedWebLink outside_;
+  JsonDatabaseControl databaseControl_;
   std::unique_ptr<StandinPlatform> platform_;
   std::vector<std::unique_ptr<Replica>> replicas_;
   std::map<Address, std::unique_ptr<StandinDatabase>> databases_;
--- a/src/simulated/simulated_fleet.cpp
+++ b/src/simulated/simulated_fleet.cpp
@@ -108,7 +108,7 @@
   own.agentLink = std::make_unique<SimulatedLink>(network_, *own.clock, at(own.host, 1));
   own.proxyLink = std::make_unique<SimulatedLink>(network_, *own.clock, at(own.host, 2));
   own.web = std::make_unique<SimulatedWebLink>(web_, *own.clock, at(own.host, 1));
-  AgentSettings agent{at(own.host, 1), own.district, {seed(0), seed(1), seed(2)}, shape_.timings};
+  AgentSettings agent{at(own.host, 1), own.district, {seed(0), seed(1), seed(2)}, true, shape_.timings};
   own.agent = std::make_unique<AgentNode>(*own.clock, *own.agentLink, *own.journal, agent);
   ProxySettings proxy;
   proxy.agent = proxy.node = at(own.host, 1);
--- a/tests/news_test.cpp
+++ b/tests/news_test.cpp
@@ -121,7 +121,7 @@
     feed.own.publish(fleetTopic, mark, NewsTable{{"plan", planOf({"s1"})}, {"node/10.1.0.1:1", packed(NodeNews{District{"z1"}, false, {}, boot, enrolledAt})}});
     guide.refresh();
   };
-  ShareNews share{2, {{BranchName{"b"}, 4}}};
+  ShareNews share{{{BranchName{"b"}, 4}}};
   feed.own.publish("s1", 2, NewsTable{{"share/10.1.0.1:1", packed(share)}, {"database/d1", packed(DatabaseNews{Address{"10.2.0.1:1"}, District{"z1"}, 5})}});
   feed.at = 3;
   fleet(3, 7, 1);
--- a/tests/scale_counts_test.cpp
+++ b/tests/scale_counts_test.cpp
@@ -9,39 +9,72 @@
 struct Counts {
   Traffic nodes;
   Traffic replicas;
+  std::uint64_t nodesOut(const std::string& name) { return nodes.out[name].messages; }
+  std::uint64_t replicasOut(const std::string& name) { return replicas.out[name].messages; }
 };
 
-Counts over(SimulatedScale& scale, Duration window) {
+Counts overTenSeconds(SimulatedScale& scale) {
   auto nodes = scale.nodeTraffic();
   auto replicas = scale.replicaTraffic();
-  scale.run(window);
+  scale.run(10s);
   return Counts{scale.nodeTraffic() - nodes, scale.replicaTraffic() - replicas};
 }
 
-}  // namespace
-
-TEST_CASE("messages of a small fleet are counted exactly on simulated time") {
+ScaleShape threeZones(std::size_t nodes) {
   ScaleShape shape;
   shape.replicas = 3;
-  shape.nodes = 6;
+  shape.nodes = nodes;
   shape.zones = 3;
   shape.databases = 6;
-  SimulatedScale scale(shape, 1, 0ms);
+  return shape;
+}
+
+constexpr std::uint64_t asksOfOneFollowerToOneSource = 64;
+
+}  // namespace
+
+TEST_CASE("messages of a small fleet are counted exactly on simulated time") {
+  SimulatedScale scale(threeZones(6), 1, 0ms);
+  REQUIRE(scale.start());
+  auto counts = overTenSeconds(scale);
+  {
+    INFO("6 nodes send a whole report each 500 ms, from proxy to agent and on to each of 3 replicas");
+    CHECK(counts.nodes.in["inside/report"].messages == 6 * 20);
+    CHECK(counts.nodesOut("replica/report") == 6 * 20 * 3);
+  }
+  {
+    INFO("3 replicas beat 10 times a second to 2 others");
+    CHECK(counts.replicasOut("replica/group-beat") == 3 * 100 * 2);
+  }
+  {
+    INFO("one ask carries all topics of a source and takes 150 ms of waiting, 5 ms of pause and the ways: 64 in 10 s");
+    INFO("6 proxies ask their agent; of 2 nodes in each of 3 zones both are homes and ask the other one and a replica");
+    CHECK(counts.nodes.in["inside/follow"].messages == 6 * asksOfOneFollowerToOneSource);
+    CHECK(counts.nodesOut("agent/follow") == 6 * asksOfOneFollowerToOneSource);
+    CHECK(counts.nodesOut("replica/follow") == 6 * asksOfOneFollowerToOneSource);
+    CHECK(counts.nodesOut("inside/reply") == 6 * asksOfOneFollowerToOneSource);
+    CHECK(counts.nodesOut("agent/reply") == 6 * asksOfOneFollowerToOneSource);
+  }
+  {
+    INFO("6 agents ask a replica for its partners each 3 s: 4 times; replicas reply to that and to the asks for news");
+    CHECK(counts.nodesOut("replica/partners") == 6 * 4);
+    CHECK(counts.replicasOut("agent/reply") == 6 * asksOfOneFollowerToOneSource + 6 * 4);
+  }
+  {
+    INFO("6 databases beat 49 times, to 2 agents and a replica in turn; an agent relays to 3 replicas, a replica to 2");
+    CHECK(counts.nodesOut("replica/beat") == 198 * 3);
+    CHECK(counts.replicasOut("replica/beat") == 96 * 2);
+  }
+}
+
+TEST_CASE("nodes that are no homes ask both homes of their zone and no replica, counted exactly on simulated time") {
+  SimulatedScale scale(threeZones(12), 1, 0ms);
   REQUIRE(scale.start());
-  auto counts = over(scale, 10s);
-  auto nodesOut = [&](const std::string& name) { return counts.nodes.out[name].messages; };
-  auto replicasOut = [&](const std::string& name) { return counts.replicas.out[name].messages; };
-  // 6 nodes report 5 times a second to each of 3 replicas
-  CHECK(nodesOut("replica/report") == 6 * 50 * 3);
-  // 3 replicas beat 10 times a second to 2 others
-  CHECK(replicasOut("replica/group-beat") == 3 * 100 * 2);
-  // 3 topics at 6 proxies and 6 agents; of each topic 3 agents, one a zone, ask a replica; an ask takes 107 ms
-  CHECK(counts.nodes.in["inside/follow"].messages == 1680);
-  CHECK(nodesOut("agent/follow") == 840);
-  CHECK(nodesOut("replica/follow") == 842);
-  CHECK(nodesOut("inside/reply") == 1684);
-  CHECK(nodesOut("agent/reply") == 844);
-  // 6 databases beat 5 times a second to 2 agents and a replica in turn; an agent relays to 3 replicas, a replica to 2
-  CHECK(nodesOut("replica/beat") == 594);
-  CHECK(replicasOut("replica/beat") == 192);
+  auto counts = overTenSeconds(scale);
+  INFO("of 4 nodes in each of 3 zones 2 are homes and ask the other one and a replica, 2 ask both homes");
+  CHECK(counts.nodes.in["inside/follow"].messages == 12 * asksOfOneFollowerToOneSource);
+  CHECK(counts.nodesOut("replica/follow") == 3 * 2 * asksOfOneFollowerToOneSource);
+  CHECK(counts.nodesOut("agent/follow") == 3 * (2 + 2 * 2) * asksOfOneFollowerToOneSource);
+  CHECK(counts.nodesOut("agent/reply") == 3 * (2 + 2 * 2) * asksOfOneFollowerToOneSource);
+  CHECK(counts.nodesOut("replica/report") == 12 * 20 * 3);
 }
