--- a/tests/pooler_epochs_test.cpp
+++ b/tests/pooler_epochs_test.cpp
@@ -110,6 +110,48 @@
   CHECK(trial.committed("bob.2") == 0);
 }
 
+TEST_CASE("pooler epochs: nothing of a transaction is passed after plannedFinish, also before it is cut", "[pooler][epochs]") {
+  EpochTrial trial;
+  auto alice = trial.client("alice");
+  alice->ask("BEGIN");
+  CHECK(alice->ask("WRITE a 1") == "OK");
+  trial.primary(2, "d2", false, true);
+  trial.run(50ms);
+  trial.knows("d3", "z2");
+  trial.run(355ms);
+  auto text = GENERATE(as<std::string>{}, "WRITE a 2", "COMMIT");
+  CHECK(alice->ask(text) == "ABORTED");
+  CHECK(trial.runsOf(text).empty());
+  CHECK(trial.backEnds.at("d1").committed.empty());
+}
+
+TEST_CASE("pooler epochs: a read that runs at the primary for want of a sample is cut and answered elsewhere", "[pooler][epochs]") {
+  EpochTrial trial;
+  auto bob = trial.client("bob", "bounded");
+  trial.backEnds.at("d1").work = 900ms;
+  auto asked = bob->start("READ b");
+  trial.run(50ms);
+  REQUIRE(trial.runsOf("READ b").back().database == "d1");
+  trial.primary(2, "d2", false);
+  trial.run(20ms);
+  CHECK(trial.backEnds.at("d1").connections == 0);
+  trial.leads("d2");
+  trial.primary(2, "d2", true);
+  CHECK(bob->finish(asked) == "OK");
+  CHECK(asked->taken() < 200ms);
+  CHECK(trial.runsOf("READ b").back().database == "d2");
+}
+
+TEST_CASE("pooler epochs: idle connections to a primary that is replaced unplanned are closed", "[pooler][epochs]") {
+  EpochTrial trial;
+  auto alice = trial.client("alice");
+  CHECK(alice->ask("WRITE a 1") == "OK");
+  CHECK(trial.backEnds.at("d1").connections == 1);
+  trial.primary(2, "d2", false);
+  trial.run(10ms);
+  CHECK(trial.backEnds.at("d1").connections == 0);
+}
+
 TEST_CASE("pooler epochs: in a planned change nothing new is passed to the former primary", "[pooler][epochs]") {
   EpochTrial trial;
   auto alice = trial.client("alice");
--- a/tests/pooler_sessions_test.cpp
+++ b/tests/pooler_sessions_test.cpp
@@ -172,6 +172,23 @@
   CHECK(own(trial, StatementKind::reset) == 1);
 }
 
+TEST_CASE("pooler: a transaction that changed values and was ended here leaves a connection that is reset", "[pooler][sessions]") {
+  PoolerTrial trial(oneConnection());
+  auto alice = trial.client("alice");
+  bool rests = GENERATE(false, true);
+  alice->ask("BEGIN");
+  CHECK(alice->ask("SET zone south") == "OK");
+  CHECK(alice->ask("READ a") == "OK");
+  if (rests)
+    trial.run(3200ms);
+  else
+    CHECK(alice->ask("EXECUTE nothing a") == "UNKNOWN");
+  CHECK(alice->ask("ROLLBACK") == "OK");
+  CHECK(alice->ask("READ a") == "OK");
+  CHECK(own(trial, StatementKind::reset) == 1);
+  CHECK(trial.backEnds.at("d1").openings == 1);
+}
+
 TEST_CASE("pooler: a committed transaction that changed values needs no reset", "[pooler][sessions]") {
   PoolerTrial trial(oneConnection());
   auto alice = trial.client("alice");
--- a/tests/pooler_shares_test.cpp
+++ b/tests/pooler_shares_test.cpp
@@ -92,6 +92,26 @@
   CHECK(waiting->ask("READ b") == "OK");
 }
 
+TEST_CASE("pooler shares: one that becomes free beyond a smaller share goes to no one", "[pooler][shares]") {
+  SharesTrial trial(shareOf(3));
+  std::vector<std::unique_ptr<TrialClient>> holders;
+  for (int number = 0; number < 3; ++number) {
+    holders.push_back(trial.client("holder" + std::to_string(number)));
+    holders.back()->ask("BEGIN");
+    CHECK(holders.back()->ask("WRITE a 1") == "OK");
+  }
+  auto waiting = trial.client("waiting");
+  auto asked = waiting->start("READ b");
+  trial.share(1);
+  trial.run(20ms);
+  CHECK(holders[0]->ask("COMMIT") == "OK");
+  trial.run(150ms);
+  CHECK(trial.runsOf("READ b").empty());
+  CHECK(holders[1]->ask("COMMIT") == "OK");
+  CHECK(holders[2]->ask("COMMIT") == "OK");
+  CHECK(waiting->finish(asked) == "OK");
+}
+
 TEST_CASE("pooler shares: a larger share is used and followed at once", "[pooler][shares]") {
   SharesTrial trial(shareOf(1));
   trial.backEnds.at("d1").work = 20ms;
