--- a/tests/pooler_reads_test.cpp
+++ b/tests/pooler_reads_test.cpp
@@ -197,6 +197,32 @@
   CHECK(databasesOf(trial.runsOf("READ d")).contains("d2"));
 }
 
+TEST_CASE("pooler reads: where others are busy none waits for a suspected replica", "[pooler][reads]") {
+  PoolerTrial::Choice choice;
+  choice.share = 2;
+  PoolerTrial trial(choice);
+  auto alice = trial.client("alice");
+  CHECK(alice->ask("WRITE a 1") == "OK");
+  trial.backEnds.at("d2").dark = true;
+  std::vector<std::unique_ptr<TrialClient>> crowd;
+  for (int number = 0; number < 10; ++number) {
+    crowd.push_back(trial.client("crowd" + std::to_string(number), "bounded"));
+    crowd.back()->start("READ a");
+  }
+  for (const auto& each : crowd) CHECK(each->finish(each->last) == "OK");
+  REQUIRE(trial.runUntil(2s, [&] { return trial.serviceReport().suspects.contains(DatabaseName{"d2"}); }));
+  auto until = trial.world.now() + 3s;
+  while (trial.world.now() < until) {
+    CHECK(alice->ask("WRITE a 1") == "OK");
+    for (const auto& each : crowd) each->start("READ b");
+    for (const auto& each : crowd) {
+      CHECK(each->finish(each->last) == "OK");
+      CHECK(each->last->taken() < 100ms);
+    }
+  }
+  CHECK_FALSE(databasesOf(trial.runsOf("READ b")).contains("d2"));
+}
+
 TEST_CASE("pooler reads: a replica that refuses connections is suspected and left", "[pooler][reads]") {
   PoolerTrial trial;
   auto alice = trial.client("alice");
