--- a/tests/pooler_reads_test.cpp
+++ b/tests/pooler_reads_test.cpp
@@ -151,7 +151,7 @@
   auto read = bob->start("READ b");
   bob->finish(read);
   CHECK(read->outcome() == "OK");
-  const auto& run = trial.runsOf("READ b").front();
+  auto run = trial.runsOf("READ b").front();
   if (run.after) CHECK(run.after->epoch == Epoch{3});
 }
 
