--- a/tests/pooler_shares_test.cpp
+++ b/tests/pooler_shares_test.cpp
@@ -112,6 +112,21 @@
   CHECK(waiting->finish(asked) == "OK");
 }
 
+TEST_CASE("pooler shares: a connection that breaks off after the share has gone is not replaced", "[pooler][shares]") {
+  SharesTrial trial(shareOf(2));
+  auto alice = trial.client("alice");
+  trial.backEnds.at("d1").work = 200ms;
+  auto asked = alice->start("WRITE a 1");
+  trial.run(50ms);
+  trial.share(0);
+  trial.run(20ms);
+  auto openings = trial.backEnds.at("d1").openings;
+  trial.backEnds.breakOff("d1");
+  CHECK(alice->finish(asked) == "UNRESOLVED");
+  trial.run(90ms);
+  CHECK(trial.backEnds.at("d1").openings == openings);
+}
+
 TEST_CASE("pooler shares: a larger share is used and followed at once", "[pooler][shares]") {
   SharesTrial trial(shareOf(1));
   trial.backEnds.at("d1").work = 20ms;
