--- a/src/pooler/back_end_pool.cpp
+++ b/src/pooler/back_end_pool.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::uint32_t learnt = 40;
 constexpr Duration secondLook = 40ms;
+constexpr Duration fadesAfter = 500ms;
 
 }  // namespace
 
@@ -184,6 +185,7 @@
     bool silent = std::any_of(shelf.busy.begin(), shelf.busy.end(), [&](const auto& connection) {
       return connection->running && now - connection->usedAt > limit && now - shelf.heardAt > limit;
     });
+    silent = silent || (shelf.gaveUpAt > shelf.heardAt && now - shelf.heardAt > limit);
     if (!silent) {
       shelf.doubtedAt.reset();
       continue;
@@ -197,6 +199,16 @@
   }
 }
 
+void BackEndPool::gaveUp(const DatabaseName& database) { shelves_[database].gaveUpAt = clock_.now(); }
+
+void BackEndPool::mellow() {
+  for (auto& [database, shelf] : shelves_) {
+    if (shelf.usualTaken == 0 || clock_.now() - shelf.heardAt < fadesAfter) continue;
+    shelf.meanTaken += (shelf.usualTaken - shelf.meanTaken) * 0.05;
+    shelf.faulty *= 0.95;
+  }
+}
+
 bool BackEndPool::doubting() const {
   return std::any_of(shelves_.begin(), shelves_.end(), [](const auto& each) { return each.second.doubtedAt.has_value(); });
 }
--- a/src/pooler/back_end_pool.hpp
+++ b/src/pooler/back_end_pool.hpp
@@ -22,6 +22,7 @@
     bool suspect = false;
     Instant trialAt{};
     std::optional<Instant> doubtedAt;
+    Instant gaveUpAt{};
     Instant behindUntil{};
     Place place;
     double meanTaken = 8000;
@@ -55,6 +56,10 @@
   // between which words that had come could be read
   void watch(Duration patience);
   bool doubting() const;
+  // work on the database was given up while it said nothing
+  void gaveUp(const DatabaseName& database);
+  // what is known of databases that got no work for a while fades
+  void mellow();
   void cutBusy(const DatabaseName& database, bool onlyPrimaryWork, Epoch before, bool notRunning = false);
   std::size_t connections() const;
 
--- a/src/pooler/client_session.hpp
+++ b/src/pooler/client_session.hpp
@@ -12,6 +12,7 @@
   KindName kind;
   bool readOnly = false;
   bool failed = false;
+  bool told = false;
   bool wrote = false;
   bool valuesChanged = false;
   std::shared_ptr<PooledBackEnd> connection;
--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -42,7 +42,11 @@
   session->busy = true;
   session->usedAt = clock_.now();
   StatementReply reply;
-  if (auto fault = invalid(*session, statement)) {
+  bool untold = session->transaction && session->transaction->failed && !std::exchange(session->transaction->told, true);
+  bool ends = statement.kind == StatementKind::commit || statement.kind == StatementKind::rollback;
+  if (untold && !ends) {
+    reply = refused(StatementFault::aborted, "the transaction was ended", TransactionState::failed);
+  } else if (auto fault = invalid(*session, statement)) {
     auto state = !session->transaction ? TransactionState::idle : session->transaction->failed ? TransactionState::failed : TransactionState::open;
     reply = refused(*fault, "not possible in this state", state);
   } else {
@@ -69,6 +73,7 @@
         reply = keepLocally(*session, statement);
     }
   }
+  if (session->transaction && session->transaction->failed) session->transaction->told = true;
   session->busy = false;
   session->usedAt = clock_.now();
   co_return reply;
@@ -226,6 +231,7 @@
   if (hindrance != hindrance_) journal_.line(hindrance.empty() ? "ready" : "not ready: " + hindrance);
   hindrance_ = hindrance;
   pool_.forget(known);
+  pool_.mellow();
   pool_.watch(settings_.suspicion);
   for (const auto& [name, view] : guide_.services()) careService(name, view);
   auto now = clock_.now();
@@ -286,7 +292,10 @@
   if (within) watch.followed = view.mark;
 }
 
-void Pooler::sendReport() { reportNow_.open(); }
+void Pooler::sendReport() {
+  reportDue_ = true;
+  reportNow_.open();
+}
 
 NodeReport Pooler::reportNow() {
   NodeReport report;
@@ -343,9 +352,10 @@
 
 Task<void> Pooler::report() {
   for (;;) {
+    reportDue_ = false;
     reports_(whatChanged(reportNow()));
     co_await sleep(clock_, 20ms);
-    co_await reportNow_.wait(clock_, clock_.now() + settings_.timings.report);
+    if (!reportDue_) co_await reportNow_.wait(clock_, clock_.now() + settings_.timings.report);
   }
 }
 
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -114,6 +114,7 @@
   Gate reportNow_;
   std::map<ServiceName, ServiceReport> told_;
   Instant toldWholeAt_{};
+  bool reportDue_ = false;
   Gate cared_;
   TaskScope scope_;
 };
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -180,7 +180,9 @@
     if (leadsNow && reply.place && reply.fault != StatementFault::readOnly) watches_[target.service].freshness.note(askedAt, *reply.place);
   } else if (connection->cut) {
     pool_.drop(connection);
-  } else if (reply.fate == BackEndFate::lost && clock_.now() < deadline && pool_.shelf(target.database).opening == 0) {
+  } else if (reply.fate == BackEndFate::lost && clock_.now() >= deadline) {
+    pool_.gaveUp(target.database);
+  } else if (reply.fate == BackEndFate::lost && view && pool_.shelf(target.database).opening == 0 && pool_.mayOpen(target.database, allowed(*view))) {
     pool_.open(target, settings_.suspicion);
   }
   co_return reply;
--- a/src/pooler/pooler_transactions.cpp
+++ b/src/pooler/pooler_transactions.cpp
@@ -206,6 +206,11 @@
   bool wrote = transaction.wrote;
   bool valuesChanged = transaction.valuesChanged;
   auto reply = co_await runOn(connection, statement, std::nullopt, deadline);
+  auto notRunYet = [&reply] { return reply.fate == BackEndFate::replied && reply.fault == StatementFault::busy && reply.state == TransactionState::open; };
+  for (auto pause = leastPause; notRunYet() && clock_.now() + pause < deadline && mayPass(connection, transaction.kind, true); pause = std::min(2 * pause, mostPause)) {
+    co_await sleep(clock_, pause);
+    reply = co_await runOn(connection, statement, std::nullopt, deadline);
+  }
   session->transaction.reset();
   if (reply.fate != BackEndFate::replied) {
     pool_.drop(connection);
--- a/src/real/tcp_line_connection.cpp
+++ b/src/real/tcp_line_connection.cpp
@@ -93,14 +93,13 @@
 
 std::optional<std::string> TcpLineConnection::lineHeld() {
   auto& arrived = wire_->arrived;
-  auto end = arrived.find('\n', wire_->scanned);
+  auto end = arrived.find("\r\n", wire_->scanned);
   if (end == std::string::npos) {
-    wire_->scanned = arrived.size();
+    wire_->scanned = arrived.empty() ? 0 : arrived.size() - 1;
     return std::nullopt;
   }
-  auto length = end > 0 && arrived[end - 1] == '\r' ? end - 1 : end;
-  std::string line = arrived.substr(0, length);
-  arrived.erase(0, end + 1);
+  std::string line = arrived.substr(0, end);
+  arrived.erase(0, end + 2);
   wire_->scanned = 0;
   if (arrived.empty() && arrived.capacity() > 8192) std::string{}.swap(arrived);
   return line;
@@ -114,8 +113,8 @@
       wire->arm();
       co_return line;
     }
-    if (line || wire->arrived.size() > mostLineBytes) wire->shut();
-    if (wire->ended || !wire->open || (deadline && clock_.now() >= *deadline)) co_return std::nullopt;
+    wire->tooLong = wire->tooLong || line || wire->arrived.size() > mostLineBytes;
+    if (wire->tooLong || wire->ended || !wire->open || (deadline && clock_.now() >= *deadline)) co_return std::nullopt;
     std::optional<BeatId> timer;
     if (deadline) timer = clock_.after(*deadline - clock_.now(), [weak = std::weak_ptr<Wire>(wire)] {
       if (auto held = weak.lock()) held->wake();
--- a/src/real/tcp_line_connection.hpp
+++ b/src/real/tcp_line_connection.hpp
@@ -18,6 +18,7 @@
   Task<std::optional<std::string>> readLine(std::optional<Instant> deadline) override;
   bool write(std::string bytes) override;
   bool usable() const override { return wire_->open && !wire_->ended; }
+  bool tooLong() const override { return wire_->tooLong; }
   void close() override;
 
  private:
@@ -38,6 +39,7 @@
     bool open = true;
     bool ended = false;
     bool closing = false;
+    bool tooLong = false;
   };
   std::optional<std::string> lineHeld();
   Clock& clock_;
