--- a/src/pool/guide.cpp
+++ b/src/pool/guide.cpp
@@ -92,7 +92,7 @@
 }
 
 bool Guide::routesKnown() const {
-  if (!anyLease()) return false;
+  if (!anyLease() || fleetPlan_.mark == PlanMark{}) return false;
   return std::all_of(fleetPlan_.kinds.begin(), fleetPlan_.kinds.end(), [this](const auto& each) {
     const auto* own = service(each.second);
     return own && own->plan && own->plan->mark >= fleetPlan_.mark && own->plan->kinds.contains(each.first) && leased(each.second);
