--- a/tests/platform/adapter_days_test.cpp
+++ b/tests/platform/adapter_days_test.cpp
@@ -20,8 +20,11 @@
 
 }  // namespace
 
-TEST_CASE("a complete group stays in the view it formed") {
+TEST_CASE("a complete group stays in the view it formed, also where heartbeats take long") {
+  auto delay = GENERATE(Duration{500}, Duration{5ms}, Duration{20ms});
+  CAPTURE(delay.count());
   PlatformWorld world(usual(), 1, [](PlatformProcess& process) { return adapterProgram(process); });
+  world.network().delay(delay);
   world.runUntil(3s);
   auto formed = viewOf(world, "core-1");
   for (const auto* name : {"core-2", "core-3"}) CHECK(viewOf(world, name) == formed);
