--- a/tests/platform/platform_day_generator.cpp
+++ b/tests/platform/platform_day_generator.cpp
@@ -11,7 +11,7 @@
 
 void PlatformDayGenerator::shape() {
   accessNodes_ = 2 + below(3);
-  text_ = "shape zones=3 core=3 services=2 access=" + std::to_string(accessNodes_) + " sync=" + number(0, 1) + " lag=" + number(5, 60) + "ms disk=" + number(1, 5) + "ms\n";
+  text_ = "shape zones=3 core=3 services=2 access=" + std::to_string(accessNodes_) + " sync=" + number(0, 1) + " lag=" + number(5, 60) + "ms disk=" + number(1, 5) + "ms fence=" + number(0, 1) + "\n";
   text_ += "kind class=primary sessions=" + number(2, 6) + " one-id=" + number(0, 1) + "\n";
   text_ += "kind class=bounded_staleness staleness=" + number(200, 1500) + "ms sessions=3 writes=0 transactions=100 single=" + number(0, 1) + "\n";
   text_ += "kind class=in_house staleness=" + number(300, 2500) + "ms sessions=3\n";
--- a/tests/platform/platform_script.cpp
+++ b/tests/platform/platform_script.cpp
@@ -97,6 +97,7 @@
                 : key == "commit"     ? take(value, shape_.database.commit)
                 : key == "lag"        ? take(value, shape_.database.lag)
                 : key == "disk"       ? take(value, shape_.diskSync)
+                : key == "fence"      ? take(value, shape_.bounds.fenceChecked)
                 : key == "lead"       ? take(value, shape_.lead)
                                       : false;
     if (!read) return false;
