--- a/tests/platform/adapter_settings.cpp
+++ b/tests/platform/adapter_settings.cpp
@@ -23,12 +23,6 @@
   return seeds.peers();
 }
 
-// as platform/access.cpp does since agents may leave them out
-template <class Settings>
-void leaveSignsOut(Settings& settings) {
-  if constexpr (requires { settings.signs; }) settings.signs = false;
-}
-
 }  // namespace
 
 AgentSettings agentSettings(const PlatformProcess& process) {
@@ -36,7 +30,7 @@
   settings.address = process.machine().internal();
   settings.district = District{process.machine().zone};
   settings.seeds = peers(process);
-  leaveSignsOut(settings);
+  settings.signs = false;
   settings.timings = timings(process);
   return settings;
 }
