--- a/src/runner/scale_runner.cpp
+++ b/src/runner/scale_runner.cpp
@@ -173,7 +173,7 @@
   if (settings_.part == "clients") {
     co_await clients();
   } else {
-    co_await sleep(daemon_.clock, 5s);
+    co_await sleep(daemon_.clock, settings_.settle);
     co_await window();
     if (settings_.events && leased) {
       co_await planEvent();
@@ -241,6 +241,7 @@
   auto mean = [&](const std::vector<double>& values) { return values.empty() ? 0 : sum(values) / static_cast<double>(values.size()); };
   note("node_core_percent", sum(processor[Role::hollow]) / hollow);
   note("agent_core_percent", mean(processor[Role::agent]));
+  note("agent_most_core_percent", most(processor[Role::agent]));
   note("proxy_core_percent", mean(processor[Role::proxy]));
   note("replica_core_percent", mean(processor[Role::replica]));
   note("replica_most_core_percent", most(processor[Role::replica]));
--- a/src/scale/pieces.cpp
+++ b/src/scale/pieces.cpp
@@ -117,14 +117,14 @@
     note("snapshot_restore_us", cost([&] { joined.restore(snapshot); }));
   }
 
-  std::size_t replyBytes(const std::map<Topic, std::uint64_t>& have) {
+  std::size_t replyBytes(const std::map<Topic, std::uint64_t>& have, bool signs = true) {
     FollowReply reply;
     for (const auto& [topic, mark] : have) {
       auto& own = reply.topics[topic];
       board_.fill(topic, mark, own);
       own.lease = 1600ms;
       own.position = position_;
-      if (topic != fleetTopic)
+      if (signs && topic != fleetTopic)
         for (std::size_t number = 1; number <= shape_.databasesPerService; ++number)
           own.signs.push_back(DatabaseSign{"d" + std::to_string(number), "replica", 2, 123456, 150ms, 120ms});
     }
@@ -142,6 +142,7 @@
     ask.have = marks();
     note("ask_bytes", static_cast<double>(asked("follow", packed(ask)).size()));
     note("quiet_reply_bytes", static_cast<double>(replyBytes(ask.have)));
+    note("quiet_reply_without_signs_bytes", static_cast<double>(replyBytes(ask.have, false)));
     note("fleet_table_bytes", static_cast<double>(replyBytes({{fleetTopic, 0}})));
     auto nothing = ask.have;
     for (auto& [topic, mark] : nothing) mark = 0;
--- a/src/scale/scale_settings.cpp
+++ b/src/scale/scale_settings.cpp
@@ -21,6 +21,7 @@
       numberSetting("each", "hollow nodes in one process", settings.each, 1, 100),
       durationSetting("window", "time that is measured", settings.window, 100ms, 600s),
       durationSetting("patience", "longest wait for the start", settings.patience, 1s, 600s),
+      durationSetting("settle", "time between the start and the window", settings.settle, 0ms, 600s),
       durationSetting("between-regions", "one way between regions, simulated", settings.betweenRegions, 0ms, 1s),
       flagSetting("events", "after the window: a plan, a change of primary, a join, a restart", settings.events),
       flagSetting("light", "light nodes instead of hollow ones: only what replicas and the real nodes see of them", settings.light),
--- a/src/scale/scale_settings.hpp
+++ b/src/scale/scale_settings.hpp
@@ -15,6 +15,7 @@
   std::string title = "scale";
   Duration window = 10s;
   Duration patience = 60s;
+  Duration settle = 5s;
   Duration betweenRegions = 30ms;
   bool events = true;
   bool light = false;
--- a/src/scale/simulated_figures.cpp
+++ b/src/scale/simulated_figures.cpp
@@ -56,7 +56,18 @@
   Figures figures{{"started", scale.start() ? 1 : 0}, {"nodes", static_cast<double>(shape.nodes)}, {"services", static_cast<double>(shape.services())}};
   auto nodes = scale.nodeTraffic();
   auto replicas = scale.replicaTraffic();
+  std::vector<Traffic> before;
+  for (const auto& node : scale.nodes()) before.push_back(node->traffic());
   scale.run(settings.window);
+  Flow most;
+  for (std::size_t index = 0; index < before.size(); ++index) {
+    auto own = scale.nodes()[index]->traffic() - before[index];
+    auto out = Traffic::sum(own.out, "agent/");
+    out += Traffic::sum(own.out, "replica/");
+    if (out.bytes > most.bytes) most = out;
+  }
+  figures.emplace_back("most_node_out_messages_s", static_cast<double>(most.messages) / seconds(settings.window));
+  figures.emplace_back("most_node_out_bytes_s", static_cast<double>(most.bytes) / seconds(settings.window));
   nodes = scale.nodeTraffic() - nodes;
   replicas = scale.replicaTraffic() - replicas;
   auto add = [&](const std::string& prefix, const std::map<std::string, Flow>& flows, std::size_t members) {
