--- a/tests/configuration_translation_test.cpp
+++ b/tests/configuration_translation_test.cpp
@@ -228,3 +228,21 @@
   REQUIRE(plan);
   CHECK(plan->kinds.at(KindName{"r-qasnmgk"}).stalenessBound() == 0ms);
 }
+
+TEST_CASE("configuration: what is not forbidden is taken", "[configuration][fault]") {
+  SECTION("no services and no routes") {
+    CHECK(planOf(changed([](Json& json) { json["routeTable"] = json["serviceTable"] = Json::array(); }).dump()));
+  }
+  SECTION("a high precedence") {
+    CHECK(planOf(changed([](Json& json) { json["routeTable"][0]["precedence"] = 5000; }).dump()));
+  }
+  SECTION("a large trunkLimit") {
+    CHECK(planOf(changed([](Json& json) { json["serviceTable"][0]["trunkLimit"] = 200000; }).dump()));
+  }
+  SECTION("two routes of one name") {
+    CHECK(planOf(changed([](Json& json) { json["routeTable"][1]["name"] = json["routeTable"][0]["name"]; }).dump()));
+  }
+  SECTION("a name with a blank") {
+    CHECK(planOf(changed([](Json& json) { json["routeTable"][0]["name"] = "r one"; }).dump()));
+  }
+}
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -425,3 +425,11 @@
   CHECK(reply->fate == BackEndFate::replied);
   CHECK(reply->fault == StatementFault::other);
 }
+
+TEST_CASE("back: a reply without COMPLETE or ERROR is no success", "[back][fault]") {
+  BackTrial trial;
+  auto& line = trial.open();
+  auto reply = trial.ask(line, "WRITE a 1", "IDLE I 3.7\r\n");
+  REQUIRE(reply);
+  CHECK((reply->fate == BackEndFate::lost || reply->fault != StatementFault::none));
+}
--- /dev/null
+++ b/tests/pooler_reporting_test.cpp
@@ -0,0 +1,50 @@
+#include <catch2/catch.hpp>
+
+#include "tests/pooler_trial.hpp"
+
+using namespace tamarindshift;
+
+namespace {
+
+struct ReportTrial : PoolerTrial {
+  bool reported(std::uint64_t epoch) const { return serviceReport().epoch == Epoch{epoch}; }
+  // up to just after the next report
+  void runToReport() {
+    auto count = reports.size();
+    REQUIRE(runUntil(600ms, [&] { return reports.size() > count; }));
+  }
+};
+
+}  // namespace
+
+TEST_CASE("pooler reports: a change that comes just after a report is told soon too", "[pooler][fault]") {
+  ReportTrial trial;
+  trial.runToReport();
+  trial.primary(2, "d2", false);
+  CHECK(trial.runUntil(60ms, [&] { return trial.reported(2); }));
+}
+
+TEST_CASE("pooler reports: a planned change is told soon after the last work has ended, whenever that is", "[pooler][fault]") {
+  auto work = GENERATE(range(100, 400, 20));
+  ReportTrial trial;
+  auto alice = trial.client("alice");
+  trial.backEnds.at("d1").work = std::chrono::milliseconds{work};
+  auto asked = alice->start("WRITE a 1");
+  trial.run(50ms);
+  trial.primary(2, "d2", false, true);
+  CHECK(alice->finish(asked) == "OK");
+  INFO("work of " << work << " ms");
+  CHECK(trial.runUntil(60ms, [&] { return trial.reported(2); }));
+}
+
+TEST_CASE("pooler reports: an unplanned change is told as soon as what ran is cut", "[pooler][fault]") {
+  ReportTrial trial;
+  auto alice = trial.client("alice");
+  trial.backEnds.at("d1").work = 900ms;
+  trial.runToReport();
+  auto asked = alice->start("WRITE a 1");
+  trial.run(100ms);
+  trial.primary(2, "d2", false);
+  CHECK(alice->finish(asked) == "UNRESOLVED");
+  CHECK(trial.runUntil(60ms, [&] { return trial.reported(2); }));
+}
