--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -248,8 +248,9 @@
   return "held";
 }
 
-void ControlState::publish() {
-  NewsTable fleet;
+std::map<Topic, NewsTable> ControlState::news() const {
+  std::map<Topic, NewsTable> tables;
+  auto& fleet = tables[fleetTopic];
   for (const auto& [address, node] : nodes_) {
     NodeNews news{node.district, node.draining, {}, node.boot, node.enrolledAt};
     if (plan_)
@@ -263,14 +264,18 @@
     for (const auto& [name, kind] : plan_->kinds) fleetPlan.kinds[name] = kind.service;
   }
   fleet["plan"] = packed(fleetPlan);
-  board_.publish(fleetTopic, position_, std::move(fleet));
-  if (!plan_) return;
-  for (const auto& [name, entry] : board_.entries())
-    if (name != fleetTopic && !plan_->services.contains(ServiceName{name})) board_.publish(name, position_, {});
-  for (const auto& [name, service] : plan_->services) publish(name, service);
+  if (plan_)
+    for (const auto& [name, service] : plan_->services) tables[name.get()] = serviceNews(name, service);
+  return tables;
+}
+
+void ControlState::publish() {
+  auto tables = news();
+  for (const auto& [name, entry] : board_.entries()) tables.try_emplace(name);
+  for (auto& [name, table] : tables) board_.publish(name, position_, std::move(table));
 }
 
-void ControlState::publish(const ServiceName& name, const PlanService& service) {
+NewsTable ControlState::serviceNews(const ServiceName& name, const PlanService& service) const {
   const auto& state = services_.at(name);
   NewsTable table;
   ServiceNews news{plan_->mark, service, {}};
@@ -282,7 +287,7 @@
     for (const auto& [database, own] : databases(name)) table["database/" + database.get()] = packed(DatabaseNews{own.address, own.zone, own.capacity});
   for (const auto& [database, mark] : state.drained) table["drained/" + database.get()] = packed(mark);
   for (const auto& [node, branches] : state.grants) table["share/" + node.get()] = packed(ShareNews{branches});
-  board_.publish(name.get(), position_, std::move(table));
+  return table;
 }
 
 struct ControlSnapshot {
@@ -293,11 +298,15 @@
   std::uint64_t position = 0;
   std::map<ServiceName, ServiceState> retired;
   std::map<ServiceName, EnrolledDatabases> enrolled;
-  MSGPACK_DEFINE(planText, services, nodes, dutyEpoch, position, retired, enrolled)
+  // where in the green order each topic changed last; the same at all replicas
+  std::map<Topic, std::uint64_t> marks;
+  MSGPACK_DEFINE(planText, services, nodes, dutyEpoch, position, retired, enrolled, marks)
 };
 
 std::string ControlState::snapshot() const {
-  return packed(ControlSnapshot{planText_, services_, nodes_, dutyEpoch_, position_, retired_, enrolled_});
+  std::map<Topic, std::uint64_t> marks;
+  for (const auto& [topic, entry] : board_.entries()) marks[topic] = entry->mark;
+  return packed(ControlSnapshot{planText_, services_, nodes_, dutyEpoch_, position_, retired_, enrolled_, std::move(marks)});
 }
 
 bool ControlState::restore(const std::string& snapshot) {
@@ -317,7 +326,13 @@
   nodes_ = restored->nodes;
   dutyEpoch_ = restored->dutyEpoch;
   position_ = restored->position;
-  publish();
+  auto tables = news();
+  for (const auto& [topic, entry] : board_.entries()) tables.try_emplace(topic);
+  for (const auto& [topic, mark] : restored->marks) tables.try_emplace(topic);
+  for (auto& [topic, table] : tables) {
+    auto mark = restored->marks.find(topic);
+    board_.restore(topic, mark == restored->marks.end() ? position_ : mark->second, std::move(table));
+  }
   return true;
 }
 
--- a/src/control/control_state.hpp
+++ b/src/control/control_state.hpp
@@ -79,8 +79,9 @@
   void retire(const Plan& plan);
   void leave(const ServiceName& service, const DatabaseName& database);
   const ServiceState* known(const ServiceName& service) const;
+  std::map<Topic, NewsTable> news() const;
+  NewsTable serviceNews(const ServiceName& name, const PlanService& service) const;
   void publish();
-  void publish(const ServiceName& name, const PlanService& service);
 
   NewsBoard& board_;
   std::optional<Plan> plan_;
--- a/src/control/plan_reader.cpp
+++ b/src/control/plan_reader.cpp
@@ -51,7 +51,6 @@
     auto path = "services." + key;
     if (!plan.services.emplace(ServiceName{name(key, path)}, service(child, path)).second) fault(path, "duplicate name");
   }
-  if (tree.get_child("services").empty()) fault("services", "must name at least one service");
   for (const auto& [key, child] : tree.get_child("kinds")) {
     auto path = "kinds." + key;
     if (!plan.kinds.emplace(KindName{name(key, path, 128)}, kind(child, path)).second) fault(path, "duplicate name");
--- a/src/news/news_board.cpp
+++ b/src/news/news_board.cpp
@@ -46,15 +46,20 @@
   changed_.open();
 }
 
+void NewsBoard::restore(const Topic& topic, std::uint64_t mark, NewsTable table) {
+  auto& entry = this->entry(topic);
+  entry.mark = entry.changesSince = mark;
+  entry.table = std::move(table);
+  entry.changes.clear();
+  changed_.open();
+}
+
 bool NewsBoard::apply(const Topic& topic, const TopicReply& reply) {
   auto& entry = this->entry(topic);
   if (reply.fate == FollowFate::notCurrent || reply.mark < entry.mark) return false;
   if (reply.fate == FollowFate::snapshot) {
     if (reply.mark == entry.mark) return true;
-    entry.mark = entry.changesSince = reply.mark;
-    entry.table = reply.table;
-    entry.changes.clear();
-    changed_.open();
+    restore(topic, reply.mark, reply.table);
     return true;
   }
   bool changed = false;
--- a/src/news/news_board.hpp
+++ b/src/news/news_board.hpp
@@ -18,6 +18,8 @@
   };
 
   void publish(const Topic& topic, std::uint64_t mark, NewsTable table);
+  // takes a table as it stood at `mark`, without the changes that led there
+  void restore(const Topic& topic, std::uint64_t mark, NewsTable table);
   bool apply(const Topic& topic, const TopicReply& reply);
   void fill(const Topic& topic, std::uint64_t have, TopicReply& reply) const;
   const Entry* find(const Topic& topic) const;
--- a/src/pooler/back_end_pool.cpp
+++ b/src/pooler/back_end_pool.cpp
@@ -8,7 +8,9 @@
 
 constexpr std::uint32_t learnt = 40;
 constexpr Duration secondLook = 40ms;
-constexpr Duration fadesAfter = 500ms;
+constexpr Duration fadesAfter = 1s;
+constexpr double fadesTo = 1000;
+constexpr Duration mellowPause = 100ms;
 
 }  // namespace
 
@@ -202,10 +204,12 @@
 void BackEndPool::gaveUp(const DatabaseName& database) { shelves_[database].gaveUpAt = clock_.now(); }
 
 void BackEndPool::mellow() {
+  if (clock_.now() - mellowedAt_ < mellowPause) return;
+  mellowedAt_ = clock_.now();
   for (auto& [database, shelf] : shelves_) {
-    if (shelf.usualTaken == 0 || clock_.now() - shelf.heardAt < fadesAfter) continue;
-    shelf.meanTaken += (shelf.usualTaken - shelf.meanTaken) * 0.05;
-    shelf.faulty *= 0.95;
+    if (shelf.replies == 0 || clock_.now() - shelf.heardAt < fadesAfter) continue;
+    shelf.meanTaken += (fadesTo - shelf.meanTaken) * 0.02;
+    shelf.faulty *= 0.98;
   }
 }
 
--- a/src/pooler/back_end_pool.hpp
+++ b/src/pooler/back_end_pool.hpp
@@ -74,6 +74,7 @@
   Journal& journal_;
   std::function<void()> changed_;
   std::map<DatabaseName, Shelf> shelves_;
+  Instant mellowedAt_{};
   TaskScope scope_;
 };
 
--- a/tests/pooler_partial_news_test.cpp
+++ b/tests/pooler_partial_news_test.cpp
@@ -28,3 +28,16 @@
   CHECK(trial.client("bob3", "other")->session);
   CHECK(trial.client("carol3", "nowhere")->refusal.fault == StatementFault::noDatabase);
 }
+
+TEST_CASE("pooler routes: while a service's news are not there yet no host is refused for good", "[pooler][mended]") {
+  PoolerTrial::Choice choice;
+  choice.published = false;
+  PoolerTrial trial(choice);
+  trial.route("strict", Consistency::primary);
+  trial.publishFleet();
+  trial.run(200ms);
+  CHECK(trial.client("alice")->refusal.fault == StatementFault::busy);
+  trial.publishService();
+  trial.run(20ms);
+  CHECK(trial.client("bob")->session);
+}
