--- a/src/base/address.hpp
+++ b/src/base/address.hpp
@@ -10,7 +10,7 @@
 namespace tamarindshift {
 
 using Address = Strong<struct AddressTag, std::string>;
-using District = Strong<struct DistrictTag, std::string>;
+using Zone = Strong<struct ZoneTag, std::string>;
 
 struct HostAndPort {
   std::string host;
--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -8,14 +8,14 @@
 
 namespace tamarindshift {
 
-using BeatId = Strong<struct BeatIdTag, std::uint64_t>;
+using TimerId = Strong<struct TimerIdTag, std::uint64_t>;
 
 class Clock {
  public:
   virtual ~Clock() = default;
   virtual Instant now() const = 0;
-  virtual BeatId after(Duration duration, std::function<void()> beat) = 0;
-  virtual void cancel(BeatId beat) = 0;
+  virtual TimerId after(Duration duration, std::function<void()> timer) = 0;
+  virtual void cancel(TimerId timer) = 0;
 };
 
 }  // namespace tamarindshift
--- a/src/base/gate.cpp
+++ b/src/base/gate.cpp
@@ -6,7 +6,7 @@
 
 Gate::Wait::~Wait() {
   if (listed_) gate_->waits_.erase(place_);
-  if (beat_) clock_.cancel(*beat_);
+  if (timer_) clock_.cancel(*timer_);
 }
 
 void Gate::Wait::await_suspend(std::coroutine_handle<> handle) {
@@ -15,13 +15,13 @@
     place_ = gate_->waits_.insert(gate_->waits_.end(), this);
     listed_ = true;
   }
-  if (deadline_) beat_ = clock_.after(std::max(Duration::zero(), *deadline_ - clock_.now()), [this] { wake(false); });
+  if (deadline_) timer_ = clock_.after(std::max(Duration::zero(), *deadline_ - clock_.now()), [this] { wake(false); });
 }
 
 void Gate::Wait::wake(bool opened) {
   if (listed_) gate_->waits_.erase(place_);
   listed_ = false;
-  beat_.reset();
+  timer_.reset();
   opened_ = opened;
   handle_.resume();
 }
@@ -33,8 +33,8 @@
 void Gate::open() {
   for (auto* wait : waits_) {
     wait->listed_ = false;
-    if (wait->beat_) wait->clock_.cancel(*wait->beat_);
-    wait->beat_ = wait->clock_.after(Duration::zero(), [wait] { wait->wake(true); });
+    if (wait->timer_) wait->clock_.cancel(*wait->timer_);
+    wait->timer_ = wait->clock_.after(Duration::zero(), [wait] { wait->wake(true); });
   }
   waits_.clear();
 }
--- a/src/base/gate.hpp
+++ b/src/base/gate.hpp
@@ -25,7 +25,7 @@
     Gate* gate_;
     Clock& clock_;
     std::optional<Instant> deadline_;
-    std::optional<BeatId> beat_;
+    std::optional<TimerId> timer_;
     std::coroutine_handle<> handle_;
     std::list<Wait*>::iterator place_;
     bool listed_ = false;
--- a/src/base/partner_link.hpp
+++ b/src/base/peer_link.hpp
@@ -9,13 +9,13 @@
 
 namespace tamarindshift {
 
-class PartnerLink {
+class PeerLink {
  public:
   using Arrival = std::function<void(const Address& from, const std::string& body)>;
 
-  virtual ~PartnerLink() = default;
+  virtual ~PeerLink() = default;
   virtual const Address& own() const = 0;
-  virtual void pass(const Address& partner, Envelope envelope) = 0;
+  virtual void pass(const Address& peer, Envelope envelope) = 0;
   void on(Matter matter, Arrival arrival) { arrivals_[matter] = std::move(arrival); }
 
  protected:
--- a/src/base/backlog.hpp
+++ b/src/base/queue.hpp
@@ -9,7 +9,7 @@
 namespace tamarindshift {
 
 template <class Command>
-class Backlog {
+class Queue {
  public:
   void put(Command command) {
     commands_.push_back(std::move(command));
--- a/src/base/setting_kinds.cpp
+++ b/src/base/setting_kinds.cpp
@@ -70,10 +70,10 @@
                  }};
 }
 
-Setting districtSetting(District& target) {
-  return Setting{"district", "name of the zone this process runs in", "", true, [&target](const std::string& text) -> std::optional<std::string> {
+Setting zoneSetting(Zone& target) {
+  return Setting{"zone", "name of the zone this process runs in", "", true, [&target](const std::string& text) -> std::optional<std::string> {
                    if (text.empty()) return "must not be empty";
-                   target = District{text};
+                   target = Zone{text};
                    return std::nullopt;
                  }};
 }
--- a/src/base/setting_kinds.hpp
+++ b/src/base/setting_kinds.hpp
@@ -13,7 +13,7 @@
 Setting seedsSetting(std::set<Address>& target);
 Setting addressesSetting(std::string key, std::string meaning, std::set<Address>& target);
 Setting detoursSetting(Detours& target);
-Setting districtSetting(District& target);
+Setting zoneSetting(Zone& target);
 Setting textSetting(std::string key, std::string meaning, std::string& target, bool required);
 Setting durationSetting(std::string key, std::string meaning, Duration& target, Duration least, Duration most);
 Setting numberSetting(std::string key, std::string meaning, std::size_t& target, std::size_t least, std::size_t most);
--- a/src/base/beat_table.hpp
+++ b/src/base/timer_table.hpp
@@ -9,17 +9,17 @@
 
 namespace tamarindshift {
 
-class BeatTable {
+class TimerTable {
  public:
-  BeatId add(Instant due, std::function<void()> beat);
-  void cancel(BeatId id);
+  TimerId add(Instant due, std::function<void()> timer);
+  void cancel(TimerId id);
   std::optional<Instant> earliest() const;
   std::optional<std::function<void()>> takeDue(Instant now);
 
  private:
-  using Key = std::pair<Instant, BeatId>;
-  std::map<Key, std::function<void()>> beats_;
-  std::unordered_map<BeatId, Instant> due_;
+  using Key = std::pair<Instant, TimerId>;
+  std::map<Key, std::function<void()>> timers_;
+  std::unordered_map<TimerId, Instant> due_;
   std::uint64_t last_ = 0;
 };
 
--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -21,7 +21,7 @@
   Duration duty = 100ms;
   Duration dutyPause = 5ms;
   Duration sharesPause = 2s;
-  Duration databaseBeat = 200ms;
+  Duration databaseHeartbeat = 200ms;
   Duration databaseSilence = 1s;
   Duration databaseGone = 60s;
   Duration probePatience = 250ms;
@@ -39,13 +39,13 @@
   Duration deadConnections = 10s;
   Duration orderPatience = 4s;
   Duration statementPatience = 10s;
-  Duration backlogPatience = 2s;
+  Duration queuePatience = 2s;
   Duration comeBack = 1s;
   Duration stop = 6s;
   Duration stopTransactions = 3s;
   Duration detach = 7s;
 
-  Duration silence() const { return std::max(databaseSilence, databaseBeat * 8 / 5); }
+  Duration silence() const { return std::max(databaseSilence, databaseHeartbeat * 8 / 5); }
   Duration shareHold() const { return lease + leaseMargin + deadConnections; }
   Duration planGrace() const { return planFollowed - lease - leaseMargin; }
   std::optional<std::string> fault() const;
--- a/src/control/access_messages.hpp
+++ b/src/control/access_messages.hpp
@@ -17,7 +17,7 @@
 
 struct NodeReport {
   Address node;
-  District district;
+  Zone zone;
   std::uint64_t boot = 0;
   bool draining = false;
   PlanMark mark;
@@ -25,10 +25,10 @@
   std::map<ServiceName, ServiceReport> services;
   // false: services that are not named are as the last report of this boot said
   bool whole = true;
-  MSGPACK_DEFINE(node, district, boot, draining, mark, lease, services, whole)
+  MSGPACK_DEFINE(node, zone, boot, draining, mark, lease, services, whole)
 };
 
-struct DatabaseBeat {
+struct DatabaseHeartbeat {
   ServiceName service;
   DatabaseName database;
   std::uint64_t boot = 0;
@@ -39,7 +39,7 @@
   Duration contactAge{};
   bool leaving = false;
   Address address;
-  District zone;
+  Zone zone;
   std::uint32_t capacity = 0;
   MSGPACK_DEFINE(service, database, boot, number, role, epoch, position, contactAge, leaving, address, zone, capacity)
 };
--- a/src/control/access_tables.cpp
+++ b/src/control/access_tables.cpp
@@ -23,19 +23,19 @@
   return before != tells(held.report);
 }
 
-bool AccessTables::older(const DatabaseBeat& beat, Instant now, Duration silence) const {
-  const auto* held = database(beat.service, beat.database);
+bool AccessTables::older(const DatabaseHeartbeat& heartbeat, Instant now, Duration silence) const {
+  const auto* held = database(heartbeat.service, heartbeat.database);
   if (!held) return false;
-  bool mayStartAgain = beat.boot == 0 && now - held->heardAt > numbersRise;
-  bool repeated = held->beat.boot == beat.boot && beat.number <= held->beat.number && !mayStartAgain;
-  bool olderBoot = beat.boot < held->beat.boot && now - held->heardAt <= silence;
+  bool mayStartAgain = heartbeat.boot == 0 && now - held->heardAt > numbersRise;
+  bool repeated = held->heartbeat.boot == heartbeat.boot && heartbeat.number <= held->heartbeat.number && !mayStartAgain;
+  bool olderBoot = heartbeat.boot < held->heartbeat.boot && now - held->heardAt <= silence;
   return repeated || olderBoot;
 }
 
-bool AccessTables::noteBeat(const DatabaseBeat& beat, Instant now, Duration silence) {
-  if (older(beat, now, silence)) return false;
-  std::erase_if(databases_, [&](const auto& each) { return !each.second.beat.address.get().empty() && now - each.second.heardAt > databasesKept; });
-  databases_[{beat.service, beat.database}] = Database{beat, now};
+bool AccessTables::noteHeartbeat(const DatabaseHeartbeat& heartbeat, Instant now, Duration silence) {
+  if (older(heartbeat, now, silence)) return false;
+  std::erase_if(databases_, [&](const auto& each) { return !each.second.heartbeat.address.get().empty() && now - each.second.heardAt > databasesKept; });
+  databases_[{heartbeat.service, heartbeat.database}] = Database{heartbeat, now};
   return true;
 }
 
@@ -48,8 +48,8 @@
   std::vector<DatabaseSign> signs;
   for (const auto& [key, held] : databases_)
     if (key.first == service)
-      signs.push_back(DatabaseSign{key.second.get(), held.beat.role, held.beat.epoch.get(), held.beat.position.get(),
-                                   held.beat.contactAge + (now - held.heardAt), now - held.heardAt, held.beat.leaving});
+      signs.push_back(DatabaseSign{key.second.get(), held.heartbeat.role, held.heartbeat.epoch.get(), held.heartbeat.position.get(),
+                                   held.heartbeat.contactAge + (now - held.heardAt), now - held.heardAt, held.heartbeat.leaving});
   return signs;
 }
 
--- a/src/control/access_tables.hpp
+++ b/src/control/access_tables.hpp
@@ -12,14 +12,14 @@
     Instant heardAt{};
   };
   struct Database {
-    DatabaseBeat beat;
+    DatabaseHeartbeat heartbeat;
     Instant heardAt{};
   };
 
   // true if the report tells another epoch, suspect or drain than the last one did
   bool noteReport(const NodeReport& report, Instant now);
-  bool older(const DatabaseBeat& beat, Instant now, Duration silence) const;
-  bool noteBeat(const DatabaseBeat& beat, Instant now, Duration silence);
+  bool older(const DatabaseHeartbeat& heartbeat, Instant now, Duration silence) const;
+  bool noteHeartbeat(const DatabaseHeartbeat& heartbeat, Instant now, Duration silence);
   const std::map<Address, Node>& nodes() const { return nodes_; }
   const Database* database(const ServiceName& service, const DatabaseName& database) const;
   std::vector<DatabaseSign> signs(const ServiceName& service, Instant now) const;
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -235,7 +235,7 @@
     found->second.draining = true;
     return "held";
   }
-  nodes_[update.node] = NodeState{update.district, update.boot, false, position_};
+  nodes_[update.node] = NodeState{update.zone, update.boot, false, position_};
   return "held";
 }
 
@@ -252,7 +252,7 @@
   std::map<Topic, NewsTable> tables;
   auto& fleet = tables[fleetTopic];
   for (const auto& [address, node] : nodes_) {
-    NodeNews news{node.district, node.draining, {}, node.boot, node.enrolledAt};
+    NodeNews news{node.zone, node.draining, {}, node.boot, node.enrolledAt};
     if (plan_)
       if (auto machine = plan_->machines.find(address); machine != plan_->machines.end()) news.labels = machine->second;
     fleet["node/" + address.get()] = packed(news);
--- a/src/control/control_state.hpp
+++ b/src/control/control_state.hpp
@@ -39,11 +39,11 @@
 };
 
 struct NodeState {
-  District district;
+  Zone zone;
   std::uint64_t boot = 0;
   bool draining = false;
   std::uint64_t enrolledAt = 0;
-  MSGPACK_DEFINE(district, boot, draining, enrolledAt)
+  MSGPACK_DEFINE(zone, boot, draining, enrolledAt)
 };
 
 class ControlState : public Application {
--- a/src/control/control_update.hpp
+++ b/src/control/control_update.hpp
@@ -43,7 +43,7 @@
   ServiceName service;
   DatabaseName database;
   Address address;
-  District zone;
+  Zone zone;
   std::uint32_t capacity = 0;
   std::uint64_t boot = 0;
   std::uint64_t number = 0;
@@ -78,9 +78,9 @@
 
 struct NodeUpdate {
   Address node;
-  District district;
+  Zone zone;
   std::uint64_t boot = 0;
-  MSGPACK_DEFINE(node, district, boot)
+  MSGPACK_DEFINE(node, zone, boot)
 };
 
 }  // namespace tamarindshift
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -204,8 +204,8 @@
     if (clock_.now() - node.heardAt < timings_.nodeSilence) reports.push_back(node.report);
   for (const auto& report : reports) {
     auto known = state_.nodes().find(report.node);
-    NodeUpdate update{report.node, report.district, report.boot};
-    bool same = known != state_.nodes().end() && known->second.boot == report.boot && known->second.district == report.district;
+    NodeUpdate update{report.node, report.zone, report.boot};
+    bool same = known != state_.nodes().end() && known->second.boot == report.boot && known->second.zone == report.zone;
     if (!same && !report.draining)
       orders.emplace_back(ControlMatter::enrolNode, packed(update));
     else if (same && report.draining && !known->second.draining)
@@ -215,7 +215,7 @@
   std::vector<NodeUpdate> gone;
   for (const auto& [address, node] : state_.nodes()) {
     bool holds = std::any_of(state_.services().begin(), state_.services().end(), [&](const auto& each) { return each.second.holds(address); });
-    if (!holds && silent(address)) gone.push_back(NodeUpdate{address, node.district, node.boot});
+    if (!holds && silent(address)) gone.push_back(NodeUpdate{address, node.zone, node.boot});
   }
   for (const auto& update : gone) {
     journal_.line("node " + update.node.get() + " is let go");
@@ -247,11 +247,11 @@
   std::vector<DatabaseUpdate> leaving;
   for (const auto& [database, own] : state_.databases(name)) {
     const auto* sign = access_.database(name, database);
-    if (!sign || !sign->beat.leaving || !fresh(*sign)) continue;
-    if (!state_.services().at(name).drained.contains(database)) leaving.push_back({name, database, sign->beat.boot, sign->beat.number, false});
+    if (!sign || !sign->heartbeat.leaving || !fresh(*sign)) continue;
+    if (!state_.services().at(name).drained.contains(database)) leaving.push_back({name, database, sign->heartbeat.boot, sign->heartbeat.number, false});
   }
   for (const auto& update : leaving) {
-    journal_.line("database " + update.database.get() + " leaves, its beats say");
+    journal_.line("database " + update.database.get() + " leaves, its heartbeats say");
     co_await order(ControlMatter::drainDatabase, packed(update));
   }
 }
@@ -261,8 +261,8 @@
   std::vector<DatabaseName> returned;
   for (const auto& [database, mark] : state_.services().at(name).drained) {
     const auto* sign = access_.database(name, database);
-    if (!sign || sign->beat.leaving || !fresh(*sign)) continue;
-    if (sign->beat.boot != mark.boot || sign->beat.number > mark.number) returned.push_back(database);
+    if (!sign || sign->heartbeat.leaving || !fresh(*sign)) continue;
+    if (sign->heartbeat.boot != mark.boot || sign->heartbeat.number > mark.number) returned.push_back(database);
   }
   for (const auto& database : returned) {
     journal_.line("database " + database.get() + " is back");
--- a/src/control/enrolled_database.hpp
+++ b/src/control/enrolled_database.hpp
@@ -6,7 +6,7 @@
 
 struct EnrolledDatabase {
   Address address;
-  District zone;
+  Zone zone;
   std::uint32_t capacity = 0;
   MSGPACK_DEFINE(address, zone, capacity)
 };
--- a/src/control/beat_json.hpp
+++ b/src/control/heartbeat_json.hpp
@@ -7,7 +7,7 @@
 
 namespace tamarindshift {
 
-std::optional<DatabaseBeat> beatFromJson(const std::string& body);
-std::string beatToJson(const DatabaseBeat& beat);
+std::optional<DatabaseHeartbeat> heartbeatFromJson(const std::string& body);
+std::string heartbeatToJson(const DatabaseHeartbeat& heartbeat);
 
 }  // namespace tamarindshift
--- a/src/control/operator_door.cpp
+++ b/src/control/operator_door.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "control/beat_json.hpp"
+#include "control/heartbeat_json.hpp"
 #include "edge/door_replies.hpp"
 
 namespace tamarindshift {
@@ -18,15 +18,15 @@
     if (request.method == "PUT" || request.method == "POST") co_return co_await replica_.replacePlan(std::move(request.body));
     co_return refusal(405, "wrong method");
   }
-  if (path == "/beat" || path == "/detach") {
+  if (path == "/heartbeat" || path == "/detach") {
     if (request.method != "POST") co_return refusal(405, "wrong method");
-    auto beat = beatFromJson(request.body);
-    if (!beat) {
-      replica_.journal().count("beats.malformed");
-      co_return refusal(400, "not a beat");
+    auto heartbeat = heartbeatFromJson(request.body);
+    if (!heartbeat) {
+      replica_.journal().count("heartbeats.malformed");
+      co_return refusal(400, "not a heartbeat");
     }
-    if (path == "/detach") co_return co_await replica_.detach(*beat);
-    co_return co_await replica_.beat(*beat);
+    if (path == "/detach") co_return co_await replica_.detach(*heartbeat);
+    co_return co_await replica_.heartbeat(*heartbeat);
   }
   if (path.starts_with("/members/")) {
     if (request.method != "DELETE") co_return refusal(405, "wrong method");
@@ -51,7 +51,7 @@
   auto now = clock_.now();
   Json json;
   json["address"] = replica_.settings().address.get();
-  json["district"] = replica_.settings().district.get();
+  json["zone"] = replica_.settings().zone.get();
   json["view"] = text(replica_.group().view());
   json["engine"] = {{"state", text(engine.state())},        {"green", engine.greenLine()}, {"white", engine.whiteLine()},
                     {"red", engine.redCount()},              {"yellow", engine.yellowCount()}, {"ongoing", engine.ongoingCount()},
@@ -83,7 +83,7 @@
   }
   for (const auto& [address, node] : state.nodes()) {
     auto& own = json["nodes"][address.get()];
-    own = {{"district", node.district.get()}, {"draining", node.draining}};
+    own = {{"zone", node.zone.get()}, {"draining", node.draining}};
     auto heard = replica_.access().nodes().find(address);
     if (heard == replica_.access().nodes().end()) continue;
     own["heard_ms_ago"] = milliseconds(now - heard->second.heardAt).count();
--- a/src/control/plan_check.cpp
+++ b/src/control/plan_check.cpp
@@ -56,7 +56,7 @@
     auto known = status.value("services", Json::object()).value(name.get(), Json::object());
     auto databases = known.value("databases", Json::object());
     for (const auto& [databaseName, database] : service.databases)
-      if (!databases.contains(databaseName.get())) check.warnings.push_back("database " + name.get() + "/" + databaseName.get() + " has sent no beat");
+      if (!databases.contains(databaseName.get())) check.warnings.push_back("database " + name.get() + "/" + databaseName.get() + " has sent no heartbeat");
     auto primary = known.value("primary", "");
     if (!primary.empty() && !service.discovered && !service.databases.contains(DatabaseName{primary}))
       check.warnings.push_back("the primary " + name.get() + "/" + primary + " is not in the plan and would be replaced");
--- a/src/control/plan_reader.cpp
+++ b/src/control/plan_reader.cpp
@@ -10,6 +10,13 @@
 
 namespace tamarindshift {
 
+namespace {
+
+// plans in logs and at operators from before the word was changed
+constexpr const char* discoveryFormerly = "beats";
+
+}  // namespace
+
 std::optional<Plan> PlanReader::read(const std::string& text) {
   faults_.clear();
   if (text.size() > mostBytes) {
@@ -181,7 +188,7 @@
   if (!keys(tree, path, {"quota"}, {"databases", "discovery", "sync-replicas"})) return service;
   auto discovery = tree.get_child_optional("discovery");
   service.discovered = discovery.has_value();
-  if (discovery && discovery->data() != "beats") fault(path + ".discovery", "must be beats");
+  if (discovery && discovery->data() != "heartbeats" && discovery->data() != discoveryFormerly) fault(path + ".discovery", "must be heartbeats");
   if (discovery.has_value() == tree.get_child_optional("databases").has_value()) fault(path + ".databases", "a service has databases or discovery, one of them");
   else if (!discovery) listed(tree, path, service);
   if (auto given = tree.get_child_optional("sync-replicas")) service.syncReplicas = number(*given, path + ".sync-replicas", 0, 100);
--- a/src/control/recovery_duties.cpp
+++ b/src/control/recovery_duties.cpp
@@ -32,7 +32,7 @@
   const auto* sign = access_.database(name, primary);
   auto now = clock_.now();
   bool silent = !sign || !fresh(*sign);
-  bool renounced = sign && sign->beat.role != "primary";
+  bool renounced = sign && sign->heartbeat.role != "primary";
   bool doubted = suspected(name, primary);
   auto& duty = duties_[name];
   if (!silent && !renounced && !doubted) {
@@ -52,7 +52,7 @@
   if (!state_.services().contains(name) || state_.services().at(name).epoch != epoch) co_return;
   duties_[name].probeAfter = clock_.now() + timings_.silence() / 2;
   if (standing && standing->role == "primary")
-    co_return wait(name, doubted ? "nodes do not reach the primary, yet STATUS is well" : "no beats from the primary, yet STATUS is well");
+    co_return wait(name, doubted ? "nodes do not reach the primary, yet STATUS is well" : "no heartbeats from the primary, yet STATUS is well");
   co_await recover(name, standing ? "primary says it is none" : silent ? "primary is silent" : "primary does not answer");
 }
 
@@ -61,7 +61,7 @@
   auto databases = state_.databases(name);
   return std::any_of(databases.begin(), databases.end(), [&](const auto& each) {
     const auto* sign = access_.database(name, each.first);
-    return each.first != service.primary && !service.drained.contains(each.first) && sign && fresh(*sign) && sign->beat.role == "replica" &&
+    return each.first != service.primary && !service.drained.contains(each.first) && sign && fresh(*sign) && sign->heartbeat.role == "replica" &&
            !strained(name, each.first) && !suspected(name, each.first);
   });
 }
@@ -117,7 +117,7 @@
 
 bool Duties::saysPrimary(const ServiceName& name, const DatabaseName& database) const {
   const auto* sign = access_.database(name, database);
-  return sign && sign->beat.role == "primary" && fresh(*sign);
+  return sign && sign->heartbeat.role == "primary" && fresh(*sign);
 }
 
 bool Duties::suspected(const ServiceName& name, const DatabaseName& database) const { return mostSay(name, database, &ServiceReport::suspects); }
@@ -426,7 +426,7 @@
   while (pending(name, service.epoch) && clock_.now() - calledAt < 4 * timings_.leadPatience) {
     const auto* sign = access_.database(name, service.primary);
     bool beaten = sign && sign->heardAt > calledAt;
-    if (beaten && sign->beat.role == "primary") co_return true;
+    if (beaten && sign->heartbeat.role == "primary") co_return true;
     if (clock_.now() - askedAt > timings_.leadPatience) {
       askedAt = clock_.now();
       auto standing = co_await status(name, service.primary, timings_.statusPatience);
--- a/src/control/replica_node.cpp
+++ b/src/control/replica_node.cpp
@@ -9,7 +9,7 @@
 
 namespace tamarindshift {
 
-ReplicaNode::ReplicaNode(Clock& clock, PartnerLink& link, StableStore& store, DatabaseControl& databases, Journal& journal,
+ReplicaNode::ReplicaNode(Clock& clock, PeerLink& link, StableStore& store, DatabaseControl& databases, Journal& journal,
                          ReplicaSettings settings, std::uint64_t incarnation)
     : clock_(clock), databases_(databases), journal_(journal), settings_(std::move(settings)), state_(board_), desk_(clock, link), core_(clock, link, store, state_, journal, CoreSettings{settings_.address, settings_.seeds, settings_.timings.group, settings_.bounds, settings_.mayFound}, incarnation) {}
 
@@ -26,24 +26,24 @@
     if (auto report = unpacked<NodeReport>(body); report && access_.noteReport(*report, clock_.now())) duties_->wake();
     co_return std::nullopt;
   });
-  desk_.serve("beat", [this](Address, std::string body) -> Task<std::optional<std::string>> {
-    if (auto beat = unpacked<DatabaseBeat>(body)) noteBeat(*beat, false);
+  desk_.serve("heartbeat", [this](Address, std::string body) -> Task<std::optional<std::string>> {
+    if (auto heartbeat = unpacked<DatabaseHeartbeat>(body)) noteHeartbeat(*heartbeat, false);
     co_return std::nullopt;
   });
-  serveBeats("beat-ask", &ReplicaNode::beat);
-  serveBeats("detach", &ReplicaNode::detach);
-  desk_.serve("partners", [this](Address, std::string) -> Task<std::optional<std::string>> {
+  serveHeartbeats("heartbeat-ask", &ReplicaNode::heartbeat);
+  serveHeartbeats("detach", &ReplicaNode::detach);
+  desk_.serve("peers", [this](Address, std::string) -> Task<std::optional<std::string>> {
     auto known = group().known();
     known.insert(settings_.address);
     co_return packed(known);
   });
 }
 
-void ReplicaNode::serveBeats(const std::string& subject, Task<DoorReply> (ReplicaNode::*taken)(DatabaseBeat)) {
+void ReplicaNode::serveHeartbeats(const std::string& subject, Task<DoorReply> (ReplicaNode::*taken)(DatabaseHeartbeat)) {
   desk_.serve(subject, [this, taken](Address, std::string body) -> Task<std::optional<std::string>> {
-    auto beat = unpacked<DatabaseBeat>(body);
-    if (!beat) co_return std::nullopt;
-    auto reply = co_await (this->*taken)(*beat);
+    auto heartbeat = unpacked<DatabaseHeartbeat>(body);
+    if (!heartbeat) co_return std::nullopt;
+    auto reply = co_await (this->*taken)(*heartbeat);
     co_return packed(std::pair(reply.status, reply.body));
   });
 }
@@ -58,25 +58,25 @@
 
 std::vector<DatabaseSign> ReplicaNode::signs(const Topic& topic) { return access_.signs(ServiceName{topic}, clock_.now()); }
 
-bool ReplicaNode::known(const DatabaseBeat& beat) const {
-  if (state_.listed(beat.service)) return state_.planned(beat.service)->databases.contains(beat.database);
-  return state_.enrolled(beat.service, beat.database) || !beat.address.get().empty();
+bool ReplicaNode::known(const DatabaseHeartbeat& heartbeat) const {
+  if (state_.listed(heartbeat.service)) return state_.planned(heartbeat.service)->databases.contains(heartbeat.database);
+  return state_.enrolled(heartbeat.service, heartbeat.database) || !heartbeat.address.get().empty();
 }
 
-bool ReplicaNode::noteBeat(const DatabaseBeat& beat, bool relay) {
-  if (!known(beat)) {
-    journal_.count("beats.unplanned");
+bool ReplicaNode::noteHeartbeat(const DatabaseHeartbeat& heartbeat, bool relay) {
+  if (!known(heartbeat)) {
+    journal_.count("heartbeats.unplanned");
     return false;
   }
-  const auto* before = access_.database(beat.service, beat.database);
-  bool news = !before || before->beat.role != beat.role || before->beat.leaving != beat.leaving;
-  if (!access_.noteBeat(beat, clock_.now(), settings_.timings.silence()))
-    journal_.count("beats.older");
+  const auto* before = access_.database(heartbeat.service, heartbeat.database);
+  bool news = !before || before->heartbeat.role != heartbeat.role || before->heartbeat.leaving != heartbeat.leaving;
+  if (!access_.noteHeartbeat(heartbeat, clock_.now(), settings_.timings.silence()))
+    journal_.count("heartbeats.older");
   else if (news)
     duties_->wake();
   if (!relay) return true;
-  auto bytes = packed(beat);
-  for (const auto& partner : group().joinedPartners()) desk_.tell(partner, "beat", bytes);
+  auto bytes = packed(heartbeat);
+  for (const auto& peer : group().joinedPeers()) desk_.tell(peer, "heartbeat", bytes);
   return true;
 }
 
@@ -143,31 +143,31 @@
   return std::nullopt;
 }
 
-Task<DoorReply> ReplicaNode::beat(DatabaseBeat beat) {
+Task<DoorReply> ReplicaNode::heartbeat(DatabaseHeartbeat heartbeat) {
   auto comeBack = settings_.timings.comeBack;
-  bool late = access_.older(beat, clock_.now(), settings_.timings.silence());
-  if (!noteBeat(beat, true)) co_return refusal(404, "no such database in the plan held here");
-  if (late || state_.listed(beat.service)) co_return DoorReply{200, "{}", std::nullopt};
-  const auto* enrolled = state_.enrolled(beat.service, beat.database);
-  bool fits = enrolled && (beat.address.get().empty() || enrolled->address == beat.address);
-  bool drains = beat.leaving && !state_.drained(beat.service, beat.database);
+  bool late = access_.older(heartbeat, clock_.now(), settings_.timings.silence());
+  if (!noteHeartbeat(heartbeat, true)) co_return refusal(404, "no such database in the plan held here");
+  if (late || state_.listed(heartbeat.service)) co_return DoorReply{200, "{}", std::nullopt};
+  const auto* enrolled = state_.enrolled(heartbeat.service, heartbeat.database);
+  bool fits = enrolled && (heartbeat.address.get().empty() || enrolled->address == heartbeat.address);
+  bool drains = heartbeat.leaving && !state_.drained(heartbeat.service, heartbeat.database);
   if (!fits || drains) {
     if (auto refusal = cannotOrder()) co_return *refusal;
   } else if (!leaseUntil(fleetTopic)) {
     co_return refusal(503, "not in a proved primary component", {}, comeBack);
   }
   if (!fits)
-    if (auto refusal = co_await enrol(beat)) co_return *refusal;
+    if (auto refusal = co_await enrol(heartbeat)) co_return *refusal;
   if (drains) {
-    DatabaseUpdate update{beat.service, beat.database, beat.boot, beat.number, false};
+    DatabaseUpdate update{heartbeat.service, heartbeat.database, heartbeat.boot, heartbeat.number, false};
     auto outcome = co_await order(ControlMatter::drainDatabase, packed(update));
     if (outcome.fate != OrderFate::green || outcome.reply != "held") co_return refusal(503, "not taken in time", "send it again", comeBack);
   }
   co_return DoorReply{200, "{}", std::nullopt};
 }
 
-Task<std::optional<DoorReply>> ReplicaNode::enrol(DatabaseBeat beat) {
-  EnrolmentUpdate update{beat.service, beat.database, beat.address, beat.zone, beat.capacity, beat.boot, beat.number, beat.role};
+Task<std::optional<DoorReply>> ReplicaNode::enrol(DatabaseHeartbeat heartbeat) {
+  EnrolmentUpdate update{heartbeat.service, heartbeat.database, heartbeat.address, heartbeat.zone, heartbeat.capacity, heartbeat.boot, heartbeat.number, heartbeat.role};
   auto outcome = co_await order(ControlMatter::enrolDatabase, packed(update));
   std::optional<DoorReply> refused;
   if (outcome.fate != OrderFate::green) refused = refusal(503, "not taken in time", "send it again", settings_.timings.comeBack);
@@ -175,14 +175,14 @@
   co_return refused;
 }
 
-Task<DoorReply> ReplicaNode::detach(DatabaseBeat beat) {
-  beat.leaving = true;
-  bool listed = state_.listed(beat.service);
-  bool enrols = !listed && !beat.address.get().empty();
-  if (!noteBeat(beat, true) && leaseUntil(fleetTopic)) co_return refusal(404, "no such database");
+Task<DoorReply> ReplicaNode::detach(DatabaseHeartbeat heartbeat) {
+  heartbeat.leaving = true;
+  bool listed = state_.listed(heartbeat.service);
+  bool enrols = !listed && !heartbeat.address.get().empty();
+  if (!noteHeartbeat(heartbeat, true) && leaseUntil(fleetTopic)) co_return refusal(404, "no such database");
   auto comeBack = settings_.timings.comeBack;
   if (auto refusal = cannotOrder()) co_return *refusal;
-  DatabaseUpdate update{beat.service, beat.database, beat.boot, beat.number, !listed};
+  DatabaseUpdate update{heartbeat.service, heartbeat.database, heartbeat.boot, heartbeat.number, !listed};
   auto outcome = co_await order(ControlMatter::drainDatabase, packed(update));
   if (outcome.fate != OrderFate::green) co_return refusal(503, "not taken in time", "send it again", comeBack);
   if (outcome.reply != "held" && !enrols) co_return refusal(404, outcome.reply);
--- a/src/control/replica_node.hpp
+++ b/src/control/replica_node.hpp
@@ -11,7 +11,7 @@
 
 class ReplicaNode : public NewsSource {
  public:
-  ReplicaNode(Clock& clock, PartnerLink& link, StableStore& store, DatabaseControl& databases, Journal& journal,
+  ReplicaNode(Clock& clock, PeerLink& link, StableStore& store, DatabaseControl& databases, Journal& journal,
               ReplicaSettings settings, std::uint64_t incarnation);
 
   std::optional<std::string> start();
@@ -26,8 +26,8 @@
   Journal& journal() { return journal_; }
 
   Task<DoorReply> replacePlan(std::string text);
-  Task<DoorReply> beat(DatabaseBeat beat);
-  Task<DoorReply> detach(DatabaseBeat beat);
+  Task<DoorReply> heartbeat(DatabaseHeartbeat heartbeat);
+  Task<DoorReply> detach(DatabaseHeartbeat heartbeat);
   void drain();
   bool draining() const { return drainingSince_.has_value(); }
   bool stopped() const;
@@ -40,11 +40,11 @@
   std::uint64_t position(const Topic&) override { return state_.position(); }
 
  private:
-  bool noteBeat(const DatabaseBeat& beat, bool relay);
-  bool known(const DatabaseBeat& beat) const;
-  Task<std::optional<DoorReply>> enrol(DatabaseBeat beat);
+  bool noteHeartbeat(const DatabaseHeartbeat& heartbeat, bool relay);
+  bool known(const DatabaseHeartbeat& heartbeat) const;
+  Task<std::optional<DoorReply>> enrol(DatabaseHeartbeat heartbeat);
   std::optional<DoorReply> cannotOrder() const;
-  void serveBeats(const std::string& subject, Task<DoorReply> (ReplicaNode::*taken)(DatabaseBeat));
+  void serveHeartbeats(const std::string& subject, Task<DoorReply> (ReplicaNode::*taken)(DatabaseHeartbeat));
   Task<OrderOutcome> order(ControlMatter matter, std::string body);
   void serveDesk();
 
--- a/src/control/replica_settings.hpp
+++ b/src/control/replica_settings.hpp
@@ -10,7 +10,7 @@
 
 struct ReplicaSettings {
   Address address;
-  District district;
+  Zone zone;
   std::set<Address> seeds;
   Timings timings;
   EngineBounds bounds;
--- a/src/control/service_news.hpp
+++ b/src/control/service_news.hpp
@@ -21,7 +21,7 @@
 
 struct DatabaseNews {
   Address address;
-  District zone;
+  Zone zone;
   std::uint32_t capacity = 0;
   MSGPACK_DEFINE(address, zone, capacity)
 };
@@ -32,12 +32,12 @@
 };
 
 struct NodeNews {
-  District district;
+  Zone zone;
   bool draining = false;
   std::set<Label> labels;
   std::uint64_t boot = 0;
   std::uint64_t enrolledAt = 0;
-  MSGPACK_DEFINE(district, draining, labels, boot, enrolledAt)
+  MSGPACK_DEFINE(zone, draining, labels, boot, enrolledAt)
 };
 
 struct FleetPlanNews {
--- a/src/engine/core.cpp
+++ b/src/engine/core.cpp
@@ -2,7 +2,7 @@
 
 namespace tamarindshift {
 
-Core::Core(Clock& clock, PartnerLink& link, StableStore& store, Application& application, Journal& journal, CoreSettings settings,
+Core::Core(Clock& clock, PeerLink& link, StableStore& store, Application& application, Journal& journal, CoreSettings settings,
            std::uint64_t incarnation)
     : clock_(clock), link_(link), store_(store), application_(application), journal_(journal), settings_(std::move(settings)), incarnation_(incarnation) {}
 
@@ -56,11 +56,11 @@
 }
 
 Task<void> Core::enter() {
-  std::size_t shot = 0;
+  std::size_t attempt = 0;
   while (!engine_->member()) {
     auto identity = *engine_->identity();
     auto agreed = group_->agreedFoundation();
-    auto joined = group_->joinedPartners();
+    auto joined = group_->joinedPeers();
     if (agreed && agreed->contains(own_)) {
       identity.foundation = *agreed;
       identity.founded = true;
@@ -69,8 +69,8 @@
       engine_->found();
       journal_.line("founded a group of " + std::to_string(agreed->size()));
     } else if (!joined.empty()) {
-      link_.pass(joined[shot++ % joined.size()], Envelope{Matter::joinAsk, packed(own_)});
-      co_await sleep(clock_, 2 * settings_.timings.beat);
+      link_.pass(joined[attempt++ % joined.size()], Envelope{Matter::joinAsk, packed(own_)});
+      co_await sleep(clock_, 2 * settings_.timings.heartbeat);
     } else if (auto seeds = settings_.mayFound ? group_->unjoinedSeeds() : std::nullopt; seeds && seeds->contains(own_) && *seeds != identity.foundation) {
       identity.foundation = *seeds;
       Gate synced;
@@ -78,7 +78,7 @@
       co_await synced.wait(clock_);
       group_->setFoundation(identity.foundation);
     }
-    co_await sleep(clock_, settings_.timings.beat);
+    co_await sleep(clock_, settings_.timings.heartbeat);
   }
 }
 
--- a/src/engine/core.hpp
+++ b/src/engine/core.hpp
@@ -2,7 +2,7 @@
 
 #include <memory>
 
-#include "base/partner_link.hpp"
+#include "base/peer_link.hpp"
 #include "base/task_scope.hpp"
 #include "engine/replication_engine.hpp"
 #include "group/sequenced_group.hpp"
@@ -19,7 +19,7 @@
 
 class Core {
  public:
-  Core(Clock& clock, PartnerLink& link, StableStore& store, Application& application, Journal& journal, CoreSettings settings,
+  Core(Clock& clock, PeerLink& link, StableStore& store, Application& application, Journal& journal, CoreSettings settings,
        std::uint64_t incarnation);
 
   std::optional<std::string> start();
@@ -34,7 +34,7 @@
   void onJoinAsk(const Address& from, const std::string& bytes);
 
   Clock& clock_;
-  PartnerLink& link_;
+  PeerLink& link_;
   StableStore& store_;
   Application& application_;
   Journal& journal_;
--- a/src/group/group_messages.hpp
+++ b/src/group/group_messages.hpp
@@ -8,7 +8,7 @@
 
 namespace tamarindshift {
 
-struct GroupBeat {
+struct GroupHeartbeat {
   Member from;
   bool joined = false;
   ViewId view;
--- a/src/group/group_timings.hpp
+++ b/src/group/group_timings.hpp
@@ -5,7 +5,7 @@
 namespace tamarindshift {
 
 struct GroupTimings {
-  Duration beat = 100ms;
+  Duration heartbeat = 100ms;
   Duration suspicion = 500ms;
   Duration settle = 200ms;
   Duration flush = 400ms;
--- a/src/group/sequenced_group.cpp
+++ b/src/group/sequenced_group.cpp
@@ -4,11 +4,11 @@
 
 namespace tamarindshift {
 
-SequencedGroup::SequencedGroup(Clock& clock, PartnerLink& link, Journal& journal, Member own, std::set<Address> seeds,
+SequencedGroup::SequencedGroup(Clock& clock, PeerLink& link, Journal& journal, Member own, std::set<Address> seeds,
                                GroupTimings timings)
     : clock_(clock), link_(link), journal_(journal), own_(std::move(own)), seeds_(std::move(seeds)), timings_(timings), known_(seeds_) {
   known_.erase(own_.server.address);
-  route(Matter::groupBeat, &SequencedGroup::onBeat);
+  route(Matter::groupHeartbeat, &SequencedGroup::onHeartbeat);
   route(Matter::groupSubmit, &SequencedGroup::onSubmit);
   route(Matter::groupOrdered, &SequencedGroup::onOrdered);
   route(Matter::groupAcked, &SequencedGroup::onAcked);
@@ -17,7 +17,7 @@
   route(Matter::groupFlushed, &SequencedGroup::onFlushed);
   route(Matter::groupInstall, &SequencedGroup::onInstall);
   scope_.spawn(work());
-  scope_.spawn(beat());
+  scope_.spawn(heartbeat());
 }
 
 template <class Body>
@@ -28,29 +28,29 @@
       journal_.count("group.unreadable");
       return;
     }
-    backlog_.put([this, handler, received = std::move(*body)] { (this->*handler)(received); });
+    queue_.put([this, handler, received = std::move(*body)] { (this->*handler)(received); });
   });
 }
 
 template <class Body>
-void SequencedGroup::pass(const Address& partner, Matter matter, const Body& body) {
-  link_.pass(partner, Envelope{matter, packed(body)});
+void SequencedGroup::pass(const Address& peer, Matter matter, const Body& body) {
+  link_.pass(peer, Envelope{matter, packed(body)});
 }
 
 Task<void> SequencedGroup::work() {
   for (;;) {
-    auto command = co_await backlog_.take(clock_);
+    auto command = co_await queue_.take(clock_);
     command();
   }
 }
 
-Task<void> SequencedGroup::beat() {
+Task<void> SequencedGroup::heartbeat() {
   for (;;) {
-    backlog_.put([this] {
-      sendBeats();
+    queue_.put([this] {
+      sendHeartbeats();
       considerForming();
     });
-    co_await sleep(clock_, timings_.beat);
+    co_await sleep(clock_, timings_.heartbeat);
   }
 }
 
@@ -70,99 +70,99 @@
       servers.insert(own_.server);
       continue;
     }
-    auto found = partners_.find(seed);
-    if (found == partners_.end() || clock_.now() - found->second.heardAt > timings_.suspicion) return std::nullopt;
-    if (found->second.beat.joined) return std::nullopt;
-    servers.insert(found->second.beat.from.server);
+    auto found = peers_.find(seed);
+    if (found == peers_.end() || clock_.now() - found->second.heardAt > timings_.suspicion) return std::nullopt;
+    if (found->second.heartbeat.joined) return std::nullopt;
+    servers.insert(found->second.heartbeat.from.server);
   }
   return servers;
 }
 
 std::optional<std::set<ServerId>> SequencedGroup::agreedFoundation() const {
-  for (const auto& [address, partner] : partners_)
-    if (partner.beat.joined && partner.beat.foundation.contains(own_.server)) return partner.beat.foundation;
+  for (const auto& [address, peer] : peers_)
+    if (peer.heartbeat.joined && peer.heartbeat.foundation.contains(own_.server)) return peer.heartbeat.foundation;
   if (foundation_.empty()) return std::nullopt;
   for (const auto& server : foundation_) {
     if (server == own_.server) continue;
-    auto found = partners_.find(server.address);
-    if (found == partners_.end() || found->second.beat.from.server != server) return std::nullopt;
-    if (found->second.beat.foundation != foundation_) return std::nullopt;
+    auto found = peers_.find(server.address);
+    if (found == peers_.end() || found->second.heartbeat.from.server != server) return std::nullopt;
+    if (found->second.heartbeat.foundation != foundation_) return std::nullopt;
   }
   return foundation_;
 }
 
-std::vector<Address> SequencedGroup::joinedPartners() const {
+std::vector<Address> SequencedGroup::joinedPeers() const {
   std::vector<Address> joined;
-  for (const auto& [address, partner] : partners_)
-    if (partner.beat.joined && clock_.now() - partner.heardAt <= timings_.suspicion) joined.push_back(address);
+  for (const auto& [address, peer] : peers_)
+    if (peer.heartbeat.joined && clock_.now() - peer.heardAt <= timings_.suspicion) joined.push_back(address);
   return joined;
 }
 
-void SequencedGroup::sendBeats() {
-  GroupBeat beat;
-  beat.from = own_;
-  beat.joined = listener_ != nullptr;
-  beat.view = view_;
-  beat.flushing = flushing_;
-  beat.highestCounter = highestCounter_;
-  beat.received = received_;
-  beat.stable = stable_;
-  beat.safe = safe_;
-  beat.sentAt = clock_.now().time_since_epoch();
-  beat.known = known_;
-  beat.foundation = foundation_;
-  for (const auto& [address, partner] : partners_)
-    if (clock_.now() - partner.heardAt <= timings_.suspicion) beat.heard[partner.beat.from] = partner.beat.sentAt;
-  for (const auto& address : known_) pass(address, Matter::groupBeat, beat);
+void SequencedGroup::sendHeartbeats() {
+  GroupHeartbeat heartbeat;
+  heartbeat.from = own_;
+  heartbeat.joined = listener_ != nullptr;
+  heartbeat.view = view_;
+  heartbeat.flushing = flushing_;
+  heartbeat.highestCounter = highestCounter_;
+  heartbeat.received = received_;
+  heartbeat.stable = stable_;
+  heartbeat.safe = safe_;
+  heartbeat.sentAt = clock_.now().time_since_epoch();
+  heartbeat.known = known_;
+  heartbeat.foundation = foundation_;
+  for (const auto& [address, peer] : peers_)
+    if (clock_.now() - peer.heardAt <= timings_.suspicion) heartbeat.heard[peer.heartbeat.from] = peer.heartbeat.sentAt;
+  for (const auto& address : known_) pass(address, Matter::groupHeartbeat, heartbeat);
   for (auto& unordered : unordered_)
-    if (!flushing_ && clock_.now() - unordered.sentAt > 2 * timings_.beat) submit(unordered);
+    if (!flushing_ && clock_.now() - unordered.sentAt > 2 * timings_.heartbeat) submit(unordered);
 }
 
-void SequencedGroup::onBeat(const GroupBeat& beat) {
-  if (beat.from.server.address == own_.server.address) return;
-  if (listener_ && listener_->hasLeft(beat.from.server)) {
-    pass(beat.from.server.address, Matter::leftNotice, beat.from.server);
+void SequencedGroup::onHeartbeat(const GroupHeartbeat& heartbeat) {
+  if (heartbeat.from.server.address == own_.server.address) return;
+  if (listener_ && listener_->hasLeft(heartbeat.from.server)) {
+    pass(heartbeat.from.server.address, Matter::leftNotice, heartbeat.from.server);
     return;
   }
-  auto& partner = partners_[beat.from.server.address];
-  if (partner.beat.from != beat.from)
-    partner = Partner{};
-  else if (beat.sentAt < partner.beat.sentAt)
+  auto& peer = peers_[heartbeat.from.server.address];
+  if (peer.heartbeat.from != heartbeat.from)
+    peer = Peer{};
+  else if (heartbeat.sentAt < peer.heartbeat.sentAt)
     return;
-  std::uint64_t receivedBefore = partner.beat.view == beat.view ? partner.beat.received : 0;
-  partner.beat = beat;
-  partner.heardAt = clock_.now();
-  known_.insert(beat.from.server.address);
-  for (const auto& address : beat.known)
+  std::uint64_t receivedBefore = peer.heartbeat.view == heartbeat.view ? peer.heartbeat.received : 0;
+  peer.heartbeat = heartbeat;
+  peer.heardAt = clock_.now();
+  known_.insert(heartbeat.from.server.address);
+  for (const auto& address : heartbeat.known)
     if (address != own_.server.address) known_.insert(address);
-  highestCounter_ = std::max(highestCounter_, beat.highestCounter);
+  highestCounter_ = std::max(highestCounter_, heartbeat.highestCounter);
 
-  bool sameView = !flushing_ && !beat.flushing && beat.view == view_;
+  bool sameView = !flushing_ && !heartbeat.flushing && heartbeat.view == view_;
   if (!sameView) {
-    partner.provedAt.reset();
-    partner.proofWaiting.reset();
+    peer.provedAt.reset();
+    peer.proofWaiting.reset();
     return;
   }
-  auto heard = beat.heard.find(own_);
-  if (heard != beat.heard.end() && !partner.proofWaiting) {
-    partner.proofWaiting = Instant{heard->second};
-    partner.proofNeeds = beat.safe;
+  auto heard = heartbeat.heard.find(own_);
+  if (heard != heartbeat.heard.end() && !peer.proofWaiting) {
+    peer.proofWaiting = Instant{heard->second};
+    peer.proofNeeds = heartbeat.safe;
   }
   if (isSequencer()) {
-    recordAck(beat.from, beat.stable);
-    if (beat.received == receivedBefore)
-      for (auto next = ordered_.upper_bound(beat.received); next != ordered_.end(); ++next)
-        pass(beat.from.server.address, Matter::groupOrdered, next->second);
-  } else if (beat.from == *members_.begin()) {
-    advanceSafe(beat.safe);
+    recordAck(heartbeat.from, heartbeat.stable);
+    if (heartbeat.received == receivedBefore)
+      for (auto next = ordered_.upper_bound(heartbeat.received); next != ordered_.end(); ++next)
+        pass(heartbeat.from.server.address, Matter::groupOrdered, next->second);
+  } else if (heartbeat.from == *members_.begin()) {
+    advanceSafe(heartbeat.safe);
   }
-  settleProof(partner);
+  settleProof(peer);
 }
 
-void SequencedGroup::settleProof(Partner& partner) {
-  if (!partner.proofWaiting || delivered_ < partner.proofNeeds) return;
-  partner.provedAt = std::max(partner.provedAt.value_or(Instant::min()), *partner.proofWaiting);
-  partner.proofWaiting.reset();
+void SequencedGroup::settleProof(Peer& peer) {
+  if (!peer.proofWaiting || delivered_ < peer.proofNeeds) return;
+  peer.provedAt = std::max(peer.provedAt.value_or(Instant::min()), *peer.proofWaiting);
+  peer.proofWaiting.reset();
 }
 
 std::optional<Instant> SequencedGroup::provedAt() const {
@@ -170,8 +170,8 @@
   Instant proved = clock_.now();
   for (const auto& member : members_) {
     if (member == own_) continue;
-    auto found = partners_.find(member.server.address);
-    if (found == partners_.end() || found->second.beat.from != member || !found->second.provedAt) return std::nullopt;
+    auto found = peers_.find(member.server.address);
+    if (found == peers_.end() || found->second.heartbeat.from != member || !found->second.provedAt) return std::nullopt;
     proved = std::min(proved, *found->second.provedAt);
   }
   return proved;
@@ -179,18 +179,18 @@
 
 std::set<ServerId> SequencedGroup::unjoined() const {
   std::set<ServerId> servers;
-  for (const auto& [address, partner] : partners_)
-    if (!partner.beat.joined && clock_.now() - partner.heardAt <= timings_.suspicion) servers.insert(partner.beat.from.server);
+  for (const auto& [address, peer] : peers_)
+    if (!peer.heartbeat.joined && clock_.now() - peer.heardAt <= timings_.suspicion) servers.insert(peer.heartbeat.from.server);
   return servers;
 }
 
 std::set<Member> SequencedGroup::reachable() const {
   std::set<Member> members{own_};
-  for (const auto& [address, partner] : partners_) {
-    if (!partner.beat.joined || clock_.now() - partner.heardAt > timings_.suspicion) continue;
-    if (!partner.beat.heard.contains(own_)) continue;
-    if (partner.refusedUntil && *partner.refusedUntil > clock_.now()) continue;
-    members.insert(partner.beat.from);
+  for (const auto& [address, peer] : peers_) {
+    if (!peer.heartbeat.joined || clock_.now() - peer.heardAt > timings_.suspicion) continue;
+    if (!peer.heartbeat.heard.contains(own_)) continue;
+    if (peer.refusedUntil && *peer.refusedUntil > clock_.now()) continue;
+    members.insert(peer.heartbeat.from);
   }
   return members;
 }
@@ -201,8 +201,8 @@
   if (flushing_ || reachable != members_ || listener_->wantsExchange()) return true;
   for (const auto& member : reachable) {
     if (member == own_) continue;
-    const auto& beat = partners_.at(member.server.address).beat;
-    if (beat.flushing || beat.view != view_) return true;
+    const auto& heartbeat = peers_.at(member.server.address).heartbeat;
+    if (heartbeat.flushing || heartbeat.view != view_) return true;
   }
   return false;
 }
@@ -225,8 +225,8 @@
   if (forming_ && now >= forming_->deadline) {
     for (const auto& member : forming_->members)
       if (!forming_->flushed.contains(member)) {
-        auto found = partners_.find(member.server.address);
-        if (found != partners_.end()) found->second.refusedUntil = now + 2 * timings_.suspicion;
+        auto found = peers_.find(member.server.address);
+        if (found != peers_.end()) found->second.refusedUntil = now + 2 * timings_.suspicion;
       }
     forming_.reset();
   }
@@ -313,9 +313,9 @@
   acked_.clear();
   unordered_.clear();
   received_ = stable_ = safe_ = delivered_ = lastSequence_ = lastNumber_ = 0;
-  for (auto& [address, partner] : partners_) {
-    partner.provedAt.reset();
-    partner.proofWaiting.reset();
+  for (auto& [address, peer] : peers_) {
+    peer.provedAt.reset();
+    peer.proofWaiting.reset();
   }
   journal_.count("group.views_installed");
   Configuration configuration{view_, {}};
@@ -333,7 +333,7 @@
 Task<void> SequencedGroup::proveSoon() {
   auto view = view_;
   for (int left = 2; left > 0 && view == view_ && !flushing_; --left) {
-    sendBeats();
+    sendHeartbeats();
     co_await sleep(clock_, 20ms);
   }
 }
@@ -348,7 +348,7 @@
   unordered.sentAt = clock_.now();
   GroupSubmit submit{view_, own_, unordered.number, unordered.payload, unordered.durable};
   if (isSequencer())
-    backlog_.put([this, submit] { order(submit); });
+    queue_.put([this, submit] { order(submit); });
   else
     pass(members_.begin()->server.address, Matter::groupSubmit, submit);
 }
@@ -417,7 +417,7 @@
   if (upto <= safe_) return;
   safe_ = upto;
   deliverUpTo(upto);
-  for (auto& [address, partner] : partners_) settleProof(partner);
+  for (auto& [address, peer] : peers_) settleProof(peer);
 }
 
 void SequencedGroup::deliverUpTo(std::uint64_t upto) {
--- a/src/group/sequenced_group.hpp
+++ b/src/group/sequenced_group.hpp
@@ -2,9 +2,9 @@
 
 #include <deque>
 
-#include "base/backlog.hpp"
+#include "base/queue.hpp"
 #include "base/journal.hpp"
-#include "base/partner_link.hpp"
+#include "base/peer_link.hpp"
 #include "base/task_scope.hpp"
 #include "group/group.hpp"
 #include "group/group_messages.hpp"
@@ -14,7 +14,7 @@
 
 class SequencedGroup : public Group {
  public:
-  SequencedGroup(Clock& clock, PartnerLink& link, Journal& journal, Member own, std::set<Address> seeds,
+  SequencedGroup(Clock& clock, PeerLink& link, Journal& journal, Member own, std::set<Address> seeds,
                  GroupTimings timings);
 
   void join(GroupListener& listener) override;
@@ -26,13 +26,13 @@
   void setFoundation(std::set<ServerId> foundation);
   std::optional<std::set<ServerId>> unjoinedSeeds() const;
   std::optional<std::set<ServerId>> agreedFoundation() const;
-  std::vector<Address> joinedPartners() const;
+  std::vector<Address> joinedPeers() const;
   const std::set<Address>& known() const { return known_; }
   const ViewId& view() const { return view_; }
 
  private:
-  struct Partner {
-    GroupBeat beat;
+  struct Peer {
+    GroupHeartbeat heartbeat;
     Instant heardAt{};
     std::optional<Instant> refusedUntil;
     std::optional<Instant> provedAt;
@@ -56,13 +56,13 @@
   template <class Body>
   void route(Matter matter, void (SequencedGroup::*handler)(const Body&));
   template <class Body>
-  void pass(const Address& partner, Matter matter, const Body& body);
+  void pass(const Address& peer, Matter matter, const Body& body);
 
   Task<void> work();
-  Task<void> beat();
+  Task<void> heartbeat();
   Task<void> proveSoon();
-  void sendBeats();
-  void onBeat(const GroupBeat& beat);
+  void sendHeartbeats();
+  void onHeartbeat(const GroupHeartbeat& heartbeat);
   void onSubmit(const GroupSubmit& submit);
   void onOrdered(const GroupOrdered& ordered);
   void onAcked(const GroupMark& mark);
@@ -85,10 +85,10 @@
   void recordAck(const Member& member, std::uint64_t upto);
   void advanceSafe(std::uint64_t upto);
   void deliverUpTo(std::uint64_t upto);
-  void settleProof(Partner& partner);
+  void settleProof(Peer& peer);
 
   Clock& clock_;
-  PartnerLink& link_;
+  PeerLink& link_;
   Journal& journal_;
   Member own_;
   std::set<Address> seeds_;
@@ -96,7 +96,7 @@
   GroupListener* listener_ = nullptr;
   std::set<Address> known_;
   std::set<ServerId> foundation_;
-  std::map<Address, Partner> partners_;
+  std::map<Address, Peer> peers_;
 
   ViewId view_;
   std::set<Member> members_;
@@ -121,7 +121,7 @@
   std::map<Member, std::uint64_t> acked_;
   std::map<std::uint64_t, GroupOrdered> ordered_;
 
-  Backlog<std::function<void()>> backlog_;
+  Queue<std::function<void()>> queue_;
   TaskScope scope_;
 };
 
--- a/src/news/agent_node.cpp
+++ b/src/news/agent_node.cpp
@@ -4,19 +4,19 @@
 
 #include <nlohmann/json.hpp>
 
-#include "control/beat_json.hpp"
+#include "control/heartbeat_json.hpp"
 #include "control/service_news.hpp"
 #include "edge/door_replies.hpp"
 
 namespace tamarindshift {
 
-AgentNode::AgentNode(Clock& clock, PartnerLink& link, Journal& journal, AgentSettings settings)
+AgentNode::AgentNode(Clock& clock, PeerLink& link, Journal& journal, AgentSettings settings)
     : clock_(clock), journal_(journal), settings_(std::move(settings)), replicas_(settings_.seeds), desk_(clock, link), news_(clock, desk_, journal, [this](const Topic& topic) { return sources(topic); }, FollowTimings{settings_.timings.newsPatience, 50ms, 5s, settings_.signs}), newsDesk_(clock, desk_, news_.board(), news_, settings_.timings.newsWait) {
   desk_.serve("report", [this](Address, std::string body) -> Task<std::optional<std::string>> {
     if (auto report = unpacked<NodeReport>(body)) this->report(std::move(*report));
     co_return std::nullopt;
   });
-  scope_.spawn(partners());
+  scope_.spawn(peers());
 }
 
 void AgentNode::change(AgentSettings settings) {
@@ -46,7 +46,7 @@
   static const std::string prefix = "node/";
   for (auto entry = fleet->table.lower_bound(prefix); entry != fleet->table.end() && entry->first.starts_with(prefix); ++entry) {
     auto news = unpacked<NodeNews>(entry->second);
-    if (news && news->district == settings_.district && !news->draining) zoneAgents_.push_back(Address{entry->first.substr(prefix.size())});
+    if (news && news->zone == settings_.zone && !news->draining) zoneAgents_.push_back(Address{entry->first.substr(prefix.size())});
   }
   return zoneAgents_;
 }
@@ -73,10 +73,10 @@
   return sources;
 }
 
-Task<void> AgentNode::partners() {
-  for (std::size_t shot = 0;; ++shot) {
+Task<void> AgentNode::peers() {
+  for (std::size_t attempt = 0;; ++attempt) {
     std::vector<Address> replicas(replicas_.begin(), replicas_.end());
-    auto bytes = co_await desk_.ask(replicas[shot % replicas.size()], "partners", {}, clock_.now() + settings_.timings.newsPatience);
+    auto bytes = co_await desk_.ask(replicas[attempt % replicas.size()], "peers", {}, clock_.now() + settings_.timings.newsPatience);
     if (auto known = bytes ? unpacked<std::set<Address>>(*bytes) : std::nullopt) {
       replicas_ = settings_.seeds;
       replicas_.insert(known->begin(), known->end());
@@ -88,24 +88,24 @@
 void AgentNode::report(NodeReport report) {
   reportedAt_ = clock_.now();
   report.node = settings_.address;
-  report.district = settings_.district;
+  report.zone = settings_.zone;
   auto bytes = packed(report);
   for (const auto& replica : replicas_) desk_.tell(replica, "report", bytes);
 }
 
 Task<DoorReply> AgentNode::serve(DoorRequest request) {
-  if (request.path == "/beat" || request.path == "/detach") {
+  if (request.path == "/heartbeat" || request.path == "/detach") {
     if (request.method != "POST") co_return refusal(405, "wrong method");
-    auto beat = beatFromJson(request.body);
-    if (!beat) {
-      journal_.count("beats.malformed");
-      co_return refusal(400, "not a beat");
+    auto heartbeat = heartbeatFromJson(request.body);
+    if (!heartbeat) {
+      journal_.count("heartbeats.malformed");
+      co_return refusal(400, "not a heartbeat");
     }
-    if (request.path == "/detach") co_return co_await askReplicas("detach", packed(*beat));
-    if (!beat->address.get().empty()) co_return co_await askReplicas("beat-ask", packed(*beat));
-    auto bytes = packed(*beat);
-    for (const auto& replica : replicas_) desk_.tell(replica, "beat", bytes);
-    journal_.count("beats.relayed");
+    if (request.path == "/detach") co_return co_await askReplicas("detach", packed(*heartbeat));
+    if (!heartbeat->address.get().empty()) co_return co_await askReplicas("heartbeat-ask", packed(*heartbeat));
+    auto bytes = packed(*heartbeat);
+    for (const auto& replica : replicas_) desk_.tell(replica, "heartbeat", bytes);
+    journal_.count("heartbeats.relayed");
     co_return DoorReply{200, "{}", std::nullopt};
   }
   if (request.method != "GET") co_return refusal(404, "no such path or method");
@@ -130,7 +130,7 @@
 DoorReply AgentNode::status() const {
   nlohmann::json json;
   json["address"] = settings_.address.get();
-  json["district"] = settings_.district.get();
+  json["zone"] = settings_.zone.get();
   for (const auto& [topic, followed] : news_.topics()) {
     auto& own = json["topics"][topic];
     own = {{"mark", board().mark(topic)}, {"source", followed.source.get()}};
--- a/src/news/agent_node.hpp
+++ b/src/news/agent_node.hpp
@@ -12,7 +12,7 @@
 
 class AgentNode : public NewsFeed, public DoorKeeper {
  public:
-  AgentNode(Clock& clock, PartnerLink& link, Journal& journal, AgentSettings settings);
+  AgentNode(Clock& clock, PeerLink& link, Journal& journal, AgentSettings settings);
 
   const NewsBoard& board() const override { return news_.board(); }
   Gate& changed() override { return news_.changed(); }
@@ -31,7 +31,7 @@
  private:
   static constexpr std::size_t homesInZone = 2;
   const std::vector<Address>& zoneAgents() const;
-  Task<void> partners();
+  Task<void> peers();
   Task<DoorReply> askReplicas(std::string subject, std::string body);
   DoorReply status() const;
 
--- a/src/news/agent_settings.hpp
+++ b/src/news/agent_settings.hpp
@@ -9,7 +9,7 @@
 
 struct AgentSettings {
   Address address;
-  District district;
+  Zone zone;
   std::set<Address> seeds;
   // whether news come with what heartbeats say of databases
   bool signs = true;
--- a/src/news/news_follower.cpp
+++ b/src/news/news_follower.cpp
@@ -49,11 +49,11 @@
 }
 
 std::optional<Address> NewsFollower::currentSource(const Topic& topic, Followed& followed) {
-  if (followed.shot > 0 && clock_.now() - followed.firstTriedAt > timings_.returnToFirst) followed.shot = 0;
-  if (followed.shot == 0) followed.firstTriedAt = clock_.now();
+  if (followed.attempt > 0 && clock_.now() - followed.firstTriedAt > timings_.returnToFirst) followed.attempt = 0;
+  if (followed.attempt == 0) followed.firstTriedAt = clock_.now();
   auto sources = sources_(topic);
   if (sources.empty()) return std::nullopt;
-  return sources[followed.shot % sources.size()];
+  return sources[followed.attempt % sources.size()];
 }
 
 bool NewsFollower::superseded(const Address& source, std::uint64_t turn) const {
@@ -100,7 +100,7 @@
       fail(topic, source);
       failed = true;
     }
-    if (failed) journal_.count("news.shots_failed");
+    if (failed) journal_.count("news.attempts_failed");
     failures_ = failed ? std::min(failures_ + 1, 3u) : 0;
     co_await sleep(clock_, failed ? timings_.pause * failures_ : Duration{5ms});
     startAsks();
@@ -123,7 +123,7 @@
 
 void NewsFollower::fail(const Topic& topic, const Address& source) {
   auto& followed = topics_[topic];
-  if (currentSource(topic, followed) == source) ++followed.shot;
+  if (currentSource(topic, followed) == source) ++followed.attempt;
 }
 
 }  // namespace tamarindshift
--- a/src/news/news_follower.hpp
+++ b/src/news/news_follower.hpp
@@ -11,7 +11,7 @@
  public:
   using Sources = std::function<std::vector<Address>(const Topic&)>;
   struct Followed {
-    std::size_t shot = 0;
+    std::size_t attempt = 0;
     Instant firstTriedAt{};
     Address asking;
     Address source;
--- a/src/pool/proxy_node.cpp
+++ b/src/pool/proxy_node.cpp
@@ -10,7 +10,7 @@
 
 }  // namespace
 
-ProxyNode::ProxyNode(Clock& clock, PartnerLink& link, WebLink& databases, Journal& journal, ProxySettings settings,
+ProxyNode::ProxyNode(Clock& clock, PeerLink& link, WebLink& databases, Journal& journal, ProxySettings settings,
                      std::uint64_t entropy)
     : clock_(clock), journal_(journal), settings_(std::move(settings)), boot_(entropy), desk_(clock, link), feed_(clock, desk_, journal, [this](const Topic&) { return std::vector{settings_.agent}; }, FollowTimings{settings_.timings.newsPatience, 50ms}), guide_(clock, feed_, settings_.node, boot_), pool_(clock, databases, journal) {
   scope_.spawn(work());
@@ -20,7 +20,7 @@
 
 Task<void> ProxyNode::work() {
   for (;;) {
-    auto command = co_await backlog_.take(clock_);
+    auto command = co_await queue_.take(clock_);
     command();
     passes();
   }
@@ -29,7 +29,7 @@
 Task<void> ProxyNode::tick() {
   for (;;) {
     co_await sleep(clock_, 20ms);
-    backlog_.put([this] {
+    queue_.put([this] {
       guide_.refresh();
       careServices();
       careBusy();
@@ -66,7 +66,7 @@
     own.acknowledged = acknowledged_[name];
     own.working = now - workedAt_[name] < settings_.timings.suspicionKept;
     for (const auto& [database, unreached] : unreached_[name])
-      if (unreached.shots > 1 && now - unreached.at < settings_.timings.suspicionKept) own.suspects.insert(database);
+      if (unreached.attempts > 1 && now - unreached.at < settings_.timings.suspicionKept) own.suspects.insert(database);
     if (auto until = guide_.leaseUntil(name)) report.lease = std::max(report.lease, *until - now);
     for (const auto& [branch, planned] : view.plan->service.branches) {
       auto held = pool_.busiest(name, branch);
@@ -98,7 +98,7 @@
 
 void ProxyNode::noteUnreached(const ServiceName& service, const DatabaseName& database) {
   auto& unreached = unreached_[service][database];
-  ++unreached.shots;
+  ++unreached.attempts;
   unreached.at = clock_.now();
 }
 
@@ -155,10 +155,10 @@
   record->kind = std::move(kind);
   record->request = std::move(request);
   record->enrolledAt = clock_.now();
-  record->giveUpAt = clock_.now() + settings_.timings.backlogPatience;
+  record->giveUpAt = clock_.now() + settings_.timings.queuePatience;
   session->usedAt = clock_.now();
   session->busy = true;
-  backlog_.put([this, record] { enrolPass(record); });
+  queue_.put([this, record] { enrolPass(record); });
   while (record->stage != RequestStage::replied) co_await record->replied.wait(clock_);
   session->busy = false;
   session->usedAt = clock_.now();
@@ -188,11 +188,11 @@
   record->order = view.service->plan->service.branches.at(record->branch).order;
   if (session->pinned) return requests_.enrol(record);
   auto waiting = requests_.waitingOn(record->service, record->branch);
-  if (waiting >= settings_.backlog) return refuse(record, "backlog is full");
+  if (waiting >= settings_.queue) return refuse(record, "queue is full");
   auto granted = view.service->share.most.find(record->branch);
   auto slots = granted == view.service->share.most.end() ? 0 : granted->second;
   auto expected = meanTaken_[record->service] * static_cast<double>(waiting) / std::max(1u, slots);
-  if (expected > static_cast<double>(settings_.timings.backlogPatience.count())) return refuse(record, "backlog is past hope");
+  if (expected > static_cast<double>(settings_.timings.queuePatience.count())) return refuse(record, "queue is past hope");
   requests_.enrol(record);
 }
 
@@ -337,12 +337,12 @@
 
 Task<void> ProxyNode::passOn(Record record, std::shared_ptr<PooledConnection> connection, Choice choice) {
   if (!connection) {
-    auto deadline = std::min(record->giveUpAt, clock_.now() + settings_.timings.backlogPatience / 2);
+    auto deadline = std::min(record->giveUpAt, clock_.now() + settings_.timings.queuePatience / 2);
     connection = co_await pool_.open(record->service, choice.database, record->branch, choice.address, deadline);
     if (!connection) {
       noteUnreached(record->service, choice.database);
       record->avoid.insert(choice.database);
-      backlog_.put([this, record] { again(record); });
+      queue_.put([this, record] { again(record); });
       co_return;
     }
   }
@@ -356,10 +356,10 @@
       pool_.release(connection);
     else
       pool_.drop(connection);
-    backlog_.put([this, record] { again(record); });
+    queue_.put([this, record] { again(record); });
     co_return;
   }
-  ++record->shots;
+  ++record->attempts;
   workedAt_[record->service] = clock_.now();
   auto passedAt = clock_.now();
   connection->running = true;
@@ -367,7 +367,7 @@
   connection->running = false;
   noteDone(record->service, clock_.now() - passedAt);
   settle(record, connection, std::move(outcome));
-  backlog_.put([] {});
+  queue_.put([] {});
 }
 
 void ProxyNode::noteDone(const ServiceName& service, Duration taken) {
@@ -377,7 +377,7 @@
 
 void ProxyNode::again(const Record& record) {
   if (record->stage == RequestStage::replied) return;
-  if (record->shots >= settings_.mostShots) return refuse(record, "no database did it in three shots");
+  if (record->attempts >= settings_.mostAttempts) return refuse(record, "no database did it in three attempts");
   requests_.waits(record);
 }
 
--- a/src/pool/proxy_node.hpp
+++ b/src/pool/proxy_node.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/backlog.hpp"
+#include "base/queue.hpp"
 #include "control/access_messages.hpp"
 #include "news/news_follower.hpp"
 #include "pool/connection_pool.hpp"
@@ -11,7 +11,7 @@
 
 class ProxyNode {
  public:
-  ProxyNode(Clock& clock, PartnerLink& link, WebLink& databases, Journal& journal, ProxySettings settings, std::uint64_t entropy);
+  ProxyNode(Clock& clock, PeerLink& link, WebLink& databases, Journal& journal, ProxySettings settings, std::uint64_t entropy);
 
   std::shared_ptr<Session> openSession(const KindName& kind, std::map<ServiceName, Position> own, ConnectionId door);
   std::shared_ptr<Session> session(const SessionId& id) const;
@@ -91,7 +91,7 @@
   std::map<std::pair<ServiceName, BranchName>, double> demand_;
   std::map<ServiceName, double> meanTaken_;
   struct Unreached {
-    unsigned shots = 0;
+    unsigned attempts = 0;
     Instant at{};
   };
   std::map<ServiceName, std::map<DatabaseName, Unreached>> unreached_;
@@ -100,7 +100,7 @@
   Instant reportedAt_{};
   std::optional<Instant> drainingSince_;
   std::uint64_t lastSession_ = 0;
-  Backlog<std::function<void()>> backlog_;
+  Queue<std::function<void()>> queue_;
   TaskScope scope_;
 };
 
--- a/src/pool/request_record.hpp
+++ b/src/pool/request_record.hpp
@@ -30,7 +30,7 @@
   RequestStage stage = RequestStage::enrolled;
   Instant enrolledAt{};
   Instant giveUpAt{};
-  std::uint32_t shots = 0;
+  std::uint32_t attempts = 0;
   std::set<DatabaseName> avoid;
   RequestReply reply;
   Gate replied;
--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -134,7 +134,7 @@
 
 Duration Pooler::statementBound(const KindName& kind) const {
   auto found = routeNamed(kind);
-  return found && found->kind->statement ? *found->kind->statement : settings_.timings.backlogPatience;
+  return found && found->kind->statement ? *found->kind->statement : settings_.timings.queuePatience;
 }
 
 StatementReply Pooler::refused(StatementFault fault, std::string reason, TransactionState state) {
@@ -307,7 +307,7 @@
 NodeReport Pooler::reportNow() {
   NodeReport report;
   report.node = settings_.node;
-  report.district = settings_.zone;
+  report.zone = settings_.zone;
   report.boot = boot_;
   report.draining = closing();
   report.mark = guide_.planMark();
--- a/src/pooler/pooler_settings.hpp
+++ b/src/pooler/pooler_settings.hpp
@@ -7,7 +7,7 @@
 
 struct PoolerSettings {
   Address node;
-  District zone;
+  Zone zone;
   Timings timings;
   std::size_t sessions = 20000;
   std::size_t waiting = 2000;
--- a/src/programs/agent.cpp
+++ b/src/programs/agent.cpp
@@ -11,8 +11,8 @@
   Detours detours;
   Program program("agent", "keeps the link of an access machine to the control plane of tamarindshift");
   program.add(addressSetting("address", "own address towards other processes; names the machine in plans", settings.address));
-  program.add(addressSetting("http", "address that databases send beats and Detach to", http));
-  program.add(districtSetting(settings.district));
+  program.add(addressSetting("http", "address that databases send heartbeats and Detach to", http));
+  program.add(zoneSetting(settings.zone));
   program.add(reread(seedsSetting(settings.seeds)));
   program.add(detoursSetting(detours));
   program.add(timingSettings(settings.timings));
--- a/src/programs/proxy.cpp
+++ b/src/programs/proxy.cpp
@@ -12,9 +12,9 @@
   Detours detours;
   Program program("proxy", "carries the sessions of an access machine to the databases");
   program.add(addressSetting("address", "own loopback address towards the agent", own));
-  program.add(addressSetting("http", "address that user agents are served on", http));
+  program.add(addressSetting("http", "address that clients are served on", http));
   program.add(addressSetting("agent", "address of the agent on this machine", settings.agent));
-  program.add(reread(numberSetting("backlog", "most requests that wait in one branch", settings.backlog, 1, 100000)));
+  program.add(reread(numberSetting("queue", "most requests that wait in one branch", settings.queue, 1, 100000)));
   program.add(reread(numberSetting("sessions", "most open sessions", settings.sessions, 1, 1000000)));
   program.add(reread(durationSetting("idle-in-transaction", "longest idle time of an open transaction", settings.idleInTransaction, 100ms, 600s)));
   program.add(reread(durationSetting("idle-session", "longest idle time of a session", settings.idleSession, 1s, 86400s)));
--- a/src/programs/replica.cpp
+++ b/src/programs/replica.cpp
@@ -16,7 +16,7 @@
   Program program("replica", "orders the control actions of tamarindshift on a core machine");
   program.add(addressSetting("address", "own address towards other processes", settings.address));
   program.add(addressSetting("http", "address of the operator API", http));
-  program.add(districtSetting(settings.district));
+  program.add(zoneSetting(settings.zone));
   program.add(seedsSetting(settings.seeds));
   program.add(textSetting("data", "data folder", folder, true));
   program.add(reread(addressSetting("platform", "address of the platform that carries out promotions", platform)));
--- a/src/programs/standin-callers.cpp
+++ b/src/programs/standin-callers.cpp
@@ -11,7 +11,7 @@
   std::string deployment = "small";
   std::size_t seconds = 10;
   std::size_t seed = 1;
-  Program program("standin-callers", "stands in for user agents that open sessions and send statements");
+  Program program("standin-callers", "stands in for clients that open sessions and send statements");
   program.add(addressesSetting("proxies", "addresses of proxies", proxies));
   program.add(textSetting("deployment", "whose mix of callers: small, fes or croatia", deployment, false));
   program.add(numberSetting("seconds", "how long they call", seconds, 1, 86400));
--- a/src/programs/standin-database.cpp
+++ b/src/programs/standin-database.cpp
@@ -8,7 +8,7 @@
   StandinDatabaseSettings settings;
   std::string service;
   std::string name;
-  std::set<Address> beatsTo;
+  std::set<Address> heartbeatsTo;
   std::size_t cap = settings.cap;
   Detours detours;
   Program program("standin-database", "stands in for a database in tests and trials");
@@ -16,7 +16,7 @@
   program.add(textSetting("service", "service it belongs to", service, true));
   program.add(textSetting("name", "own name", name, true));
   program.add(addressSetting("platform", "address of the platform", settings.platform));
-  program.add(addressesSetting("beats-to", "addresses of nodes that take beats", beatsTo));
+  program.add(addressesSetting("heartbeats-to", "addresses of nodes that take heartbeats", heartbeatsTo));
   program.add(numberSetting("cap", "most connections", cap, 1, 100000));
   program.add(flagSetting("primary", "starts as primary", settings.primary));
   program.add(durationSetting("work", "time a request takes", settings.work, 0ms, 60s));
@@ -24,7 +24,7 @@
   if (auto code = program.read(argumentCount, arguments)) return *code;
   settings.service = ServiceName{service};
   settings.name = DatabaseName{name};
-  settings.beatsTo.assign(beatsTo.begin(), beatsTo.end());
+  settings.heartbeatsTo.assign(heartbeatsTo.begin(), heartbeatsTo.end());
   settings.cap = static_cast<std::uint32_t>(cap);
 
   Daemon daemon("standin-database");
--- a/src/real/real_clock.cpp
+++ b/src/real/real_clock.cpp
@@ -2,8 +2,8 @@
 
 namespace tamarindshift {
 
-BeatId RealClock::after(Duration duration, std::function<void()> beat) {
-  auto id = beats_.add(now() + duration, std::move(beat));
+TimerId RealClock::after(Duration duration, std::function<void()> timer) {
+  auto id = timers_.add(now() + duration, std::move(timer));
   if (firing_) return id;
   if (duration > Duration::zero()) {
     arm();
@@ -17,7 +17,7 @@
 }
 
 void RealClock::arm() {
-  auto earliest = beats_.earliest();
+  auto earliest = timers_.earliest();
   if (!earliest || (armedFor_ && *armedFor_ <= *earliest)) return;
   armedFor_ = earliest;
   timer_.expires_at(*earliest);
@@ -32,9 +32,9 @@
   firing_ = true;
   auto due = now();
   for (int left = 1000; left > 0; --left) {
-    auto beat = beats_.takeDue(due);
-    if (!beat) break;
-    (*beat)();
+    auto timer = timers_.takeDue(due);
+    if (!timer) break;
+    (*timer)();
   }
   firing_ = false;
   arm();
--- a/src/real/tcp_line_connection.cpp
+++ b/src/real/tcp_line_connection.cpp
@@ -115,7 +115,7 @@
     }
     wire->tooLong = wire->tooLong || line || wire->arrived.size() > mostLineBytes;
     if (wire->tooLong || wire->ended || !wire->open || (deadline && clock_.now() >= *deadline)) co_return std::nullopt;
-    std::optional<BeatId> timer;
+    std::optional<TimerId> timer;
     if (deadline) timer = clock_.after(*deadline - clock_.now(), [weak = std::weak_ptr<Wire>(wire)] {
       if (auto held = weak.lock()) held->wake();
     });
--- a/src/real/tcp_link.cpp
+++ b/src/real/tcp_link.cpp
@@ -119,27 +119,27 @@
   if (auto socket = found->second->socket.lock()) socket->close(ignored);
 }
 
-void TcpLink::pass(const Address& partner, Envelope envelope) {
-  auto& outgoing = outgoing_[partner];
+void TcpLink::pass(const Address& peer, Envelope envelope) {
+  auto& outgoing = outgoing_[peer];
   if (!outgoing) {
     outgoing = std::make_unique<Outgoing>();
-    scope_.spawn(send(partner));
+    scope_.spawn(send(peer));
   }
   auto frame = framed(envelope);
-  if (outgoing->bytes + frame.size() > mostBacklogBytes) {
+  if (outgoing->bytes + frame.size() > mostQueueBytes) {
     journal_.count("link.dropped");
     return;
   }
   outgoing->bytes += frame.size();
-  outgoing->backlog.push_back(std::move(frame));
+  outgoing->queue.push_back(std::move(frame));
   outgoing->filled.open();
 }
 
-Task<void> TcpLink::send(Address partner) {
-  auto& outgoing = *outgoing_.at(partner);
-  auto endpoint = endpointOf(detoured(detours_, partner));
+Task<void> TcpLink::send(Address peer) {
+  auto& outgoing = *outgoing_.at(peer);
+  auto endpoint = endpointOf(detoured(detours_, peer));
   while (endpoint) {
-    while (outgoing.backlog.empty()) co_await outgoing.filled.wait(clock_);
+    while (outgoing.queue.empty()) co_await outgoing.filled.wait(clock_);
     auto socket = std::make_shared<tcp::socket>(context_);
     auto limit = clock_.after(250ms, [weak = std::weak_ptr<tcp::socket>(socket)] {
       Error ignored;
@@ -153,7 +153,7 @@
     outgoing.connecting = false;
     clock_.cancel(limit);
     if (connectError) {
-      outgoing.backlog.clear();
+      outgoing.queue.clear();
       outgoing.bytes = 0;
       co_await sleep(clock_, 20ms);
       continue;
@@ -162,15 +162,15 @@
     socket->set_option(tcp::no_delay(true), ignored);
     breakWhenUnanswered(*socket);
     watchEnd(socket);
-    outgoing.backlog.push_front(framed(Envelope{Matter{}, hello()}));
-    outgoing.bytes += outgoing.backlog.front().size();
+    outgoing.queue.push_front(framed(Envelope{Matter{}, hello()}));
+    outgoing.bytes += outgoing.queue.front().size();
     for (;;) {
-      while (outgoing.backlog.empty()) co_await outgoing.filled.wait(clock_);
+      while (outgoing.queue.empty()) co_await outgoing.filled.wait(clock_);
       if (!socket->is_open()) break;
       auto batch = std::make_shared<std::string>();
-      while (!outgoing.backlog.empty() && batch->size() < 65536) {
-        *batch += outgoing.backlog.front();
-        outgoing.backlog.pop_front();
+      while (!outgoing.queue.empty() && batch->size() < 65536) {
+        *batch += outgoing.queue.front();
+        outgoing.queue.pop_front();
       }
       outgoing.bytes -= batch->size();
       auto [error, size] = co_await Completion<Error, std::size_t>([&](auto done) {
--- a/src/real/tcp_link.hpp
+++ b/src/real/tcp_link.hpp
@@ -5,35 +5,35 @@
 #include "base/clock.hpp"
 #include "base/gate.hpp"
 #include "base/journal.hpp"
-#include "base/partner_link.hpp"
+#include "base/peer_link.hpp"
 #include "base/task_scope.hpp"
 #include "real/asio.hpp"
 
 namespace tamarindshift {
 
-class TcpLink : public PartnerLink {
+class TcpLink : public PeerLink {
  public:
   TcpLink(boost::asio::io_context& context, Clock& clock, Journal& journal, Address own, Detours detours);
   std::optional<std::string> listen();
   const Address& own() const override { return own_; }
-  void pass(const Address& partner, Envelope envelope) override;
+  void pass(const Address& peer, Envelope envelope) override;
 
  private:
   struct Outgoing {
-    std::deque<std::string> backlog;
+    std::deque<std::string> queue;
     std::size_t bytes = 0;
     Gate filled;
     std::weak_ptr<boost::asio::ip::tcp::socket> socket;
     bool connecting = false;
   };
-  static constexpr std::size_t mostBacklogBytes = 8u << 20;
+  static constexpr std::size_t mostQueueBytes = 8u << 20;
   static constexpr std::size_t mostFrameBytes = 32u << 20;
 
   void heardFrom(const Address& peer, bool restarted);
   std::string hello() const { return own_.get() + " " + std::to_string(boot_); }
   Task<void> accept();
   Task<void> receive(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
-  Task<void> send(Address partner);
+  Task<void> send(Address peer);
 
   boost::asio::io_context& context_;
   Clock& clock_;
--- a/src/runner/fleet_runner.cpp
+++ b/src/runner/fleet_runner.cpp
@@ -52,7 +52,7 @@
     auto number = std::to_string(index + 1);
     auto data = folder_ + "/replica-" + number;
     addProcess("replica-" + number, "replica", {replicaLinks[index], replicaDoors_[index]},
-               {"--address", replicaLinks[index].get(), "--http", replicaDoors_[index].get(), "--district", "z" + std::to_string(index % shape_.districts + 1),
+               {"--address", replicaLinks[index].get(), "--http", replicaDoors_[index].get(), "--zone", "z" + std::to_string(index % shape_.zones + 1),
                 "--seeds", seeds, "--platform", platform_.get(), "--data", data},
                data);
   }
@@ -63,7 +63,7 @@
     agentDoors.push_back(freePort());
     proxyDoors_.push_back(freePort());
     addProcess("machine-" + number + "/agent", "agent", {agentLink, agentDoors.back()},
-               {"--address", agentLink.get(), "--http", agentDoors.back().get(), "--district", "z" + std::to_string(index % shape_.districts + 1), "--seeds", seeds});
+               {"--address", agentLink.get(), "--http", agentDoors.back().get(), "--zone", "z" + std::to_string(index % shape_.zones + 1), "--seeds", seeds});
     addProcess("machine-" + number + "/proxy", "proxy", {proxyLink, proxyDoors_.back()},
                {"--address", proxyLink.get(), "--http", proxyDoors_.back().get(), "--agent", agentLink.get()});
   }
@@ -74,10 +74,10 @@
       settings.service = ServiceName{"s" + std::to_string(service)};
       settings.name = DatabaseName{"d" + std::to_string(number)};
       settings.address = freePort();
-      std::string beatsTo = replicaDoors_[(service + number) % replicaDoors_.size()].get();
-      for (std::size_t index = 0; index < 2; ++index) beatsTo += "," + agentDoors[(service + number + index) % agentDoors.size()].get();
+      std::string heartbeatsTo = replicaDoors_[(service + number) % replicaDoors_.size()].get();
+      for (std::size_t index = 0; index < 2; ++index) heartbeatsTo += "," + agentDoors[(service + number + index) % agentDoors.size()].get();
       std::vector<std::string> arguments{"--address", settings.address.get(), "--service", settings.service.get(), "--name", settings.name.get(),
-                                         "--platform", platform_.get(), "--beats-to", beatsTo, "--cap", std::to_string(shape_.cap)};
+                                         "--platform", platform_.get(), "--heartbeats-to", heartbeatsTo, "--cap", std::to_string(shape_.cap)};
       if (number == 1) {
         arguments.insert(arguments.end(), {"--primary", "true"});
         primaries += (primaries.empty() ? "" : ",") + settings.service.get() + "=" + settings.address.get();
@@ -188,7 +188,7 @@
     co_return;
   }
   say("all ready after " + std::to_string(milliseconds(daemon_.clock.now() - began).count()) + "ms");
-  StandinCallersSettings settings{proxyDoors_, shape_.districts, shape_.callers, seed_, 15s};
+  StandinCallersSettings settings{proxyDoors_, shape_.zones, shape_.callers, seed_, 15s};
   callers_ = std::make_unique<StandinCallers>(daemon_.clock, daemon_.web, daemon_.journal, settings);
   startedAt_ = daemon_.clock.now();
   for (const auto& event : script_.events()) {
--- a/src/runner/scale_runner.cpp
+++ b/src/runner/scale_runner.cpp
@@ -55,12 +55,12 @@
   add(Role::platform, "platform", "standin-platform", {"--address", addresses.platform().get(), "--primaries", primaries});
   for (std::size_t index = 0; index < shape.replicas; ++index)
     add(Role::replica, "replica-" + std::to_string(index + 1), "replica",
-        {"--address", addresses.replica(index).get(), "--http", addresses.replicaDoor(index).get(), "--district", shape.district(index).get(),
+        {"--address", addresses.replica(index).get(), "--http", addresses.replicaDoor(index).get(), "--zone", shape.zone(index).get(),
          "--seeds", seeds, "--platform", addresses.platform().get(), "--data", replicaFolder(index)});
   for (std::size_t index = 0; index < settings_.real; ++index) {
     auto number = std::to_string(index + 1);
     add(Role::agent, "agent-" + number, "agent",
-        {"--address", addresses.agent(index).get(), "--http", addresses.agentDoor(index).get(), "--district", shape.district(index).get(), "--seeds", seeds});
+        {"--address", addresses.agent(index).get(), "--http", addresses.agentDoor(index).get(), "--zone", shape.zone(index).get(), "--seeds", seeds});
     add(Role::proxy, "proxy-" + number, "proxy",
         {"--address", addresses.proxy(index).get(), "--http", addresses.proxyDoor(index).get(), "--agent", addresses.agent(index).get()});
   }
@@ -74,11 +74,11 @@
   for (auto first = settings_.real; !settings_.light && first < shape.nodes; first += settings_.each) host("nodes", first, std::min(settings_.each, shape.nodes - first));
   for (const auto& database : addresses.databases()) {
     if (database.service != ServiceName{"s1"}) continue;
-    std::string beatsTo;
-    for (const auto& to : database.beatsTo) beatsTo += (beatsTo.empty() ? "" : ",") + to.get();
+    std::string heartbeatsTo;
+    for (const auto& to : database.heartbeatsTo) heartbeatsTo += (heartbeatsTo.empty() ? "" : ",") + to.get();
     add(Role::database, "database-" + database.name.get(), "standin-database",
         {"--address", database.address.get(), "--service", "s1", "--name", database.name.get(), "--platform", addresses.platform().get(),
-         "--beats-to", beatsTo, "--cap", std::to_string(database.cap), "--primary", database.primary ? "true" : "false"});
+         "--heartbeats-to", heartbeatsTo, "--cap", std::to_string(database.cap), "--primary", database.primary ? "true" : "false"});
   }
   for (std::size_t first = 1; first < shape.services(); first += 80) {
     auto arguments = shapeArguments();
@@ -103,8 +103,8 @@
 Task<bool> ScaleRunner::sendPlan(std::uint64_t mark) {
   auto text = scalePlan(settings_.addresses, mark);
   auto deadline = daemon_.clock.now() + settings_.patience;
-  for (std::size_t shot = 0; daemon_.clock.now() < deadline; ++shot) {
-    auto door = settings_.addresses.replicaDoor(shot % settings_.addresses.shape.replicas);
+  for (std::size_t attempt = 0; daemon_.clock.now() < deadline; ++attempt) {
+    auto door = settings_.addresses.replicaDoor(attempt % settings_.addresses.shape.replicas);
     auto held = co_await ask(door, "PUT", "/plan", text, 5s);
     if (held) co_return true;
     co_await sleep(daemon_.clock, 200ms);
@@ -216,7 +216,7 @@
   note("inside_asks_s", static_cast<double>(traffic.in["inside/follow"].messages) / took / hollow);
   note("replica_asks_per_zone_s", static_cast<double>(traffic.out["replica/follow"].messages) / took / hollow * static_cast<double>(shape.nodes) / static_cast<double>(std::min(shape.zones, shape.nodes)));
   perNode("node_report_out", traffic.out["replica/report"]);
-  perNode("node_beat_out", traffic.out["replica/beat"]);
+  perNode("node_heartbeat_out", traffic.out["replica/heartbeat"]);
   perNode("node_replica_ask_out", traffic.out["replica/follow"]);
   auto perReplica = [&](const std::string& name, const Flow& flow) {
     auto share = static_cast<double>(shape.nodes) / hollow / static_cast<double>(shape.replicas) / took;
--- a/src/scale/hollow_host.cpp
+++ b/src/scale/hollow_host.cpp
@@ -15,7 +15,7 @@
 std::optional<std::string> HollowHost::start() {
   const auto& addresses = settings_.addresses;
   for (auto index = settings_.first; index < settings_.first + settings_.count; ++index) {
-    HollowNodeSettings own{addresses.agent(index), addresses.proxy(index), addresses.shape.district(index), addresses.seeds(), Timings{},
+    HollowNodeSettings own{addresses.agent(index), addresses.proxy(index), addresses.shape.zone(index), addresses.seeds(), Timings{},
                            [this](const Address& address) { return settings_.addresses.isReplica(address); }};
     auto agentLink = std::make_unique<TcpLink>(daemon_.context, daemon_.clock, journal_, own.agent, Detours{});
     auto proxyLink = std::make_unique<TcpLink>(daemon_.context, daemon_.clock, journal_, own.proxy, Detours{});
--- a/src/scale/hollow_node.cpp
+++ b/src/scale/hollow_node.cpp
@@ -4,19 +4,19 @@
 
 namespace tamarindshift {
 
-HollowNode::HollowNode(Clock& clock, Journal& journal, PartnerLink& agentLink, PartnerLink& proxyLink, WebLink& databases,
+HollowNode::HollowNode(Clock& clock, Journal& journal, PeerLink& agentLink, PeerLink& proxyLink, WebLink& databases,
                        const HollowNodeSettings& settings, std::uint64_t boot)
-    : settings_(settings), agentLink_(agentLink, traffic_, [this](const Address& partner) { return partnerClass(partner); }), proxyLink_(proxyLink, proxyTraffic_, [](const Address&) { return "inside"; }) {
-  agent_ = std::make_unique<AgentNode>(clock, agentLink_, journal, AgentSettings{settings_.agent, settings_.district, settings_.seeds, true, settings_.timings});
+    : settings_(settings), agentLink_(agentLink, traffic_, [this](const Address& peer) { return peerClass(peer); }), proxyLink_(proxyLink, proxyTraffic_, [](const Address&) { return "inside"; }) {
+  agent_ = std::make_unique<AgentNode>(clock, agentLink_, journal, AgentSettings{settings_.agent, settings_.zone, settings_.seeds, true, settings_.timings});
   ProxySettings proxy;
   proxy.agent = proxy.node = settings_.agent;
   proxy.timings = settings_.timings;
   proxy_ = std::make_unique<ProxyNode>(clock, proxyLink_, databases, journal, proxy, boot);
 }
 
-std::string HollowNode::partnerClass(const Address& partner) const {
-  if (partner == settings_.proxy) return "inside";
-  return settings_.isReplica(partner) ? "replica" : "agent";
+std::string HollowNode::peerClass(const Address& peer) const {
+  if (peer == settings_.proxy) return "inside";
+  return settings_.isReplica(peer) ? "replica" : "agent";
 }
 
 bool HollowNode::leased() const {
--- a/src/scale/hollow_node.hpp
+++ b/src/scale/hollow_node.hpp
@@ -9,7 +9,7 @@
 struct HollowNodeSettings {
   Address agent;
   Address proxy;
-  District district;
+  Zone zone;
   std::set<Address> seeds;
   Timings timings;
   std::function<bool(const Address&)> isReplica;
@@ -18,7 +18,7 @@
 // the agent and the proxy of one machine, with all their state and without clients
 class HollowNode {
  public:
-  HollowNode(Clock& clock, Journal& journal, PartnerLink& agentLink, PartnerLink& proxyLink, WebLink& databases,
+  HollowNode(Clock& clock, Journal& journal, PeerLink& agentLink, PeerLink& proxyLink, WebLink& databases,
              const HollowNodeSettings& settings, std::uint64_t boot);
 
   bool leased() const;
@@ -30,7 +30,7 @@
   const ProxyNode& proxy() const { return *proxy_; }
 
  private:
-  std::string partnerClass(const Address& partner) const;
+  std::string peerClass(const Address& peer) const;
   HollowNodeSettings settings_;
   Traffic traffic_;
   Traffic proxyTraffic_;
--- a/src/scale/light_zone.cpp
+++ b/src/scale/light_zone.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "control/beat_json.hpp"
+#include "control/heartbeat_json.hpp"
 #include "control/service_news.hpp"
 #include "edge/door_replies.hpp"
 #include "real/program.hpp"
@@ -21,7 +21,7 @@
 
 LightZone::Node::Node(LightZone& zone, boost::asio::io_context& context, std::size_t index, bool follows)
     : zone(zone), index(index), address(zone.addresses_.agent(index)), link(context, zone.clock_, zone.journal_, address, {}),
-      metered(link, traffic, [&zone](const Address& partner) { return zone.addresses_.isReplica(partner) ? "replica" : "agent"; }),
+      metered(link, traffic, [&zone](const Address& peer) { return zone.addresses_.isReplica(peer) ? "replica" : "agent"; }),
       desk(zone.clock_, metered) {
   for (std::size_t replica = 0; replica < zone.addresses_.shape.replicas; ++replica) replicas.push_back(zone.addresses_.replica(replica));
   std::rotate(replicas.begin(), replicas.begin() + static_cast<std::ptrdiff_t>(spread(address.get()) % replicas.size()), replicas.end());
@@ -47,9 +47,9 @@
 }
 
 Task<DoorReply> LightZone::Node::serve(DoorRequest request) {
-  auto beat = beatFromJson(request.body);
-  if (!beat) co_return refusal(400, "not a beat");
-  tellAll("beat", packed(*beat));
+  auto heartbeat = heartbeatFromJson(request.body);
+  if (!heartbeat) co_return refusal(400, "not a heartbeat");
+  tellAll("heartbeat", packed(*heartbeat));
   co_return DoorReply{200, "{}", std::nullopt};
 }
 
@@ -62,7 +62,7 @@
     if (told != zone.changesOfServices_ || zone.clock_.now() - toldAt >= zone.timings_.report) {
       NodeReport report;
       report.node = address;
-      report.district = zone.addresses_.shape.district(index);
+      report.zone = zone.addresses_.shape.zone(index);
       report.boot = boot;
       report.mark = zone.news<FleetPlanNews>(fleetTopic, "plan").value_or(FleetPlanNews{}).mark;
       report.services = zone.services_;
--- a/src/scale/light_zone.hpp
+++ b/src/scale/light_zone.hpp
@@ -11,7 +11,7 @@
 namespace tamarindshift {
 
 // all nodes of one zone that are not real: homes follow like agents, other nodes follow only if a home is real and else
-// share the news of a home; all reply, report and relay beats like agents and hold no sessions, so that replicas and a
+// share the news of a home; all reply, report and relay heartbeats like agents and hold no sessions, so that replicas and a
 // real node see a zone of full size
 class LightZone {
  public:
--- a/src/scale/link_pieces.cpp
+++ b/src/scale/link_pieces.cpp
@@ -52,7 +52,7 @@
 
  private:
   Task<void> askOften(std::size_t often) {
-    for (std::size_t shot = 0; shot < often; ++shot) {
+    for (std::size_t attempt = 0; attempt < often; ++attempt) {
       auto bytes = co_await nearDesk_.ask(far_.own(), "follow", packed(ask_), clock_.now() + 5s);
       auto reply = bytes ? unpacked<FollowReply>(*bytes) : std::nullopt;
       answered_ += reply.has_value();
@@ -74,9 +74,9 @@
     std::string body(bytes, 'x');
     reports_ = 0;
     auto began = processorSeconds();
-    for (std::size_t shot = 0; shot < 1000; ++shot) {
+    for (std::size_t attempt = 0; attempt < 1000; ++attempt) {
       nearDesk_.tell(far_.own(), "report", body);
-      while (reports_ <= shot) context_.run_one();
+      while (reports_ <= attempt) context_.run_one();
     }
     return (processorSeconds() - began) / 1000 * 1e6;
   }
--- a/src/scale/metered_link.cpp
+++ b/src/scale/metered_link.cpp
@@ -4,8 +4,8 @@
 
 namespace tamarindshift {
 
-MeteredLink::MeteredLink(PartnerLink& inner, Traffic& traffic, PartnerClass partnerClass)
-    : inner_(inner), traffic_(traffic), partnerClass_(std::move(partnerClass)) {
+MeteredLink::MeteredLink(PeerLink& inner, Traffic& traffic, PeerClass peerClass)
+    : inner_(inner), traffic_(traffic), peerClass_(std::move(peerClass)) {
   for (int number = 1; number < 64; ++number) {
     auto matter = static_cast<Matter>(number);
     inner_.on(matter, [this, matter](const Address& from, const std::string& body) {
@@ -16,9 +16,9 @@
   }
 }
 
-void MeteredLink::pass(const Address& partner, Envelope envelope) {
-  traffic_.out[name(partner, envelope)] += Flow{1, envelope.body.size() + frameHead};
-  inner_.pass(partner, std::move(envelope));
+void MeteredLink::pass(const Address& peer, Envelope envelope) {
+  traffic_.out[name(peer, envelope)] += Flow{1, envelope.body.size() + frameHead};
+  inner_.pass(peer, std::move(envelope));
 }
 
 std::string MeteredLink::subject(const Envelope& envelope) {
@@ -27,8 +27,8 @@
       break;
     case Matter::reply:
       return "reply";
-    case Matter::groupBeat:
-      return "group-beat";
+    case Matter::groupHeartbeat:
+      return "group-heartbeat";
     case Matter::joinSnapshot:
       return "snapshot";
     default:
--- a/src/scale/metered_link.hpp
+++ b/src/scale/metered_link.hpp
@@ -1,26 +1,26 @@
 #pragma once
 
-#include "base/partner_link.hpp"
+#include "base/peer_link.hpp"
 #include "scale/traffic.hpp"
 
 namespace tamarindshift {
 
-// counts what passes through a link, by the class of the partner and by the subject
-class MeteredLink : public PartnerLink {
+// counts what passes through a link, by the class of the peer and by the subject
+class MeteredLink : public PeerLink {
  public:
-  using PartnerClass = std::function<std::string(const Address&)>;
+  using PeerClass = std::function<std::string(const Address&)>;
 
-  MeteredLink(PartnerLink& inner, Traffic& traffic, PartnerClass partnerClass);
+  MeteredLink(PeerLink& inner, Traffic& traffic, PeerClass peerClass);
   const Address& own() const override { return inner_.own(); }
-  void pass(const Address& partner, Envelope envelope) override;
+  void pass(const Address& peer, Envelope envelope) override;
 
  private:
   static constexpr std::size_t frameHead = 5;
   static std::string subject(const Envelope& envelope);
-  std::string name(const Address& partner, const Envelope& envelope) const { return partnerClass_(partner) + "/" + subject(envelope); }
-  PartnerLink& inner_;
+  std::string name(const Address& peer, const Envelope& envelope) const { return peerClass_(peer) + "/" + subject(envelope); }
+  PeerLink& inner_;
   Traffic& traffic_;
-  PartnerClass partnerClass_;
+  PeerClass peerClass_;
 };
 
 }  // namespace tamarindshift
--- a/src/scale/pieces.cpp
+++ b/src/scale/pieces.cpp
@@ -3,7 +3,7 @@
 #include <time.h>
 
 #include "control/access_tables.hpp"
-#include "control/beat_json.hpp"
+#include "control/heartbeat_json.hpp"
 #include "control/control_state.hpp"
 #include "control/plan_reader.hpp"
 #include "control/service_news.hpp"
@@ -78,7 +78,7 @@
 
   void enrolAll() {
     for (std::size_t index = 0; index < shape_.nodes; ++index) {
-      NodeUpdate update{addresses_.agent(index), shape_.district(index), index + 1};
+      NodeUpdate update{addresses_.agent(index), shape_.zone(index), index + 1};
       apply(ControlMatter::enrolNode, packed(update));
       weights_[update.node] = 1;
     }
@@ -104,7 +104,7 @@
   }
 
   void publishFigures() {
-    NodeUpdate update{addresses_.agent(0), shape_.district(0), 1};
+    NodeUpdate update{addresses_.agent(0), shape_.zone(0), 1};
     note("action_us", cost([&] { apply(ControlMatter::enrolNode, packed(update)); }));
   }
 
@@ -178,7 +178,7 @@
   void accessFigures() {
     NodeReport report;
     report.node = addresses_.agent(0);
-    report.district = shape_.district(0);
+    report.zone = shape_.zone(0);
     report.boot = 1ull << 60;
     report.lease = 1500ms;
     for (const auto& [name, planned] : plan_->services) {
@@ -197,27 +197,27 @@
     AccessTables access;
     auto now = Instant{} + 1h;
     note("report_taken_us", cost([&] { access.noteReport(*unpacked<NodeReport>(bytes), now); }));
-    DatabaseBeat beat{ServiceName{"s100"}, DatabaseName{"d1"}, 1ull << 40, 1000, "replica", Epoch{2}, Position{123456}, 100ms, false, {}, {}, 0};
-    note("beat_bytes", static_cast<double>(asked("beat", packed(beat)).size()));
-    note("beat_json_bytes", static_cast<double>(beatToJson(beat).size()));
+    DatabaseHeartbeat heartbeat{ServiceName{"s100"}, DatabaseName{"d1"}, 1ull << 40, 1000, "replica", Epoch{2}, Position{123456}, 100ms, false, {}, {}, 0};
+    note("heartbeat_bytes", static_cast<double>(asked("heartbeat", packed(heartbeat)).size()));
+    note("heartbeat_json_bytes", static_cast<double>(heartbeatToJson(heartbeat).size()));
     for (const auto& settings : addresses_.databases()) {
-      beat.service = settings.service;
-      beat.database = settings.name;
-      access.noteBeat(beat, now, 1s);
+      heartbeat.service = settings.service;
+      heartbeat.database = settings.name;
+      access.noteHeartbeat(heartbeat, now, 1s);
     }
     note("signs_us", cost([&] { access.signs(ServiceName{"s1"}, now); }));
   }
 
   void groupFigures() {
-    GroupBeat beat;
-    beat.from = Member{ServerId{addresses_.replica(0), Incarnation{1ull << 60}}, Boot{1ull << 60}};
-    beat.view.coordinator = beat.from;
-    beat.sentAt = 1h;
+    GroupHeartbeat heartbeat;
+    heartbeat.from = Member{ServerId{addresses_.replica(0), Incarnation{1ull << 60}}, Boot{1ull << 60}};
+    heartbeat.view.coordinator = heartbeat.from;
+    heartbeat.sentAt = 1h;
     for (std::size_t index = 1; index < shape_.replicas; ++index) {
-      beat.heard[Member{ServerId{addresses_.replica(index), Incarnation{1ull << 60}}, Boot{1ull << 60}}] = 1h;
-      beat.known.insert(addresses_.replica(index));
+      heartbeat.heard[Member{ServerId{addresses_.replica(index), Incarnation{1ull << 60}}, Boot{1ull << 60}}] = 1h;
+      heartbeat.known.insert(addresses_.replica(index));
     }
-    note("group_beat_bytes", static_cast<double>(packed(beat).size()));
+    note("group_heartbeat_bytes", static_cast<double>(packed(heartbeat).size()));
   }
 
   ScaleShape shape_;
--- a/src/scale/scale_addresses.hpp
+++ b/src/scale/scale_addresses.hpp
@@ -38,7 +38,7 @@
         own.platform = platform();
         own.cap = shape.connections + 20;
         own.primary = number == 1;
-        own.beatsTo = {replicaDoor((service + number) % shape.replicas), agentDoor((service * 7 + number) % shape.nodes),
+        own.heartbeatsTo = {replicaDoor((service + number) % shape.replicas), agentDoor((service * 7 + number) % shape.nodes),
                        agentDoor((service * 7 + number + 1) % shape.nodes)};
         all.push_back(std::move(own));
       }
--- a/src/scale/scale_shape.hpp
+++ b/src/scale/scale_shape.hpp
@@ -17,15 +17,15 @@
   std::uint32_t connections = 480;
   std::size_t services() const { return std::max<std::size_t>(1, (databases + databasesPerService - 1) / databasesPerService); }
   std::size_t regionOfZone(std::size_t zone) const { return zone * regions / zones; }
-  District district(std::size_t index) const {
+  Zone zone(std::size_t index) const {
     auto zone = index % zones;
-    return District{numbered(numbered("r", regionOfZone(zone) + 1).append("z"), zone + 1)};
+    return Zone{numbered(numbered("r", regionOfZone(zone) + 1).append("z"), zone + 1)};
   }
   FleetShape fleet() const {
     FleetShape shape;
     shape.replicas = replicas;
     shape.machines = nodes;
-    shape.districts = zones;
+    shape.zones = zones;
     shape.services = services();
     shape.databases = databasesPerService;
     shape.connections = connections;
--- a/src/scale/simulated_scale.cpp
+++ b/src/scale/simulated_scale.cpp
@@ -15,11 +15,11 @@
     replicas_.push_back(std::make_unique<Replica>());
     auto& own = *replicas_.back();
     own.link = link(addresses_.replica(index));
-    own.metered = std::make_unique<MeteredLink>(*own.link, own.traffic, [this](const Address& partner) { return addresses_.isReplica(partner) ? "replica" : "agent"; });
+    own.metered = std::make_unique<MeteredLink>(*own.link, own.traffic, [this](const Address& peer) { return addresses_.isReplica(peer) ? "replica" : "agent"; });
     own.store = std::make_unique<SimulatedStore>(clock_, own.disk, 3ms);
     ReplicaSettings settings;
     settings.address = addresses_.replica(index);
-    settings.district = shape.district(index);
+    settings.zone = shape.zone(index);
     settings.seeds = addresses_.seeds();
     own.node = std::make_unique<ReplicaNode>(clock_, *own.metered, *own.store, databaseControl_, journal_, settings, world_.incarnation());
     if (own.node->start()) continue;
@@ -33,7 +33,7 @@
     web_.attach(settings.address, *database, clock_);
   }
   for (std::size_t index = 0; index < shape.nodes; ++index) {
-    HollowNodeSettings settings{addresses_.agent(index), addresses_.proxy(index), shape.district(index), addresses_.seeds(), Timings{},
+    HollowNodeSettings settings{addresses_.agent(index), addresses_.proxy(index), shape.zone(index), addresses_.seeds(), Timings{},
                                 [this](const Address& address) { return addresses_.isReplica(address); }};
     links_.push_back(link(settings.agent));
     links_.push_back(link(settings.proxy));
@@ -62,7 +62,7 @@
 }
 
 std::unique_ptr<SimulatedLink> SimulatedScale::link(const Address& own) {
-  return std::make_unique<DistantLink>(network_, clock_, own, [this, own](const Address& partner) { return way(own, partner); });
+  return std::make_unique<DistantLink>(network_, clock_, own, [this, own](const Address& peer) { return way(own, peer); });
 }
 
 bool SimulatedScale::runUntil(const std::function<bool()>& reached, Duration patience) {
--- a/src/simulated/deployment.cpp
+++ b/src/simulated/deployment.cpp
@@ -16,10 +16,10 @@
   return made;
 }
 
-FleetShape full(std::size_t machines, std::size_t districts, std::uint32_t cap) {
+FleetShape full(std::size_t machines, std::size_t zones, std::uint32_t cap) {
   FleetShape shape;
   shape.machines = machines;
-  shape.districts = districts;
+  shape.zones = zones;
   shape.services = 3;
   shape.databases = 3;
   shape.cap = cap;
--- a/src/simulated/fleet_shape.hpp
+++ b/src/simulated/fleet_shape.hpp
@@ -8,7 +8,7 @@
 struct FleetShape {
   std::size_t replicas = 3;
   std::size_t machines = 4;
-  std::size_t districts = 3;
+  std::size_t zones = 3;
   std::size_t services = 1;
   std::size_t databases = 3;
   std::size_t beatTargets = 9;
--- a/src/simulated/scenario.cpp
+++ b/src/simulated/scenario.cpp
@@ -69,10 +69,10 @@
         shape_ = *shape;
       } else if (key == "replicas") shape_.replicas = number(value);
       else if (key == "machines") shape_.machines = number(value);
-      else if (key == "districts") shape_.districts = number(value);
+      else if (key == "zones") shape_.zones = number(value);
       else if (key == "services") shape_.services = number(value);
       else if (key == "databases") shape_.databases = number(value);
-      else if (key == "beat-targets") shape_.beatTargets = number(value);
+      else if (key == "heartbeat-targets") shape_.beatTargets = number(value);
       else if (key == "cap") shape_.cap = static_cast<std::uint32_t>(number(value));
       else if (key == "connections") shape_.connections = static_cast<std::uint32_t>(number(value));
       else if (key == "work") shape_.work = durationText(value).value_or(shape_.work);
@@ -155,7 +155,7 @@
 }
 
 void Scenario::noteDisturbance(SimulatedFleet& fleet, const Words& words) {
-  static const std::set<std::string> harmless{"plan", "pace", "add", "fast", "fast-disk", "hide-replication", "boast", "lag", "lie", "lie-in-beats", "move"};
+  static const std::set<std::string> harmless{"plan", "pace", "add", "fast", "fast-disk", "hide-replication", "boast", "lag", "lie", "lie-in-heartbeats", "move"};
   const auto& verb = words[0];
   auto& availability = fleet.availability();
   auto now = fleet.world().now();
@@ -273,7 +273,7 @@
   else if (verb == "replace") fleet.replaceDatabase(service, place);
   else if (verb == "lag") own.node->lag(durationText(options["by"]).value_or(300ms));
   else if (verb == "boast") own.node->boast(1'000'000);
-  else if (verb == "lie-in-beats") own.node->lieInBeats();
+  else if (verb == "lie-in-heartbeats") own.node->lieInHeartbeats();
   else if (verb == "lie") own.node->lieAboutContact();
   else if (verb == "hide-replication") own.node->hideReplication();
   else if (verb == "faults") {
--- a/src/simulated/simulated_clock.cpp
+++ b/src/simulated/simulated_clock.cpp
@@ -6,14 +6,14 @@
   for (const auto& [own, world] : pending_) world_.cancel(world);
 }
 
-BeatId SimulatedClock::after(Duration duration, std::function<void()> beat) {
-  BeatId own{++last_};
-  pending_[own] = world_.at(world_.now() + duration + slowness_, [this, own, beat = std::move(beat)]() mutable {
+TimerId SimulatedClock::after(Duration duration, std::function<void()> timer) {
+  TimerId own{++last_};
+  pending_[own] = world_.at(world_.now() + duration + slowness_, [this, own, timer = std::move(timer)]() mutable {
     pending_.erase(own);
     if (frozen_)
-      held_.emplace_back(own, std::move(beat));
+      held_.emplace_back(own, std::move(timer));
     else
-      beat();
+      timer();
   });
   return own;
 }
@@ -23,22 +23,22 @@
   slowdown_ = times;
 }
 
-void SimulatedClock::cancel(BeatId beat) {
-  if (auto found = pending_.find(beat); found != pending_.end()) {
+void SimulatedClock::cancel(TimerId timer) {
+  if (auto found = pending_.find(timer); found != pending_.end()) {
     world_.cancel(found->second);
     pending_.erase(found);
     return;
   }
-  std::erase_if(held_, [beat](const auto& each) { return each.first == beat; });
+  std::erase_if(held_, [timer](const auto& each) { return each.first == timer; });
 }
 
 void SimulatedClock::thaw() {
   frozen_ = false;
   auto held = std::move(held_);
   held_.clear();
-  for (auto& [own, beat] : held) pending_[own] = world_.at(world_.now(), [this, own = own, beat = std::move(beat)] {
+  for (auto& [own, timer] : held) pending_[own] = world_.at(world_.now(), [this, own = own, timer = std::move(timer)] {
     pending_.erase(own);
-    beat();
+    timer();
   });
 }
 
--- a/src/simulated/simulated_clock.hpp
+++ b/src/simulated/simulated_clock.hpp
@@ -12,8 +12,8 @@
   explicit SimulatedClock(World& world) : world_(world) {}
   ~SimulatedClock() override;
   Instant now() const override { return rateFrom_ + (world_.now() - rateFrom_) / slowdown_; }
-  BeatId after(Duration duration, std::function<void()> beat) override;
-  void cancel(BeatId beat) override;
+  TimerId after(Duration duration, std::function<void()> timer) override;
+  void cancel(TimerId timer) override;
   void freeze() { frozen_ = true; }
   void thaw();
   bool frozen() const { return frozen_; }
@@ -27,8 +27,8 @@
   int slowdown_ = 1;
   Instant rateFrom_{};
   std::uint64_t last_ = 0;
-  std::unordered_map<BeatId, BeatId> pending_;
-  std::deque<std::pair<BeatId, std::function<void()>>> held_;
+  std::unordered_map<TimerId, TimerId> pending_;
+  std::deque<std::pair<TimerId, std::function<void()>>> held_;
 };
 
 }  // namespace tamarindshift
--- a/src/simulated/simulated_fleet.cpp
+++ b/src/simulated/simulated_fleet.cpp
@@ -28,7 +28,7 @@
   for (std::size_t index = 0; index < shape_.machines; ++index) addMachine();
   StandinCallersSettings callers;
   for (const auto& machine : machines_) callers.proxies.push_back(at(machine->host, 3));
-  callers.districts = shape_.districts;
+  callers.zones = shape_.zones;
   callers.kinds = shape_.callers;
   callers.seed = seed;
   callers_ = std::make_unique<StandinCallers>(clock_, outside_, journal_, callers);
@@ -61,7 +61,7 @@
   own.web = std::make_unique<SimulatedWebLink>(web_, *own.clock, at(own.host, 1));
   ReplicaSettings settings;
   settings.address = at(own.host, 1);
-  settings.district = District{"z" + std::to_string(index % shape_.districts + 1)};
+  settings.zone = Zone{"z" + std::to_string(index % shape_.zones + 1)};
   settings.seeds = {seed(0), seed(1), seed(2)};
   settings.timings = shape_.timings;
   own.databases = std::make_unique<JsonDatabaseControl>(*own.web, platformAddress);
@@ -93,7 +93,7 @@
   auto index = machines_.size();
   machines_.push_back(std::make_unique<Machine>());
   machines_.back()->host = "10.1.0." + std::to_string(index + 1);
-  machines_.back()->district = District{"z" + std::to_string(index % shape_.districts + 1)};
+  machines_.back()->zone = Zone{"z" + std::to_string(index % shape_.zones + 1)};
   startMachine(index);
   if (callers_) callers_->add(at(machines_.back()->host, 3));
 }
@@ -108,7 +108,7 @@
   own.agentLink = std::make_unique<SimulatedLink>(network_, *own.clock, at(own.host, 1));
   own.proxyLink = std::make_unique<SimulatedLink>(network_, *own.clock, at(own.host, 2));
   own.web = std::make_unique<SimulatedWebLink>(web_, *own.clock, at(own.host, 1));
-  AgentSettings agent{at(own.host, 1), own.district, {seed(0), seed(1), seed(2)}, true, shape_.timings};
+  AgentSettings agent{at(own.host, 1), own.zone, {seed(0), seed(1), seed(2)}, true, shape_.timings};
   own.agent = std::make_unique<AgentNode>(*own.clock, *own.agentLink, *own.journal, agent);
   ProxySettings proxy;
   proxy.agent = proxy.node = at(own.host, 1);
@@ -193,8 +193,8 @@
   own.settings.primary = primary;
   own.settings.tellsAddress = shape_.discovered;
   for (std::size_t index = 0; index < std::min(shape_.machines, shape_.beatTargets); ++index)
-    own.settings.beatsTo.push_back(at("10.1.0." + std::to_string((index + number + service) % shape_.machines + 1), 4));
-  own.settings.beatsTo.push_back(at("10.0.0.1", 2));
+    own.settings.heartbeatsTo.push_back(at("10.1.0." + std::to_string((index + number + service) % shape_.machines + 1), 4));
+  own.settings.heartbeatsTo.push_back(at("10.0.0.1", 2));
   if (shape_.opens > Duration::zero()) web_.opens(own.settings.address, shape_.opens);
   if (primary) platform_->setPrimary(own.settings.service, own.settings.address);
   startDatabase(own);
@@ -359,7 +359,7 @@
   for (const auto& replica : replicas_)
     if (replica->node && !replica->clock->frozen()) {
       auto proved = replica->node->engine().provedAt();
-      if (proved && world_.now() - *proved < 100ms + shape_.timings.group.beat) views.insert(replica->node->engine().conf().confId);
+      if (proved && world_.now() - *proved < 100ms + shape_.timings.group.heartbeat) views.insert(replica->node->engine().conf().confId);
     }
   return views.size();
 }
--- a/src/simulated/simulated_fleet.hpp
+++ b/src/simulated/simulated_fleet.hpp
@@ -46,7 +46,7 @@
   };
   struct Machine {
     std::string host;
-    District district;
+    Zone zone;
     std::unique_ptr<SimulatedClock> clock;
     std::unique_ptr<SimulatedJournal> journal;
     std::unique_ptr<SimulatedLink> agentLink;
--- a/src/simulated/standin_callers.cpp
+++ b/src/simulated/standin_callers.cpp
@@ -52,9 +52,9 @@
 std::vector<Address> StandinCallers::nodesFor(const Caller& caller) const {
   std::vector<Address> own;
   std::vector<Address> others;
-  auto district = (caller.number + caller.moves) % settings_.districts;
-  for (std::size_t index = 0; index < settings_.proxies.size(); ++index) (index % settings_.districts == district ? own : others).push_back(settings_.proxies[index]);
-  if (!own.empty()) std::rotate(own.begin(), own.begin() + static_cast<std::ptrdiff_t>(caller.number / settings_.districts % own.size()), own.end());
+  auto zone = (caller.number + caller.moves) % settings_.zones;
+  for (std::size_t index = 0; index < settings_.proxies.size(); ++index) (index % settings_.zones == zone ? own : others).push_back(settings_.proxies[index]);
+  if (!own.empty()) std::rotate(own.begin(), own.begin() + static_cast<std::ptrdiff_t>(caller.number / settings_.zones % own.size()), own.end());
   own.insert(own.end(), others.begin(), others.end());
   return own;
 }
--- a/src/simulated/standin_callers.hpp
+++ b/src/simulated/standin_callers.hpp
@@ -28,7 +28,7 @@
 
 struct StandinCallersSettings {
   std::vector<Address> proxies;
-  std::size_t districts = 1;
+  std::size_t zones = 1;
   std::vector<CallerKind> kinds;
   std::uint64_t seed = 1;
   Duration patience = 15s;
--- a/src/simulated/standin_database.cpp
+++ b/src/simulated/standin_database.cpp
@@ -5,7 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "control/beat_json.hpp"
+#include "control/heartbeat_json.hpp"
 #include "edge/door_replies.hpp"
 #include "pool/database_json.hpp"
 
@@ -16,7 +16,7 @@
 StandinDatabase::StandinDatabase(Clock& clock, WebLink& web, Journal& journal, StandinDatabaseSettings settings, std::uint64_t boot)
     : clock_(clock), web_(web), journal_(journal), settings_(std::move(settings)), boot_(boot), role_(settings_.primary ? "primary" : "replica") {
   scope_.spawn(replicate());
-  scope_.spawn(beats());
+  scope_.spawn(heartbeats());
 }
 
 DatabaseStanding StandinDatabase::standing() const {
@@ -255,32 +255,32 @@
   }
 }
 
-DatabaseBeat StandinDatabase::beat() {
+DatabaseHeartbeat StandinDatabase::heartbeat() {
   auto own = standing();
-  if (liesInBeats_) own.contactAge = Duration::zero();
-  DatabaseBeat beat{settings_.service, settings_.name, boot_, ++beatNumber_, own.role, own.epoch, own.position, own.contactAge, leaving_, {}, {}, 0};
+  if (liesInHeartbeats_) own.contactAge = Duration::zero();
+  DatabaseHeartbeat heartbeat{settings_.service, settings_.name, boot_, ++heartbeatNumber_, own.role, own.epoch, own.position, own.contactAge, leaving_, {}, {}, 0};
   if (settings_.tellsAddress) {
-    beat.address = settings_.address;
-    beat.capacity = settings_.cap;
+    heartbeat.address = settings_.address;
+    heartbeat.capacity = settings_.cap;
   }
-  return beat;
+  return heartbeat;
 }
 
-Task<void> StandinDatabase::beats() {
-  for (std::size_t shot = 0;; ++shot) {
-    if (!settings_.beatsTo.empty()) {
-      auto node = settings_.beatsTo[shot % settings_.beatsTo.size()];
-      auto outcome = co_await web_.call(node, "POST", "/beat", beatToJson(beat()), clock_.now() + settings_.beat);
+Task<void> StandinDatabase::heartbeats() {
+  for (std::size_t attempt = 0;; ++attempt) {
+    if (!settings_.heartbeatsTo.empty()) {
+      auto node = settings_.heartbeatsTo[attempt % settings_.heartbeatsTo.size()];
+      auto outcome = co_await web_.call(node, "POST", "/heartbeat", heartbeatToJson(heartbeat()), clock_.now() + settings_.heartbeat);
       if (!outcome) continue;
     }
-    co_await sleep(clock_, settings_.beat);
+    co_await sleep(clock_, settings_.heartbeat);
   }
 }
 
 Task<bool> StandinDatabase::detach() {
   leaving_ = true;
-  for (const auto& node : settings_.beatsTo) {
-    auto outcome = co_await web_.call(node, "POST", "/detach", beatToJson(beat()), clock_.now() + 2s);
+  for (const auto& node : settings_.heartbeatsTo) {
+    auto outcome = co_await web_.call(node, "POST", "/detach", heartbeatToJson(heartbeat()), clock_.now() + 2s);
     if (outcome && outcome->status == 200) co_return true;
   }
   co_return false;
--- a/src/simulated/standin_database.hpp
+++ b/src/simulated/standin_database.hpp
@@ -18,12 +18,12 @@
   DatabaseName name;
   Address address;
   Address platform;
-  std::vector<Address> beatsTo;
+  std::vector<Address> heartbeatsTo;
   std::uint32_t cap = 120;
   bool primary = false;
   bool tellsAddress = false;
   Duration work = 1ms;
-  Duration beat = 200ms;
+  Duration heartbeat = 200ms;
   Duration semiSync = 500ms;
 };
 
@@ -66,7 +66,7 @@
   void slow(Duration work) { settings_.work = work; }
   void comeBack() { leaving_ = false; }
   void lieAboutContact() { lies_ = true; }
-  void lieInBeats() { liesInBeats_ = true; }
+  void lieInHeartbeats() { liesInHeartbeats_ = true; }
   void hideReplication() { hides_ = true; }
   void boast(std::uint64_t positions) { boast_ = positions; }
   void lag(Duration lag) { lag_ = lag; }
@@ -99,8 +99,8 @@
   Task<DoorReply> pull(std::string body);
   std::string pullAsk() const;
   Task<void> replicate();
-  Task<void> beats();
-  DatabaseBeat beat();
+  Task<void> heartbeats();
+  DatabaseHeartbeat heartbeat();
   DoorReply promote(const std::string& body);
   DoorReply demote(const std::string& body);
 
@@ -117,10 +117,10 @@
   std::deque<StandinChange> changes_;
   std::map<ConnectionId, Connection> connections_;
   std::vector<StandinOpening> openings_;
-  std::uint64_t beatNumber_ = 0;
+  std::uint64_t heartbeatNumber_ = 0;
   bool leaving_ = false;
   bool lies_ = false;
-  bool liesInBeats_ = false;
+  bool liesInHeartbeats_ = false;
   bool hides_ = false;
   std::uint64_t boast_ = 0;
   Duration lag_{};
--- a/src/simulated/standin_plan.cpp
+++ b/src/simulated/standin_plan.cpp
@@ -13,7 +13,7 @@
     auto number = std::to_string(service);
     if (choice.withoutServices.contains("s" + number)) continue;
     auto& own = plan["services"]["s" + number];
-    if (shape.discovered) own = {{"discovery", "beats"}, {"sync-replicas", shape.syncReplicas}};
+    if (shape.discovered) own = {{"discovery", "heartbeats"}, {"sync-replicas", shape.syncReplicas}};
     for (const auto& database : databases) {
       if (shape.discovered) break;
       auto name = database.service.get() + "." + database.name.get();
--- a/src/simulated/world.cpp
+++ b/src/simulated/world.cpp
@@ -3,11 +3,11 @@
 namespace tamarindshift {
 
 void World::runUntil(Instant until) {
-  while (auto earliest = beats_.earliest()) {
+  while (auto earliest = heartbeats_.earliest()) {
     if (*earliest > until) break;
     now_ = std::max(now_, *earliest);
-    auto beat = beats_.takeDue(now_);
-    (*beat)();
+    auto heartbeat = heartbeats_.takeDue(now_);
+    (*heartbeat)();
   }
   now_ = std::max(now_, until);
 }
--- a/src/simulated/world.hpp
+++ b/src/simulated/world.hpp
@@ -2,7 +2,7 @@
 
 #include <random>
 
-#include "base/beat_table.hpp"
+#include "base/timer_table.hpp"
 
 namespace tamarindshift {
 
@@ -10,8 +10,8 @@
  public:
   explicit World(std::uint64_t seed) : random_(seed) {}
   Instant now() const { return now_; }
-  BeatId at(Instant due, std::function<void()> beat) { return beats_.add(std::max(due, now_), std::move(beat)); }
-  void cancel(BeatId id) { beats_.cancel(id); }
+  TimerId at(Instant due, std::function<void()> heartbeat) { return heartbeats_.add(std::max(due, now_), std::move(heartbeat)); }
+  void cancel(TimerId id) { heartbeats_.cancel(id); }
   void runUntil(Instant until);
   std::uint64_t below(std::uint64_t bound) { return bound == 0 ? 0 : random_() % bound; }
   std::uint64_t incarnation() { return static_cast<std::uint64_t>(now_.time_since_epoch().count()) << 10 | below(1024); }
@@ -19,7 +19,7 @@
 
  private:
   Instant now_{Duration{1'000'000}};
-  BeatTable beats_;
+  TimerTable heartbeats_;
   std::mt19937_64 random_;
 };
 
--- a/src/wire/desk_messages.hpp
+++ b/src/wire/desk_messages.hpp
@@ -5,16 +5,16 @@
 namespace tamarindshift {
 
 struct DeskAsk {
-  std::uint64_t shot = 0;
+  std::uint64_t attempt = 0;
   std::string subject;
   std::string body;
-  MSGPACK_DEFINE(shot, subject, body)
+  MSGPACK_DEFINE(attempt, subject, body)
 };
 
 struct DeskReply {
-  std::uint64_t shot = 0;
+  std::uint64_t attempt = 0;
   std::string body;
-  MSGPACK_DEFINE(shot, body)
+  MSGPACK_DEFINE(attempt, body)
 };
 
 }  // namespace tamarindshift
--- a/src/wire/envelope.hpp
+++ b/src/wire/envelope.hpp
@@ -6,7 +6,7 @@
 namespace tamarindshift {
 
 enum class Matter : std::uint8_t {
-  groupBeat = 1,
+  groupHeartbeat = 1,
   groupSubmit = 2,
   groupOrdered = 3,
   groupAcked = 4,
--- a/tests/construct_test.cpp
+++ b/tests/construct_test.cpp
@@ -64,7 +64,7 @@
         }
 }
 
-TEST_CASE("a vulnerable member whose partners are out of reach stays blocked") {
+TEST_CASE("a vulnerable member whose peers are out of reach stays blocked") {
   EngineCluster cluster(3, 5);
   for (std::size_t index = 0; index < 3; ++index) cluster.start(index);
   cluster.run(2s);
--- a/tests/control_cluster.cpp
+++ b/tests/control_cluster.cpp
@@ -12,7 +12,7 @@
 }  // namespace
 
 ControlCluster::ControlCluster()
-    : world(7), network(world), outside(world), databases(outside, [this](DatabaseBeat beat) { return replica(beat.number % 3).beat(beat); }), disks(3), nodeLink(network, outside, Address{"10.1.0.1:1"}), nodeDesk(outside, nodeLink) {
+    : world(7), network(world), outside(world), databases(outside, [this](DatabaseHeartbeat heartbeat) { return replica(heartbeat.number % 3).heartbeat(heartbeat); }), disks(3), nodeLink(network, outside, Address{"10.1.0.1:1"}), nodeDesk(outside, nodeLink) {
   for (std::size_t index = 0; index < 3; ++index) {
     ownClocks.push_back(std::make_unique<SimulatedClock>(world));
     auto& clock = *ownClocks.back();
@@ -21,14 +21,14 @@
     stores.push_back(std::make_unique<SimulatedStore>(clock, disks[index], 3ms));
     ReplicaSettings settings;
     settings.address = replicaAddress(index);
-    settings.district = District{"z1"};
+    settings.zone = Zone{"z1"};
     settings.seeds = {replicaAddress(0), replicaAddress(1), replicaAddress(2)};
-    settings.timings.databaseBeat = 1200ms;
+    settings.timings.databaseHeartbeat = 1200ms;
     nodes.push_back(std::make_unique<ReplicaNode>(clock, *links.back(), *stores.back(), databases, *journals.back(), settings, world.incarnation()));
     REQUIRE_FALSE(nodes.back()->start());
   }
   report.node = Address{"10.1.0.1:1"};
-  report.district = District{"z1"};
+  report.zone = Zone{"z1"};
   report.boot = 5;
   scope.spawn(reporting());
   run(3s);
@@ -69,7 +69,7 @@
 }
 
 std::string ControlCluster::discovered(std::uint32_t syncReplicas) const {
-  return nlohmann::json{{"discovery", "beats"}, {"sync-replicas", syncReplicas}, {"quota", {{"connections", 10}, {"branches", {{"b", {{"connections", 10}}}}}}}}.dump();
+  return nlohmann::json{{"discovery", "heartbeats"}, {"sync-replicas", syncReplicas}, {"quota", {{"connections", 10}, {"branches", {{"b", {{"connections", 10}}}}}}}}.dump();
 }
 
 void ControlCluster::plan(std::uint64_t mark, const std::string& service) {
@@ -80,14 +80,14 @@
 }
 
 void ControlCluster::start(const std::string& name, const std::string& role, Position position) {
-  DatabaseBeat beat;
-  beat.service = ServiceName{"s1"};
-  beat.database = DatabaseName{name};
-  beat.role = role;
-  beat.address = Address{"10.2.0." + name.substr(1) + ":1"};
-  beat.zone = District{"z1"};
-  beat.capacity = 10;
-  databases.add(beat, Place{Epoch{3}, position});
+  DatabaseHeartbeat heartbeat;
+  heartbeat.service = ServiceName{"s1"};
+  heartbeat.database = DatabaseName{name};
+  heartbeat.role = role;
+  heartbeat.address = Address{"10.2.0." + name.substr(1) + ":1"};
+  heartbeat.zone = Zone{"z1"};
+  heartbeat.capacity = 10;
+  databases.add(heartbeat, Place{Epoch{3}, position});
 }
 
 std::uint64_t ControlCluster::counted(const std::string& name) {
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-TEST_CASE("databases are known by their beats before any plan, and the one that says so is the first primary") {
+TEST_CASE("databases are known by their heartbeats before any plan, and the one that says so is the first primary") {
   ControlCluster cluster;
   cluster.start("d1", "replica", Position{90});
   cluster.start("d2", "primary", Position{100});
@@ -41,7 +41,7 @@
   CHECK(cluster.databases.statusCalls() == 0);
 }
 
-TEST_CASE("without a beat that says primary the best by STATUS is made one") {
+TEST_CASE("without a heartbeat that says primary the best by STATUS is made one") {
   ControlCluster cluster;
   cluster.start("d1", "replica", Position{90});
   cluster.start("d2", "replica", Position{100});
@@ -50,50 +50,50 @@
   CHECK(cluster.databases.at("d2").promoteCalls == 1);
 }
 
-TEST_CASE("a database that beats at the address of another takes its place in the list") {
+TEST_CASE("a database that heartbeats at the address of another takes its place in the list") {
   Discovered cluster;
   auto address = cluster.enrolled("d3")->address;
   cluster.databases.at("d3").up = false;
   cluster.start("d9", "replica", Position{0});
-  cluster.databases.at("d9").beat.address = address;
+  cluster.databases.at("d9").heartbeat.address = address;
   cluster.databases.tell("d9");
   REQUIRE(cluster.runUntil(2s, [&] { return cluster.enrolled("d9") && cluster.enrolled("d9")->address == address; }));
   CHECK_FALSE(cluster.enrolled("d3"));
   CHECK(cluster.enrolled("d1"));
 }
 
-TEST_CASE("a late beat alters nothing, one with a lower number after three silent seconds does") {
+TEST_CASE("a late heartbeat alters nothing, one with a lower number after three silent seconds does") {
   Discovered cluster;
   auto& own = cluster.databases.at("d2");
   own.silent = true;
-  auto late = own.beat;
+  auto late = own.heartbeat;
   late.number -= 1;
   late.role = "primary";
   late.leaving = true;
-  CHECK(cluster.ask(cluster.replica(1).beat(late)).status == 200);
-  CHECK(cluster.replica(1).access().database(ServiceName{"s1"}, DatabaseName{"d2"})->beat.role == "replica");
+  CHECK(cluster.ask(cluster.replica(1).heartbeat(late)).status == 200);
+  CHECK(cluster.replica(1).access().database(ServiceName{"s1"}, DatabaseName{"d2"})->heartbeat.role == "replica");
   cluster.run(4s);
   CHECK_FALSE(cluster.replica(1).state().drained(ServiceName{"s1"}, DatabaseName{"d2"}));
-  auto again = own.beat;
+  auto again = own.heartbeat;
   again.number = 1;
   again.position = Position{77};
-  CHECK(cluster.ask(cluster.replica(1).beat(again)).status == 200);
-  CHECK(cluster.replica(1).access().database(ServiceName{"s1"}, DatabaseName{"d2"})->beat.position == Position{77});
+  CHECK(cluster.ask(cluster.replica(1).heartbeat(again)).status == 200);
+  CHECK(cluster.replica(1).access().database(ServiceName{"s1"}, DatabaseName{"d2"})->heartbeat.position == Position{77});
 }
 
-TEST_CASE("a beat that says leaving is answered once the drain is green, a Detach removes the database") {
+TEST_CASE("a heartbeat that says leaving is answered once the drain is green, a Detach removes the database") {
   Discovered cluster;
   auto& own = cluster.databases.at("d3");
-  own.beat.leaving = true;
-  ++own.beat.number;
-  CHECK(cluster.ask(cluster.replica(2).beat(own.beat)).status == 200);
+  own.heartbeat.leaving = true;
+  ++own.heartbeat.number;
+  CHECK(cluster.ask(cluster.replica(2).heartbeat(own.heartbeat)).status == 200);
   CHECK(cluster.replica(2).state().drained(ServiceName{"s1"}, DatabaseName{"d3"}));
   own.silent = true;
-  ++own.beat.number;
-  CHECK(cluster.ask(cluster.replica(1).detach(own.beat)).status == 200);
+  ++own.heartbeat.number;
+  CHECK(cluster.ask(cluster.replica(1).detach(own.heartbeat)).status == 200);
   REQUIRE(cluster.runUntil(2s, [&] { return !cluster.enrolled("d3"); }));
-  ++own.beat.number;
-  CHECK(cluster.ask(cluster.replica(1).detach(own.beat)).status == 200);
+  ++own.heartbeat.number;
+  CHECK(cluster.ask(cluster.replica(1).detach(own.heartbeat)).status == 200);
   CHECK_FALSE(cluster.enrolled("d3"));
 }
 
@@ -104,10 +104,10 @@
     cluster.network.cut("10.0.0." + std::to_string(other + 1), "10.0.0.1");
   }
   cluster.run(4s);
-  auto beat = cluster.databases.at("d3").beat;
-  beat.database = DatabaseName{"d7"};
-  beat.address = Address{"10.2.0.7:1"};
-  auto reply = cluster.ask(cluster.replica(0).beat(beat));
+  auto heartbeat = cluster.databases.at("d3").heartbeat;
+  heartbeat.database = DatabaseName{"d7"};
+  heartbeat.address = Address{"10.2.0.7:1"};
+  auto reply = cluster.ask(cluster.replica(0).heartbeat(heartbeat));
   CHECK(reply.status == 503);
   CHECK(reply.comeBack);
 }
@@ -185,7 +185,7 @@
   Discovered cluster;
   cluster.follows = false;
   auto& former = cluster.databases.at("d1");
-  former.beat.leaving = true;
+  former.heartbeat.leaving = true;
   cluster.databases.tell("d1");
   REQUIRE(cluster.runUntil(2s, [&] { return cluster.service().epoch == Epoch{2}; }));
   CHECK(cluster.service().planned);
@@ -227,7 +227,7 @@
   cluster.run(2s);
   CHECK_FALSE(cluster.service().promoted);
   cluster.databases.at("d2").silent = true;
-  cluster.databases.at("d2").beat.role = "primary";
+  cluster.databases.at("d2").heartbeat.role = "primary";
   REQUIRE(cluster.runUntil(3s, [&] { return cluster.promoted("d2"); }));
 }
 
@@ -254,11 +254,11 @@
     return state.applyGreen(action, ++position);
   };
   auto enrol = [&](const char* service, const char* database, const char* address) {
-    return apply(ControlMatter::enrolDatabase, EnrolmentUpdate{ServiceName{service}, DatabaseName{database}, Address{address}, District{"z1"}, 10, 0, 1, "replica"});
+    return apply(ControlMatter::enrolDatabase, EnrolmentUpdate{ServiceName{service}, DatabaseName{database}, Address{address}, Zone{"z1"}, 10, 0, 1, "replica"});
   };
   CHECK(enrol("s1", "d1", "10.2.0.1:1") == "held");
   CHECK(enrol("s2", "d2", "10.2.0.2:1") == "held");
-  PlanUpdate plan{R"({"mark":1,"services":{"s1":{"discovery":"beats","quota":{"connections":10,"branches":{"b":{"connections":10}}}},
+  PlanUpdate plan{R"({"mark":1,"services":{"s1":{"discovery":"heartbeats","quota":{"connections":10,"branches":{"b":{"connections":10}}}},
     "s3":{"databases":{"x":{"address":"10.2.0.9:1","cap":10}},"quota":{"connections":10,"branches":{"b":{"connections":10}}}}},"kinds":{}})"};
   CHECK(apply(ControlMatter::plan, plan) == "held");
   CHECK(enrol("s3", "d5", "10.2.0.5:1") != "held");
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -109,7 +109,7 @@
   }
 }
 
-TEST_CASE("a user agent that leaves inside a transaction has it closed, not committed") {
+TEST_CASE("a client that leaves inside a transaction has it closed, not committed") {
   OneProxy proxy;
   auto session = proxy.open();
   proxy.run(session, {{"operation", "begin"}});
@@ -122,7 +122,7 @@
     for (const auto& entry : database->node->history()) CHECK(entry.request.operation != Operation::rollback);
 }
 
-TEST_CASE("a user agent that leaves while its request runs leaves no pin and no state behind") {
+TEST_CASE("a client that leaves while its request runs leaves no pin and no state behind") {
   OneProxy proxy;
   auto session = proxy.open();
   std::optional<DoorReply> reply;
--- a/tests/group_schedules_test.cpp
+++ b/tests/group_schedules_test.cpp
@@ -19,7 +19,7 @@
  public:
   BreachingLink(SimulatedNetwork& network, Clock& clock, Address own, Breach breach)
       : SimulatedLink(network, clock, std::move(own)), world_(network.world()), breach_(breach) {}
-  void pass(const Address& partner, Envelope envelope) override {
+  void pass(const Address& peer, Envelope envelope) override {
     if (breach_ == Breach::changesOrder && envelope.matter == Matter::groupOrdered && world_.chance(100))
       if (auto ordered = unpacked<GroupOrdered>(envelope.body)) {
         ordered->delivery.payload += "!";
@@ -30,7 +30,7 @@
         for (auto& [view, branch] : install->branches) branch.held.clear();
         envelope.body = packed(*install);
       }
-    SimulatedLink::pass(partner, std::move(envelope));
+    SimulatedLink::pass(peer, std::move(envelope));
   }
 
  private:
--- a/tests/line_door_trial.hpp
+++ b/tests/line_door_trial.hpp
@@ -34,7 +34,7 @@
     service.kinds[KindName{"strict"}] = kind;
     news.put("s1", "plan", service);
     news.put("s1", "primary", PrimaryNews{Epoch{1}, DatabaseName{"d1"}, true, false});
-    news.put("s1", "database/d1", DatabaseNews{Address{"10.2.0.1:1"}, District{}, 10});
+    news.put("s1", "database/d1", DatabaseNews{Address{"10.2.0.1:1"}, Zone{}, 10});
     ShareNews share;
     share.most[kind.branch] = 2;
     news.put("s1", "share/" + node.get(), share);
--- a/tests/news_restored_test.cpp
+++ b/tests/news_restored_test.cpp
@@ -13,15 +13,15 @@
     action.update = packed(ControlUpdate{matter, 0, std::move(body)});
     CHECK(state.applyGreen(action, ++position) == "held");
   }
-  void enrol(const std::string& node, std::uint64_t boot) { take(ControlMatter::enrolNode, packed(NodeUpdate{Address{node}, District{"z1"}, boot})); }
-  void remove(const std::string& node, std::uint64_t boot) { take(ControlMatter::removeNode, packed(NodeUpdate{Address{node}, District{"z1"}, boot})); }
-  void drainOf(const std::string& node, std::uint64_t boot) { take(ControlMatter::drainNode, packed(NodeUpdate{Address{node}, District{"z1"}, boot})); }
+  void enrol(const std::string& node, std::uint64_t boot) { take(ControlMatter::enrolNode, packed(NodeUpdate{Address{node}, Zone{"z1"}, boot})); }
+  void remove(const std::string& node, std::uint64_t boot) { take(ControlMatter::removeNode, packed(NodeUpdate{Address{node}, Zone{"z1"}, boot})); }
+  void drainOf(const std::string& node, std::uint64_t boot) { take(ControlMatter::drainNode, packed(NodeUpdate{Address{node}, Zone{"z1"}, boot})); }
   NewsBoard board;
   ControlState state;
   std::uint64_t position = 0;
 };
 
-const std::string plan = R"({"mark":1,"services":{"s1":{"discovery":"beats","quota":{"connections":10,"branches":{"work":{"connections":10,"order":1}}}}},
+const std::string plan = R"({"mark":1,"services":{"s1":{"discovery":"heartbeats","quota":{"connections":10,"branches":{"work":{"connections":10,"order":1}}}}},
 "kinds":{"k1":{"service":"s1","branch":"work","consistency":"primary"}}})";
 
 void follow(NewsBoard& follower, const NewsBoard& source, const Topic& topic) {
--- a/tests/news_test.cpp
+++ b/tests/news_test.cpp
@@ -118,11 +118,11 @@
   FixedFeed feed;
   Guide guide(clock, feed, Address{"10.1.0.1:1"}, 8);
   auto fleet = [&](std::uint64_t mark, std::uint64_t boot, std::uint64_t enrolledAt) {
-    feed.own.publish(fleetTopic, mark, NewsTable{{"plan", planOf({"s1"})}, {"node/10.1.0.1:1", packed(NodeNews{District{"z1"}, false, {}, boot, enrolledAt})}});
+    feed.own.publish(fleetTopic, mark, NewsTable{{"plan", planOf({"s1"})}, {"node/10.1.0.1:1", packed(NodeNews{Zone{"z1"}, false, {}, boot, enrolledAt})}});
     guide.refresh();
   };
   ShareNews share{{{BranchName{"b"}, 4}}};
-  feed.own.publish("s1", 2, NewsTable{{"share/10.1.0.1:1", packed(share)}, {"database/d1", packed(DatabaseNews{Address{"10.2.0.1:1"}, District{"z1"}, 5})}});
+  feed.own.publish("s1", 2, NewsTable{{"share/10.1.0.1:1", packed(share)}, {"database/d1", packed(DatabaseNews{Address{"10.2.0.1:1"}, Zone{"z1"}, 5})}});
   feed.at = 3;
   fleet(3, 7, 1);
   CHECK(guide.service(ServiceName{"s1"})->share.most.empty());
--- a/tests/plan_test.cpp
+++ b/tests/plan_test.cpp
@@ -137,7 +137,7 @@
   CHECK(check.changes.empty());
   CHECK(has(check.misfits, "kind lookup selects no machine"));
   CHECK(has(check.warnings, "10.1.0.2:1 is not in the fleet"));
-  CHECK(has(check.warnings, "s1/d2 has sent no beat"));
+  CHECK(has(check.warnings, "s1/d2 has sent no heartbeat"));
   CHECK(has(check.warnings, "s1/d9 is not in the plan"));
   auto other = sound();
   other["kinds"].erase("lookup");
@@ -148,10 +148,10 @@
   CHECK(has(checkPlan(*PlanReader{}.read(other.dump()), plan, status).misfits, "older"));
 }
 
-TEST_CASE("a service is given with its databases or found by beats, not both and not neither") {
+TEST_CASE("a service is given with its databases or found by heartbeats, not both and not neither") {
   auto json = sound();
   auto& service = json["services"]["s1"];
-  service["discovery"] = "beats";
+  service["discovery"] = "heartbeats";
   CHECK(faulted(json, "services.s1.databases"));
   service.erase("databases");
   json["kinds"]["lookup"].erase("databases");
@@ -176,6 +176,17 @@
   CHECK(faulted(json, "services.s1.discovery"));
 }
 
+TEST_CASE("a plan from before discovery's word was changed is read still") {
+  auto json = sound();
+  auto& service = json["services"]["s1"];
+  service["discovery"] = "beats";
+  service.erase("databases");
+  json["kinds"]["lookup"].erase("databases");
+  auto plan = PlanReader{}.read(json.dump());
+  REQUIRE(plan);
+  CHECK(plan->services.at(ServiceName{"s1"}).discovered);
+}
+
 TEST_CASE("kinds have bounds, an order and a host of their own, and a plan limits and an annotation") {
   auto json = sound();
   std::string name(128, 'k');
--- a/tests/platform/adapter_settings.cpp
+++ b/tests/platform/adapter_settings.cpp
@@ -28,7 +28,7 @@
 AgentSettings agentSettings(const PlatformProcess& process) {
   AgentSettings settings;
   settings.address = process.machine().internal();
-  settings.district = District{process.machine().zone};
+  settings.zone = Zone{process.machine().zone};
   settings.seeds = peers(process);
   settings.signs = false;
   settings.timings = timings(process);
@@ -38,7 +38,7 @@
 PoolerSettings poolerSettings(const PlatformProcess& process) {
   PoolerSettings settings;
   settings.node = process.machine().internal();
-  settings.zone = District{process.machine().zone};
+  settings.zone = Zone{process.machine().zone};
   settings.timings = timings(process);
   return settings;
 }
@@ -46,10 +46,10 @@
 ReplicaSettings replicaSettings(const PlatformProcess& process) {
   ReplicaSettings settings;
   settings.address = process.machine().internal();
-  settings.district = District{process.machine().zone};
+  settings.zone = Zone{process.machine().zone};
   settings.seeds = peers(process);
   settings.timings = timings(process);
-  settings.timings.databaseBeat = 1200ms;
+  settings.timings.databaseHeartbeat = 1200ms;
   settings.mayFound = process.machine().firstStart;
   settings.losses = 1;
   return settings;
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -104,10 +104,10 @@
     settings.zone = zoneName((index - 1) % shape_.zones);
     reach_.add(SimulatedNetwork::host(settings.address));
     if (index == 1) services_.back()->found(settings.id);
-    StandinBeatsSettings beats;
-    beats.drain = shape_.bounds.drain;
+    StandinHeartbeatsSettings heartbeats;
+    heartbeats.drain = shape_.bounds.drain;
     databases_[{number, index}] =
-        std::make_unique<StandinDatabaseHost>(world_, lineNetwork_, web_, *services_.back(), std::move(settings), [this] { return controlNodes(); }, beats);
+        std::make_unique<StandinDatabaseHost>(world_, lineNetwork_, web_, *services_.back(), std::move(settings), [this] { return controlNodes(); }, heartbeats);
   }
   addKinds(number);
 }
--- a/tests/platform/standin_database_host.cpp
+++ b/tests/platform/standin_database_host.cpp
@@ -3,8 +3,8 @@
 namespace tamarindshift::testing {
 
 StandinDatabaseHost::StandinDatabaseHost(World& world, SimulatedLineNetwork& lines, SimulatedWeb& web, StandinWireService& service, StandinWireDatabaseSettings settings,
-                                         StandinBeats::Nodes nodes, StandinBeatsSettings beats)
-    : world_(world), lines_(lines), web_(web), service_(service), settings_(std::move(settings)), nodes_(std::move(nodes)), beatSettings_(std::move(beats)) {
+                                         StandinHeartbeats::Nodes nodes, StandinHeartbeatsSettings heartbeats)
+    : world_(world), lines_(lines), web_(web), service_(service), settings_(std::move(settings)), nodes_(std::move(nodes)), heartbeatSettings_(std::move(heartbeats)) {
   start();
 }
 
@@ -17,7 +17,7 @@
   layTroubles();
   link_->dropDarkAfter(settings_.darkDropped);
   link_->listen(settings_.address, *database_);
-  beats_ = std::make_unique<StandinBeats>(*clock_, *webLink_, world_, *database_, service_.history(), nodes_, beatSettings_);
+  heartbeats_ = std::make_unique<StandinHeartbeats>(*clock_, *webLink_, world_, *database_, service_.history(), nodes_, heartbeatSettings_);
 }
 
 void StandinDatabaseHost::layTroubles() {
@@ -28,7 +28,7 @@
   if (!running()) return;
   disk_ = database_->disk();
   link_->kill();
-  beats_.reset();
+  heartbeats_.reset();
   database_.reset();
   webLink_.reset();
   link_.reset();
@@ -37,8 +37,8 @@
 
 void StandinDatabaseHost::release(std::string nextId) {
   if (!running()) return;
-  beats_->ended = [this, nextId = std::move(nextId)] { world_.at(world_.now(), [this, nextId] { replaced(nextId); }); };
-  beats_->quiesce();
+  heartbeats_->ended = [this, nextId = std::move(nextId)] { world_.at(world_.now(), [this, nextId] { replaced(nextId); }); };
+  heartbeats_->quiesce();
 }
 
 void StandinDatabaseHost::replaced(const std::string& nextId) {
--- a/tests/platform/standin_database_host.hpp
+++ b/tests/platform/standin_database_host.hpp
@@ -3,15 +3,15 @@
 #include "simulated/simulated_clock.hpp"
 #include "simulated/simulated_line_link.hpp"
 #include "simulated/simulated_web.hpp"
-#include "tests/platform/standin_beats.hpp"
+#include "tests/platform/standin_heartbeats.hpp"
 
 namespace tamarindshift::testing {
 
 // the machine of a database, over its lives
 class StandinDatabaseHost {
  public:
-  StandinDatabaseHost(World& world, SimulatedLineNetwork& lines, SimulatedWeb& web, StandinWireService& service, StandinWireDatabaseSettings settings, StandinBeats::Nodes nodes,
-                      StandinBeatsSettings beats);
+  StandinDatabaseHost(World& world, SimulatedLineNetwork& lines, SimulatedWeb& web, StandinWireService& service, StandinWireDatabaseSettings settings, StandinHeartbeats::Nodes nodes,
+                      StandinHeartbeatsSettings heartbeats);
   ~StandinDatabaseHost() { crash(); }
   void start();
   void crash();
@@ -32,14 +32,14 @@
   SimulatedWeb& web_;
   StandinWireService& service_;
   StandinWireDatabaseSettings settings_;
-  StandinBeats::Nodes nodes_;
-  StandinBeatsSettings beatSettings_;
+  StandinHeartbeats::Nodes nodes_;
+  StandinHeartbeatsSettings heartbeatSettings_;
   WireDisk disk_;
   std::unique_ptr<SimulatedClock> clock_;
   std::unique_ptr<SimulatedLineLink> link_;
   std::unique_ptr<SimulatedWebLink> webLink_;
   std::unique_ptr<StandinWireDatabase> database_;
-  std::unique_ptr<StandinBeats> beats_;
+  std::unique_ptr<StandinHeartbeats> heartbeats_;
 };
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/standin_entry.cpp
+++ b/tests/platform/standin_entry.cpp
@@ -46,13 +46,13 @@
   return in;
 }
 
-std::optional<Address> StandinEntry::choose(const std::string& zone, std::uint64_t client, std::uint64_t shot) const {
+std::optional<Address> StandinEntry::choose(const std::string& zone, std::uint64_t client, std::uint64_t attempt) const {
   auto found = fronts(zone, true);
   if (found.empty()) found = fronts(zone, false);
   if (found.empty())
     for (const auto& node : nodes_) found.push_back(node->point.front);
   if (found.empty()) return std::nullopt;
-  return found[(client * 0x9e3779b97f4a7c15ull / 7 + shot) % found.size()];
+  return found[(client * 0x9e3779b97f4a7c15ull / 7 + attempt) % found.size()];
 }
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/standin_entry.hpp
+++ b/tests/platform/standin_entry.hpp
@@ -17,7 +17,7 @@
   void add(AccessPoint point);
   void remove(const Address& front);
   // nothing where there is no node at all
-  std::optional<Address> choose(const std::string& zone, std::uint64_t client, std::uint64_t shot) const;
+  std::optional<Address> choose(const std::string& zone, std::uint64_t client, std::uint64_t attempt) const;
   bool ready(const Address& front) const;
 
  private:
--- a/tests/platform/standin_beats.cpp
+++ b/tests/platform/standin_heartbeats.cpp
@@ -1,4 +1,4 @@
-#include "tests/platform/standin_beats.hpp"
+#include "tests/platform/standin_heartbeats.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -6,13 +6,13 @@
 
 using Json = nlohmann::json;
 
-StandinBeats::StandinBeats(Clock& clock, WebLink& web, World& world, StandinWireDatabase& database, ServiceHistory& history, Nodes nodes, StandinBeatsSettings settings)
+StandinHeartbeats::StandinHeartbeats(Clock& clock, WebLink& web, World& world, StandinWireDatabase& database, ServiceHistory& history, Nodes nodes, StandinHeartbeatsSettings settings)
     : clock_(clock), web_(web), world_(world), database_(database), history_(history), nodes_(std::move(nodes)), settings_(std::move(settings)) {
   database_.roleChanged = [this] { tell(); };
-  scope_.spawn(beat());
+  scope_.spawn(heartbeat());
 }
 
-std::string StandinBeats::body() {
+std::string StandinHeartbeats::body() {
   const auto& own = database_.settings();
   return Json{{"targetService", own.service}, {"address", own.address.get()},  {"zone", own.zone},
               {"revision", settings_.revision}, {"capacity", own.slots},       {"condition", quiescing_ ? "quiescing" : "in_service"},
@@ -20,7 +20,7 @@
       .dump();
 }
 
-Task<std::optional<Address>> StandinBeats::send(std::string call) {
+Task<std::optional<Address>> StandinHeartbeats::send(std::string call) {
   auto nodes = nodes_();
   std::vector<Address> order;
   if (target_) order.push_back(*target_);
@@ -42,7 +42,7 @@
   co_return std::nullopt;
 }
 
-Task<void> StandinBeats::beat() {
+Task<void> StandinHeartbeats::heartbeat() {
   for (;;) {
     bool quiescing = quiescing_;
     bool led = database_.leads();
@@ -58,18 +58,18 @@
       continue;
     }
     if (quiescing != quiescing_ || led != database_.leads()) continue;
-    auto next = sent + settings_.beat;
+    auto next = sent + settings_.heartbeat;
     if (clock_.now() < next) co_await news_.wait(clock_, next);
   }
 }
 
-void StandinBeats::quiesce() {
+void StandinHeartbeats::quiesce() {
   if (std::exchange(quiescing_, true)) return;
   tell();
   scope_.spawn(leave());
 }
 
-Task<void> StandinBeats::leave() {
+Task<void> StandinHeartbeats::leave() {
   auto patience = clock_.now() + settings_.drain;
   while (!quiescingTakenAt_ && clock_.now() < patience) co_await taken_.wait(clock_, patience);
   if (quiescingTakenAt_) {
@@ -77,7 +77,7 @@
     co_await sleep(clock_, until - clock_.now());
   }
   auto sent = clock_.now();
-  for (int shot = 0; shot < 3; ++shot) {
+  for (int attempt = 0; attempt < 3; ++attempt) {
     auto taken = co_await send("/api/Instances.Detach/");
     if (!taken) continue;
     history_.leaves.push_back(LeaveNotice{database_.settings().service, database_.settings().id, *taken, sent, clock_.now(), true});
--- a/tests/platform/standin_beats.hpp
+++ b/tests/platform/standin_heartbeats.hpp
@@ -7,18 +7,18 @@
 
 namespace tamarindshift::testing {
 
-struct StandinBeatsSettings {
-  Duration beat = 1200ms;
+struct StandinHeartbeatsSettings {
+  Duration heartbeat = 1200ms;
   Duration drain = 7s;
   std::string revision = "v1";
 };
 
-// the beats of one database, and its planned end
-class StandinBeats {
+// the heartbeats of one database, and its planned end
+class StandinHeartbeats {
  public:
   using Nodes = std::function<std::vector<Address>()>;
-  StandinBeats(Clock& clock, WebLink& web, World& world, StandinWireDatabase& database, ServiceHistory& history, Nodes nodes, StandinBeatsSettings settings);
-  ~StandinBeats() { database_.roleChanged = [] {}; }
+  StandinHeartbeats(Clock& clock, WebLink& web, World& world, StandinWireDatabase& database, ServiceHistory& history, Nodes nodes, StandinHeartbeatsSettings settings);
+  ~StandinHeartbeats() { database_.roleChanged = [] {}; }
   // a change is told at once
   void tell() { news_.open(); }
   // quiescing, then Detach, then `ended`
@@ -27,7 +27,7 @@
   std::uint64_t acknowledged() const { return acknowledged_; }
 
  private:
-  Task<void> beat();
+  Task<void> heartbeat();
   Task<void> leave();
   Task<std::optional<Address>> send(std::string call);
   std::string body();
@@ -37,7 +37,7 @@
   StandinWireDatabase& database_;
   ServiceHistory& history_;
   Nodes nodes_;
-  StandinBeatsSettings settings_;
+  StandinHeartbeatsSettings settings_;
   std::optional<Address> target_;
   std::uint64_t calls_ = 0;
   std::uint64_t acknowledged_ = 0;
--- a/tests/platform/standin_operator_test.cpp
+++ b/tests/platform/standin_operator_test.cpp
@@ -5,7 +5,7 @@
 #include "simulated/simulated_clock.hpp"
 #include "simulated/simulated_web.hpp"
 #include "tests/platform/rule_checks.hpp"
-#include "tests/platform/standin_beats.hpp"
+#include "tests/platform/standin_heartbeats.hpp"
 #include "tests/platform/standin_operator.hpp"
 #include "tests/platform/standin_promotion_api.hpp"
 #include "tests/platform/wire_database_trial.hpp"
@@ -173,9 +173,9 @@
   CHECK(trial.calls.size() == 5);
 }
 
-TEST_CASE("a database beats to whoever answers, tells a new role at once, and leaves in order") {
+TEST_CASE("a database heartbeats to whoever answers, tells a new role at once, and leaves in order") {
   Trial trial;
-  StandinBeats beats(trial.clock, trial.link, trial.databases.world, trial.databases.database("b"), trial.databases.history, trial.list(), StandinBeatsSettings{});
+  StandinHeartbeats heartbeats(trial.clock, trial.link, trial.databases.world, trial.databases.database("b"), trial.databases.history, trial.list(), StandinHeartbeatsSettings{});
   trial.databases.run(2500ms);
   CHECK(trial.requests() == 3);
   for (const auto& [node, scripted] : trial.nodes)
@@ -187,9 +187,9 @@
   trial.databases.run(50ms);
   CHECK(trial.requests() == 4);
   bool ended = false;
-  beats.ended = [&] { ended = true; };
+  heartbeats.ended = [&] { ended = true; };
   trial.web.detach(Address{"10.1.0.1:90"});
-  beats.quiesce();
+  heartbeats.quiesce();
   trial.databases.run(2s);
   REQUIRE(trial.databases.history.leaves.size() == 1);
   CHECK_FALSE(trial.databases.history.leaves[0].detach);
@@ -199,15 +199,15 @@
   CHECK(ended);
 }
 
-TEST_CASE("a database's later beats go where an answer says, until one fails there") {
+TEST_CASE("a database's later heartbeats go where an answer says, until one fails there") {
   Trial trial;
   auto target = DoorReply{200, R"({"beatTarget":"10.1.0.3:90"})", std::nullopt};
   for (auto& [node, scripted] : trial.nodes) scripted.replies.assign(50, target);
-  StandinBeats beats(trial.clock, trial.link, trial.databases.world, trial.databases.database("b"), trial.databases.history, trial.list(), StandinBeatsSettings{});
+  StandinHeartbeats heartbeats(trial.clock, trial.link, trial.databases.world, trial.databases.database("b"), trial.databases.history, trial.list(), StandinHeartbeatsSettings{});
   trial.databases.run(6s);
   CHECK(trial.nodes["10.1.0.3:90"].requests.size() >= 4);
   trial.web.detach(Address{"10.1.0.3:90"});
-  auto before = beats.acknowledged();
+  auto before = heartbeats.acknowledged();
   trial.databases.run(6s);
-  CHECK(beats.acknowledged() > before);
+  CHECK(heartbeats.acknowledged() > before);
 }
--- a/tests/platform/standin_wire_clients.cpp
+++ b/tests/platform/standin_wire_clients.cpp
@@ -77,12 +77,12 @@
   history_.operations.push_back(begun);
   underway.deadline = clock_.now() + kind.deadline;
   auto verdict = Verdict::again;
-  for (std::size_t shot = 0; shot <= kind.furtherTries && verdict == Verdict::again && clock_.now() < underway.deadline; ++shot) {
-    if (shot > 0) co_await session.rest(10ms + Duration{world_.below(50'000)});
+  for (std::size_t attempt = 0; attempt <= kind.furtherTries && verdict == Verdict::again && clock_.now() < underway.deadline; ++attempt) {
+    if (attempt > 0) co_await session.rest(10ms + Duration{world_.below(50'000)});
     underway.attempt = beginTry(kind, planned, underway.operation);
     underway.sentForGood = false;
     session.newTry();
-    auto node = entry_.choose(begun.zone, number, shot);
+    auto node = entry_.choose(begun.zone, number, attempt);
     verdict = co_await tryOnce(session, kind, planned, underway, node);
   }
   auto& noted = history_.operations[underway.operation];
--- a/tests/platform/standin_wire_clients_test.cpp
+++ b/tests/platform/standin_wire_clients_test.cpp
@@ -17,7 +17,7 @@
       auto& known = knowledge.databases[id];
       known.service = "orders";
       known.address = host.settings.address;
-      known.beatAt = databases.world.now() + std::chrono::hours{1};
+      known.heartbeatAt = databases.world.now() + std::chrono::hours{1};
     }
     knowledge.primaries["orders"] = "a";
     PlatformConfiguration configuration;
--- a/tests/platform/straight_knowledge.hpp
+++ b/tests/platform/straight_knowledge.hpp
@@ -14,7 +14,7 @@
     Address address;
     bool primary = false;
     bool quiescing = false;
-    Instant beatAt{};
+    Instant heartbeatAt{};
   };
   std::optional<PlatformConfiguration> configuration;
   std::string configurationBody;
--- a/tests/platform/straight_pooler.cpp
+++ b/tests/platform/straight_pooler.cpp
@@ -109,10 +109,10 @@
 }
 
 Task<DoorReply> StraightPooler::serve(DoorRequest request) {
-  static const std::string heartbeat = "/api/Instances.Heartbeat/";
+  static const std::string heartbeatPath = "/api/Instances.Heartbeat/";
   static const std::string detach = "/api/Instances.Detach/";
   if (request.path == "/api/readiness") co_return DoorReply{!stopping_ && knowledge_.configuration ? 200 : 503, "{}", std::nullopt};
-  if (request.path.starts_with(heartbeat)) co_return beat(request, request.path.substr(heartbeat.size()));
+  if (request.path.starts_with(heartbeatPath)) co_return heartbeat(request, request.path.substr(heartbeatPath.size()));
   if (request.path.starts_with(detach)) {
     knowledge_.databases.erase(request.path.substr(detach.size()));
     co_return DoorReply{200, "{}", std::nullopt};
@@ -122,7 +122,7 @@
   co_return DoorReply{404, "{}", std::nullopt};
 }
 
-DoorReply StraightPooler::beat(const DoorRequest& request, const std::string& id) {
+DoorReply StraightPooler::heartbeat(const DoorRequest& request, const std::string& id) {
   auto json = Json::parse(request.body, nullptr, false);
   if (!json.is_object()) return DoorReply{400, "{}", std::nullopt};
   auto& database = knowledge_.databases[id];
@@ -130,7 +130,7 @@
   database.address = Address{json.value("address", "")};
   database.primary = json.value("dbRole", "") == "primary";
   database.quiescing = json.value("condition", "") == "quiescing";
-  database.beatAt = clock_.now();
+  database.heartbeatAt = clock_.now();
   auto& primary = knowledge_.primaries[database.service];
   bool promoted = knowledge_.promotingSince.contains(database.service);
   if (database.primary && !database.quiescing && (primary.empty() || promoted)) {
@@ -151,7 +151,7 @@
 
 std::string StraightPooler::candidate(const std::string& service, const std::string& but) const {
   for (const auto& [id, database] : knowledge_.databases)
-    if (id != but && database.service == service && !database.quiescing && clock_.now() - database.beatAt < 3s) return id;
+    if (id != but && database.service == service && !database.quiescing && clock_.now() - database.heartbeatAt < 3s) return id;
   return {};
 }
 
@@ -163,7 +163,7 @@
       auto found = knowledge_.databases.find(primary);
       auto since = knowledge_.promotingSince.find(service);
       bool again = since != knowledge_.promotingSince.end() && clock_.now() - since->second > 2s;
-      bool silent = found == knowledge_.databases.end() || found->second.quiescing || clock_.now() - found->second.beatAt > 3s;
+      bool silent = found == knowledge_.databases.end() || found->second.quiescing || clock_.now() - found->second.heartbeatAt > 3s;
       if (!(silent || again) || (since != knowledge_.promotingSince.end() && !again)) continue;
       auto next = candidate(service, primary);
       if (next.empty()) continue;
--- a/tests/platform/straight_pooler.hpp
+++ b/tests/platform/straight_pooler.hpp
@@ -20,7 +20,7 @@
   Task<DoorReply> serve(DoorRequest request) override;
   void gone(ConnectionId) override {}
   Task<void> drain(Duration patience);
-  // the duty of one of them: a primary without beats is replaced
+  // the duty of one of them: a primary without heartbeats is replaced
   Task<void> watch();
   StraightFaults& faults() { return faults_; }
 
@@ -41,7 +41,7 @@
   Passed refused(Session& session, const std::string& code, bool stays) const;
   std::string primaryFor(const std::string& hostName) const;
   std::string candidate(const std::string& service, const std::string& but) const;
-  DoorReply beat(const DoorRequest& request, const std::string& id);
+  DoorReply heartbeat(const DoorRequest& request, const std::string& id);
   DoorReply replace(const DoorRequest& request);
   bool unlucky(unsigned perThousand) { return perThousand > 0 && world_.chance(perThousand); }
 
--- a/tests/pooler_shares_test.cpp
+++ b/tests/pooler_shares_test.cpp
@@ -154,7 +154,7 @@
 TEST_CASE("pooler shares: one enrolled under another boot is not used", "[pooler][shares]") {
   SharesTrial trial(shareOf(2));
   NodeNews other;
-  other.district = District{"z1"};
+  other.zone = Zone{"z1"};
   other.boot = 4;
   trial.news.put(fleetTopic, "node/10.1.0.1:1", other);
   trial.run(20ms);
--- a/tests/pooler_trial.cpp
+++ b/tests/pooler_trial.cpp
@@ -116,7 +116,7 @@
     : world(choice.seed), clock(world), news(clock), guide(clock, news, node, boot), journal("pooler", [](const std::string&) {}), backEnds(clock),
       settings(choice.settings) {
   settings.node = node;
-  settings.zone = District{"z1"};
+  settings.zone = Zone{"z1"};
   backEnds.observed = [this](const ScriptedRun& run) { observe(run); };
   backEnds.add("d1", true, Place{Epoch{3}, Position{100}});
   backEnds.add("d2", false, Place{Epoch{3}, Position{100}});
@@ -199,7 +199,7 @@
   plan.limits["idle-transaction-ms"] = 3000;
   news.put(fleetTopic, "plan", plan);
   NodeNews own;
-  own.district = settings.zone;
+  own.zone = settings.zone;
   own.boot = boot;
   news.put(fleetTopic, "node/" + node.get(), own);
 }
@@ -226,7 +226,7 @@
 }
 
 void PoolerTrial::knows(const std::string& name, const std::string& zone, const std::string& service) {
-  news.put(service, "database/" + name, DatabaseNews{Address{"10.2.0." + name.substr(1) + ":1"}, District{zone}, 100});
+  news.put(service, "database/" + name, DatabaseNews{Address{"10.2.0." + name.substr(1) + ":1"}, Zone{zone}, 100});
 }
 
 void PoolerTrial::drained(const std::string& name) { news.put("s1", "drained/" + name, std::string{}); }
--- a/tests/scale_counts_test.cpp
+++ b/tests/scale_counts_test.cpp
@@ -43,8 +43,8 @@
     CHECK(counts.nodesOut("replica/report") == 6 * 20 * 3);
   }
   {
-    INFO("3 replicas beat 10 times a second to 2 others");
-    CHECK(counts.replicasOut("replica/group-beat") == 3 * 100 * 2);
+    INFO("3 replicas heartbeat 10 times a second to 2 others");
+    CHECK(counts.replicasOut("replica/group-heartbeat") == 3 * 100 * 2);
   }
   {
     INFO("one ask carries all topics of a source and takes 150 ms of waiting, 5 ms of pause and the ways: 64 in 10 s");
@@ -56,14 +56,14 @@
     CHECK(counts.nodesOut("agent/reply") == 6 * asksOfOneFollowerToOneSource);
   }
   {
-    INFO("6 agents ask a replica for its partners each 3 s: 4 times; replicas reply to that and to the asks for news");
-    CHECK(counts.nodesOut("replica/partners") == 6 * 4);
+    INFO("6 agents ask a replica for its peers each 3 s: 4 times; replicas reply to that and to the asks for news");
+    CHECK(counts.nodesOut("replica/peers") == 6 * 4);
     CHECK(counts.replicasOut("agent/reply") == 6 * asksOfOneFollowerToOneSource + 6 * 4);
   }
   {
-    INFO("6 databases beat 49 times, to 2 agents and a replica in turn; an agent relays to 3 replicas, a replica to 2");
-    CHECK(counts.nodesOut("replica/beat") == 198 * 3);
-    CHECK(counts.replicasOut("replica/beat") == 96 * 2);
+    INFO("6 databases heartbeat 49 times, to 2 agents and a replica in turn; an agent relays to 3 replicas, a replica to 2");
+    CHECK(counts.nodesOut("replica/heartbeat") == 198 * 3);
+    CHECK(counts.replicasOut("replica/heartbeat") == 96 * 2);
   }
 }
 
--- a/tests/scripted_databases.cpp
+++ b/tests/scripted_databases.cpp
@@ -2,18 +2,18 @@
 
 namespace tamarindshift {
 
-void ScriptedDatabases::add(const DatabaseBeat& beat, Place place) {
-  auto& added = databases_[beat.database];
+void ScriptedDatabases::add(const DatabaseHeartbeat& heartbeat, Place place) {
+  auto& added = databases_[heartbeat.database];
   added = Database{};
-  added.beat = beat;
+  added.heartbeat = heartbeat;
   added.place = place;
-  scope_.spawn(beats(beat.database));
+  scope_.spawn(heartbeats(heartbeat.database));
 }
 
 void ScriptedDatabases::tell(const std::string& name) {
   auto& own = at(name);
-  ++own.beat.number;
-  if (own.up && !own.dark && !own.silent) scope_.spawn(pass(own.beat));
+  ++own.heartbeat.number;
+  if (own.up && !own.dark && !own.silent) scope_.spawn(pass(own.heartbeat));
 }
 
 std::uint64_t ScriptedDatabases::statusCalls() const {
@@ -22,9 +22,9 @@
   return sum;
 }
 
-Task<void> ScriptedDatabases::pass(DatabaseBeat beat) { co_await deliver_(beat); }
+Task<void> ScriptedDatabases::pass(DatabaseHeartbeat heartbeat) { co_await deliver_(heartbeat); }
 
-Task<void> ScriptedDatabases::beats(DatabaseName name) {
+Task<void> ScriptedDatabases::heartbeats(DatabaseName name) {
   for (;;) {
     tell(name.get());
     co_await sleep(clock_, 1200ms);
@@ -51,9 +51,9 @@
   if (!answered) co_return std::nullopt;
   auto& own = databases_[target.database];
   own.demotedWith.push_back(epoch);
-  if (own.beat.role == "primary" && epoch > own.place.epoch) {
+  if (own.heartbeat.role == "primary" && epoch > own.place.epoch) {
     own.demotedAt = clock_.now();
-    own.beat.role = "replica";
+    own.heartbeat.role = "replica";
     tell(target.database.get());
   }
   co_return standing(own);
@@ -73,8 +73,8 @@
 Task<void> ScriptedDatabases::lead(DatabaseName name) {
   co_await sleep(clock_, 300ms);
   auto& own = databases_[name];
-  if (own.beat.role == "primary") co_return;
-  own.beat.role = "primary";
+  if (own.heartbeat.role == "primary") co_return;
+  own.heartbeat.role = "primary";
   own.place.epoch = Epoch{own.place.epoch.get() + 1};
   tell(name.get());
 }
--- a/tests/scripted_databases.hpp
+++ b/tests/scripted_databases.hpp
@@ -13,7 +13,7 @@
 class ScriptedDatabases : public DatabaseControl {
  public:
   struct Database {
-    DatabaseBeat beat;
+    DatabaseHeartbeat heartbeat;
     Place place;
     bool up = true;
     bool dark = false;
@@ -26,11 +26,11 @@
     Instant demotedAt{};
     Instant promotedAt{};
   };
-  using Deliver = std::function<Task<DoorReply>(DatabaseBeat)>;
+  using Deliver = std::function<Task<DoorReply>(DatabaseHeartbeat)>;
 
   ScriptedDatabases(Clock& clock, Deliver deliver) : clock_(clock), deliver_(std::move(deliver)) {}
   Database& at(const std::string& name) { return databases_.at(DatabaseName{name}); }
-  void add(const DatabaseBeat& beat, Place place);
+  void add(const DatabaseHeartbeat& heartbeat, Place place);
   void tell(const std::string& name);
   std::uint64_t statusCalls() const;
   const std::vector<DutyHolder>& holders() const { return holders_; }
@@ -40,11 +40,11 @@
   Task<PromotionOutcome> promote(DatabaseTarget target, Epoch epoch, DutyHolder holder, Instant deadline) override;
 
  private:
-  Task<void> beats(DatabaseName name);
+  Task<void> heartbeats(DatabaseName name);
   Task<void> lead(DatabaseName name);
-  Task<void> pass(DatabaseBeat beat);
+  Task<void> pass(DatabaseHeartbeat heartbeat);
   Task<bool> answers(DatabaseName name, Instant deadline);
-  DatabaseStanding standing(const Database& database) const { return DatabaseStanding{database.beat.role, database.place.epoch, database.place.position, {}}; }
+  DatabaseStanding standing(const Database& database) const { return DatabaseStanding{database.heartbeat.role, database.place.epoch, database.place.position, {}}; }
 
   Clock& clock_;
   Deliver deliver_;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -13,9 +13,9 @@
 struct Trial {
   Trial() : file((std::filesystem::temp_directory_path() / ("settings-" + std::to_string(freshEntropy()))).string()), program("trial", "tries settings") {
     program.add(addressSetting("address", "own address", address));
-    program.add(reread(numberSetting("backlog", "most requests", backlog, 1, 100)));
+    program.add(reread(numberSetting("queue", "most requests", queue, 1, 100)));
     program.add(reread(numberSetting("sessions", "most sessions", sessions, 1, 100)));
-    write("address=1.2.3.4:5\nbacklog=7\n");
+    write("address=1.2.3.4:5\nqueue=7\n");
     std::vector<std::string> words{"trial", "--settings", file};
     std::vector<char*> arguments;
     for (auto& word : words) arguments.push_back(word.data());
@@ -30,7 +30,7 @@
   std::string file;
   Program program;
   Address address;
-  std::size_t backlog = 20;
+  std::size_t queue = 20;
   std::size_t sessions = 30;
 };
 
@@ -38,14 +38,14 @@
 
 TEST_CASE("a settings file read again is taken whole or refused whole, with the reason") {
   Trial trial;
-  CHECK(trial.backlog == 7);
-  CHECK(trial.refusal("address=1.2.3.4:5\nbacklog=8\nsessions=9\n").empty());
-  CHECK((trial.backlog == 8 && trial.sessions == 9));
-  CHECK(trial.refusal("address=1.2.3.4:6\nbacklog=9\n") == "setting address: changes at the next start only");
-  CHECK(trial.refusal("address=1.2.3.4:5\nbacklog=10\nsessions=0\n").starts_with("setting sessions: must be"));
-  CHECK(trial.refusal("address=1.2.3.4:5\nbacklog=10\nsurprise=1\n") == "unknown setting surprise");
-  CHECK_FALSE(trial.refusal("address=1.2.3.4:5\nbacklog").empty());
-  CHECK((trial.backlog == 8 && trial.sessions == 9));
+  CHECK(trial.queue == 7);
+  CHECK(trial.refusal("address=1.2.3.4:5\nqueue=8\nsessions=9\n").empty());
+  CHECK((trial.queue == 8 && trial.sessions == 9));
+  CHECK(trial.refusal("address=1.2.3.4:6\nqueue=9\n") == "setting address: changes at the next start only");
+  CHECK(trial.refusal("address=1.2.3.4:5\nqueue=10\nsessions=0\n").starts_with("setting sessions: must be"));
+  CHECK(trial.refusal("address=1.2.3.4:5\nqueue=10\nsurprise=1\n") == "unknown setting surprise");
+  CHECK_FALSE(trial.refusal("address=1.2.3.4:5\nqueue").empty());
+  CHECK((trial.queue == 8 && trial.sessions == 9));
   CHECK(trial.refusal("address=1.2.3.4:5\n").empty());
-  CHECK((trial.backlog == 20 && trial.sessions == 30));
+  CHECK((trial.queue == 20 && trial.sessions == 30));
 }
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-struct OlderBeat {
+struct OlderHeartbeat {
   Member from;
   bool joined = false;
   MSGPACK_DEFINE(from, joined)
@@ -16,24 +16,24 @@
 }  // namespace
 
 TEST_CASE("a program reads messages that have fields more or fewer at their end") {
-  GroupBeat newer;
+  GroupHeartbeat newer;
   newer.from = Member{ServerId{Address{"127.0.0.1:1"}, Incarnation{3}}, Boot{4}};
   newer.joined = true;
   newer.highestCounter = 8;
-  auto seenByOlder = unpacked<OlderBeat>(packed(newer));
+  auto seenByOlder = unpacked<OlderHeartbeat>(packed(newer));
   REQUIRE(seenByOlder);
   CHECK(seenByOlder->from == newer.from);
   CHECK(seenByOlder->joined);
-  auto seenByNewer = unpacked<GroupBeat>(packed(*seenByOlder));
+  auto seenByNewer = unpacked<GroupHeartbeat>(packed(*seenByOlder));
   REQUIRE(seenByNewer);
   CHECK(seenByNewer->from == newer.from);
   CHECK(seenByNewer->highestCounter == 0);
 }
 
 TEST_CASE("a message of another shape is not read") {
-  CHECK_FALSE(unpacked<GroupBeat>(packed(std::string("beat"))));
-  CHECK_FALSE(unpacked<GroupBeat>(packed(std::vector<int>{1, 2, 3})));
-  CHECK_FALSE(unpacked<GroupBeat>(""));
+  CHECK_FALSE(unpacked<GroupHeartbeat>(packed(std::string("heartbeat"))));
+  CHECK_FALSE(unpacked<GroupHeartbeat>(packed(std::vector<int>{1, 2, 3})));
+  CHECK_FALSE(unpacked<GroupHeartbeat>(""));
 }
 
 TEST_CASE("a packed message comes back whole and a torn one does not come back") {
