Poolers that share a crowded database agree by a ration which work goes first

Cause: each pooler served by precedence only what waited at itself; the queue that counts stands inside the database, which serves it as it came, so later work of other nodes went before the first order of this one. Nodes report what each order keeps running at a database; where that passes twice its slots the duty holder orders a ration: orders that fit go freely, all later work shares what is left, at least one connection, by turns over the nodes. Ruled out: latency seen by each pooler alone (tried: noticed a crowd after 11 s or never, since the usual time is learnt in the crowd), refusals of the database (tried: under 3 % in the same crowd), a branch for each order. Conclusion: on where a release knows it at all replicas (setting rations).

--- a/src/base/setting_kinds.cpp
+++ b/src/base/setting_kinds.cpp
@@ -106,6 +106,10 @@
                  }};
 }
 
+Setting rationsSetting(bool& target) {
+  return flagSetting("rations", "whether nodes agree which work a crowded database gets first; only once all replicas run a release that knows rations", target);
+}
+
 Setting flagSetting(std::string key, std::string meaning, bool& target) {
   return Setting{std::move(key), std::move(meaning) + ", true or false", target ? "true" : "false", false, [&target](const std::string& text) -> std::optional<std::string> {
                    if (text != "true" && text != "false") return "must be true or false";
--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -29,6 +29,7 @@
   Duration suspicionKept = 1s;
   Duration strainKept = 200ms;
   Duration reliefPause = 8s;
+  Duration rationPause = 500ms;
   Duration firstPrimary = 2s;
   Duration leadPatience = 1s;
   Duration databaseOut = 5s;
--- a/src/control/access_messages.hpp
+++ b/src/control/access_messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/plan.hpp"
+#include "control/ration.hpp"
 
 namespace tamarindshift {
 
@@ -12,7 +13,9 @@
   std::set<DatabaseName> suspects;
   bool working = false;
   std::set<DatabaseName> strained;
-  MSGPACK_DEFINE(followed, epoch, acknowledged, wanted, suspects, working, strained)
+  // what work of each order asked of databases since the last report
+  std::map<DatabaseName, OrderedDemand> demands;
+  MSGPACK_DEFINE(followed, epoch, acknowledged, wanted, suspects, working, strained, demands)
 };
 
 struct NodeReport {
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -44,6 +44,9 @@
     case ControlMatter::shares:
       apply([this](const auto& body) { return applyShares(body); }, unpacked<SharesUpdate>(update->body));
       break;
+    case ControlMatter::ration:
+      apply([this](const auto& body) { return applyRation(body); }, unpacked<RationUpdate>(update->body));
+      break;
     case ControlMatter::enrolNode:
       apply([this](const auto& body) { return applyNode(body, false); }, unpacked<NodeUpdate>(update->body));
       break;
@@ -71,6 +74,7 @@
     auto& state = services_[name];
     auto databases = this->databases(name);
     std::erase_if(state.drained, [&](const auto& database) { return !databases.contains(database.first); });
+    std::erase_if(state.rations, [&](const auto& database) { return !databases.contains(database.first); });
     state.sharesAt = position_;
     std::map<BranchName, std::uint32_t> sums;
     auto fit = [&](std::map<BranchName, std::uint32_t>& branches) {
@@ -165,7 +169,7 @@
   own->second.erase(database);
   if (own->second.empty()) enrolled_.erase(own);
   for (auto* states : {&services_, &retired_})
-    if (auto state = states->find(service); state != states->end()) state->second.drained.erase(database);
+    if (auto state = states->find(service); state != states->end()) state->second.drained.erase(database), state->second.rations.erase(database);
 }
 
 std::string ControlState::applyEnrolment(const EnrolmentUpdate& update) {
@@ -228,6 +232,16 @@
   return "held";
 }
 
+std::string ControlState::applyRation(const RationUpdate& update) {
+  auto service = services_.find(update.service);
+  if (service == services_.end() || !databases(update.service).contains(update.database)) return "no such database";
+  if (update.ration)
+    service->second.rations[update.database] = *update.ration;
+  else
+    service->second.rations.erase(update.database);
+  return "held";
+}
+
 std::string ControlState::applyNode(const NodeUpdate& update, bool draining) {
   if (draining) {
     auto found = nodes_.find(update.node);
@@ -285,6 +299,7 @@
   table["primary"] = packed(PrimaryNews{state.epoch, state.primary, state.promoted, state.planned});
   if (service.discovered)
     for (const auto& [database, own] : databases(name)) table["database/" + database.get()] = packed(DatabaseNews{own.address, own.zone, own.capacity});
+  for (const auto& [database, ration] : state.rations) table["ration/" + database.get()] = packed(ration);
   for (const auto& [database, mark] : state.drained) table["drained/" + database.get()] = packed(mark);
   for (const auto& [node, branches] : state.grants) table["share/" + node.get()] = packed(ShareNews{branches});
   return table;
--- a/src/control/control_state.hpp
+++ b/src/control/control_state.hpp
@@ -34,8 +34,9 @@
   std::uint64_t sharesAt = 0;
   std::map<Address, ReservedShare> reserved;
   bool planned = false;
+  std::map<DatabaseName, Ration> rations;
   bool holds(const Address& node) const { return grants.contains(node) || reserved.contains(node); }
-  MSGPACK_DEFINE(epoch, primary, promoted, servedBy, drained, grants, sharesAt, reserved, planned)
+  MSGPACK_DEFINE(epoch, primary, promoted, servedBy, drained, grants, sharesAt, reserved, planned, rations)
 };
 
 struct NodeState {
@@ -74,6 +75,7 @@
   std::string applyRecovery(const RecoveryUpdate& update);
   std::string applyPromoted(const PromotedUpdate& update);
   std::string applyShares(const SharesUpdate& update);
+  std::string applyRation(const RationUpdate& update);
   std::string applyNode(const NodeUpdate& update, bool draining);
   std::string removeNode(const NodeUpdate& update);
   void retire(const Plan& plan);
--- a/src/control/control_update.hpp
+++ b/src/control/control_update.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/plan.hpp"
+#include "control/ration.hpp"
 
 namespace tamarindshift {
 
@@ -16,6 +17,7 @@
   removeNode = 9,
   enrolDatabase = 10,
   removeDatabase = 11,
+  ration = 12,
 };
 
 struct ControlUpdate {
@@ -76,6 +78,14 @@
   MSGPACK_DEFINE(service, basis, grants, reserved)
 };
 
+// without a ration the database is rationed no more
+struct RationUpdate {
+  ServiceName service;
+  DatabaseName database;
+  std::optional<Ration> ration;
+  MSGPACK_DEFINE(service, database, ration)
+};
+
 struct NodeUpdate {
   Address node;
   Zone zone;
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -7,8 +7,8 @@
 namespace tamarindshift {
 
 Duties::Duties(Clock& clock, Journal& journal, const Timings& timings, ReplicationEngine& engine, const ControlState& state,
-               AccessTables& access, DatabaseControl& databases, ServerId own, std::size_t losses)
-    : clock_(clock), journal_(journal), timings_(timings), engine_(engine), state_(state), access_(access), databases_(databases), own_(std::move(own)), losses_(losses) {
+               AccessTables& access, DatabaseControl& databases, ServerId own, std::size_t losses, bool rationing)
+    : clock_(clock), journal_(journal), timings_(timings), engine_(engine), state_(state), access_(access), databases_(databases), own_(std::move(own)), losses_(losses), rationing_(rationing) {
   scope_.spawn(run());
   scope_.spawn(wakeOnGreen());
 }
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -5,6 +5,7 @@
 #include "control/access_tables.hpp"
 #include "control/control_state.hpp"
 #include "control/database_control.hpp"
+#include "control/ration_cut.hpp"
 #include "engine/replication_engine.hpp"
 
 namespace tamarindshift {
@@ -12,7 +13,7 @@
 class Duties {
  public:
   Duties(Clock& clock, Journal& journal, const Timings& timings, ReplicationEngine& engine, const ControlState& state,
-         AccessTables& access, DatabaseControl& databases, ServerId own, std::size_t losses);
+         AccessTables& access, DatabaseControl& databases, ServerId own, std::size_t losses, bool rationing);
 
   bool onDuty() const;
   // something came that a duty may wait for
@@ -38,6 +39,7 @@
     Instant promoteAfter{};
     Duration promotePause{};
     Epoch highestTerm;
+    std::map<DatabaseName, Instant> rationsReviewedAt;
     bool busy = false;
   };
   struct Candidate {
@@ -76,6 +78,8 @@
   Task<void> orderAll(Orders orders);
   Task<void> orderOne(ControlMatter matter, std::string body, std::shared_ptr<std::size_t> left);
   Task<void> shares(ServiceName name);
+  Task<void> rations(ServiceName name);
+  NodeDemands demands(const ServiceName& name, const DatabaseName& database) const;
   Task<void> nodes();
   void members();
   Task<void> enrolments();
@@ -116,6 +120,7 @@
   DatabaseControl& databases_;
   ServerId own_;
   std::size_t losses_;
+  bool rationing_;
   std::map<ServerId, Instant> awaySince_;
   std::map<ServiceName, ServiceDuty> duties_;
   std::map<ServiceName, std::string> waits_;
--- a/src/control/recovery_duties.cpp
+++ b/src/control/recovery_duties.cpp
@@ -14,6 +14,7 @@
   co_await departures(name);
   co_await returns(name);
   co_await shares(name);
+  co_await rations(name);
   if (!state_.services().contains(name)) co_return;
   auto service = state_.services().at(name);
   if (service.epoch == Epoch{}) co_return co_await firstPrimary(name);
--- a/src/control/replica_node.cpp
+++ b/src/control/replica_node.cpp
@@ -15,7 +15,7 @@
 
 std::optional<std::string> ReplicaNode::start() {
   if (auto fault = core_.start()) return fault;
-  duties_ = std::make_unique<Duties>(clock_, journal_, settings_.timings, engine(), state_, access_, databases_, core_.own(), settings_.losses);
+  duties_ = std::make_unique<Duties>(clock_, journal_, settings_.timings, engine(), state_, access_, databases_, core_.own(), settings_.losses, settings_.rations);
   news_ = std::make_unique<NewsDesk>(clock_, desk_, board_, *this, settings_.timings.newsWait);
   serveDesk();
   return std::nullopt;
--- a/src/control/replica_node.hpp
+++ b/src/control/replica_node.hpp
@@ -23,6 +23,7 @@
   const AccessTables& access() const { return access_; }
   const Duties& duties() const { return *duties_; }
   const ReplicaSettings& settings() const { return settings_; }
+  const NewsBoard& board() const { return board_; }
   Journal& journal() { return journal_; }
 
   Task<DoorReply> replacePlan(std::string text);
--- a/src/control/replica_settings.hpp
+++ b/src/control/replica_settings.hpp
@@ -17,6 +17,8 @@
   bool mayFound = true;
   // machines of the group that may be lost at once; 0 lets no member go by itself
   std::size_t losses = 0;
+  // whether nodes are told which work a crowded database gets first; all replicas must know how (docs/operating.md)
+  bool rations = false;
 };
 
 }  // namespace tamarindshift
--- a/src/control/share_cut.cpp
+++ b/src/control/share_cut.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// shares are compared for their weight in whole numbers
-constexpr std::uint64_t scale = 1'000'000;
-
 std::map<Address, std::uint32_t> cutBranch(const PlanBranch& branch, const std::map<Address, std::uint32_t>& wanted, const Weights& weights) {
   std::map<Address, std::uint32_t> given;
   if (wanted.empty()) return given;
@@ -25,7 +22,7 @@
   auto giveOut = [&](bool onlyHungry) {
     std::set<Place> order;
     auto hungry = [&](const Address& node) { return !onlyHungry || given.at(node) < wanted.at(node); };
-    auto rank = [&](const Address& node) { return given.at(node) * scale / weight(node); };
+    auto rank = [&](const Address& node) { return given.at(node) * shareScale / weight(node); };
     for (const auto& [node, amount] : given)
       if (hungry(node)) order.emplace(rank(node), node);
     while (left > 0 && !order.empty()) {
--- a/src/pool/guide.cpp
+++ b/src/pool/guide.cpp
@@ -42,6 +42,7 @@
   view.mark = entry.mark;
   static const std::string drainedPrefix = "drained/";
   static const std::string databasePrefix = "database/";
+  static const std::string rationPrefix = "ration/";
   for (const auto& [key, value] : entry.table) {
     if (key == "plan")
       view.plan = unpacked<ServiceNews>(value);
@@ -49,6 +50,8 @@
       view.primary = unpacked<PrimaryNews>(value).value_or(PrimaryNews{});
     else if (key.starts_with(databasePrefix))
       view.databases[DatabaseName{key.substr(databasePrefix.size())}] = unpacked<DatabaseNews>(value).value_or(DatabaseNews{});
+    else if (key.starts_with(rationPrefix))
+      view.rations[DatabaseName{key.substr(rationPrefix.size())}] = unpacked<Ration>(value).value_or(Ration{});
     else if (key.starts_with(drainedPrefix)) {
       DatabaseName database{key.substr(drainedPrefix.size())};
       auto before = drainedBefore.find(database);
--- a/src/pool/guide.hpp
+++ b/src/pool/guide.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/ration.hpp"
 #include "control/service_news.hpp"
 #include "news/news_feed.hpp"
 
@@ -13,6 +14,7 @@
     PrimaryNews primary;
     std::map<DatabaseName, DatabaseNews> databases;
     std::map<DatabaseName, Instant> drained;
+    std::map<DatabaseName, Ration> rations;
     ShareNews granted;
     ShareNews share;
   };
--- a/src/pooler/back_end_pool.cpp
+++ b/src/pooler/back_end_pool.cpp
@@ -171,6 +171,10 @@
   return slow || faulty > 0.1;
 }
 
+std::uint32_t BackEndPool::Shelf::busyAfter(std::uint32_t order) const {
+  return static_cast<std::uint32_t>(std::count_if(busy.begin(), busy.end(), [order](const auto& connection) { return connection->order > order; }));
+}
+
 void BackEndPool::unreachable(const DatabaseName& database) {
   auto& shelf = shelves_[database];
   if (!shelf.suspect) journal_.line("database " + database.get() + " is suspected");
--- a/src/pooler/back_end_pool.hpp
+++ b/src/pooler/back_end_pool.hpp
@@ -31,6 +31,9 @@
     std::uint32_t replies = 0;
     // its work takes far longer than it used to, or fails too often, while it answers
     bool strained() const;
+    // time that work of each order kept connections running since the last report
+    std::map<std::uint32_t, Duration> ran;
+    std::uint32_t busyAfter(std::uint32_t order) const;
     std::uint32_t total() const { return static_cast<std::uint32_t>(idle.size() + busy.size()) + opening; }
   };
 
--- a/src/pooler/demand.hpp
+++ b/src/pooler/demand.hpp
@@ -21,6 +21,7 @@
   const PreparedStatement* wantsPrepared = nullptr;
   std::string preparedName;
   DemandStage stage = DemandStage::waiting;
+  bool rationed = false;
   std::shared_ptr<PooledBackEnd> connection;
   std::optional<Place> after;
   StatementFault fault = StatementFault::none;
--- a/src/pooler/pooled_back_end.hpp
+++ b/src/pooler/pooled_back_end.hpp
@@ -20,6 +20,7 @@
   bool dubious = false;
   bool asPrimary = false;
   Epoch epoch;
+  std::uint32_t order = 0;
   bool running = false;
   bool cut = false;
   Instant usedAt{};
--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -312,6 +312,7 @@
   report.draining = closing();
   report.mark = guide_.planMark();
   auto now = clock_.now();
+  noteDemands();
   for (const auto& [name, view] : guide_.services()) {
     if (!view.plan) continue;
     auto& watch = watches_[name];
@@ -321,6 +322,7 @@
     if (view.plan->service.keepsAcknowledged()) own.acknowledged = watch.acknowledged;
     own.suspects = watch.suspects;
     own.strained = watch.strained;
+    own.demands = watch.demands;
     own.working = now - watch.workedAt < 1s;
     std::size_t held = 0;
     for (const auto& [database, news] : view.databases)
@@ -341,12 +343,23 @@
     told_ = report.services;
     return report;
   }
-  auto same = [](const ServiceReport& left, const ServiceReport& right) {
+  auto alike = [](const auto& left, const auto& right) {
+    auto sum = [](const auto& demands) {
+      std::uint32_t all = 0;
+      for (const auto& [database, orders] : demands)
+        for (const auto& [order, amount] : orders) all += amount;
+      return all;
+    };
+    auto before = sum(left);
+    auto now = sum(right);
+    return now <= 2 * before + demandUnit && before <= 2 * now + demandUnit;
+  };
+  auto same = [alike](const ServiceReport& left, const ServiceReport& right) {
     bool wants = std::all_of(right.wanted.begin(), right.wanted.end(), [&](const auto& each) {
       auto before = left.wanted.find(each.first);
       return before != left.wanted.end() && each.second <= before->second + 1 && before->second <= each.second + 2;
     });
-    return wants && std::tie(left.epoch, left.followed, left.acknowledged, left.suspects, left.strained, left.working) ==
+    return wants && alike(left.demands, right.demands) && std::tie(left.epoch, left.followed, left.acknowledged, left.suspects, left.strained, left.working) ==
                         std::tie(right.epoch, right.followed, right.acknowledged, right.suspects, right.strained, right.working);
   };
   std::erase_if(report.services, [&](const auto& each) {
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -79,6 +79,10 @@
 
   void serve();
   void serveOne(const DemandTable::Record& demand);
+  // whether work of this order must wait, since earlier orders have the crowded database's connections
+  bool rationed(const Guide::ServiceView& view, const DatabaseName& database, std::uint32_t order) const;
+  bool anyRationed(const Guide::ServiceView& view, const Demand& demand) const;
+  void noteDemands();
   std::vector<DatabaseName> candidates(const Demand& demand, const Route& route, std::optional<Place>& after) const;
   bool mayPass(const Connection& connection, const KindName& kind, bool inTransaction) const;
   bool mayAcknowledge(const Connection& connection) const;
@@ -111,6 +115,8 @@
   std::optional<Instant> leasedAt_;
   std::string hindrance_ = "not started";
   std::map<DatabaseName, std::uint32_t> claimed_;
+  static constexpr Duration leastDemandTime = 200ms;
+  Instant demandsSince_{};
   bool serving_ = false;
   bool serveAgain_ = false;
   Gate reportNow_;
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -29,9 +29,14 @@
   const auto& view = *found->service;
   std::optional<Place> after;
   auto databases = candidates(*demand, *found, after);
+  if (databases.empty() && !demand->rationed && anyRationed(view, *demand)) {
+    demand->rationed = true;
+    journal_.count("statements.rationed");
+  }
   auto grant = [&](const Connection& connection) {
     connection->asPrimary = demand->atPrimary || !after;
     connection->epoch = view.primary.epoch;
+    connection->order = demand->order;
     if (!connection->asPrimary) demand->after = after;
     demands_.grant(demand, connection);
   };
@@ -52,12 +57,52 @@
   }
 }
 
+bool Pooler::rationed(const Guide::ServiceView& view, const DatabaseName& database, std::uint32_t order) const {
+  auto ration = view.rations.find(database);
+  if (ration == view.rations.end() || order <= ration->second.freeThrough) return false;
+  const auto* shelf = pool_.find(database);
+  return (shelf ? shelf->busyAfter(ration->second.freeThrough) : 0) >= ration->second.laterAt(settings_.node);
+}
+
+bool Pooler::anyRationed(const Guide::ServiceView& view, const Demand& demand) const {
+  return std::any_of(view.rations.begin(), view.rations.end(), [&](const auto& each) {
+    return (!demand.atPrimary || each.first == view.primary.primary) && rationed(view, each.first, demand.order);
+  });
+}
+
+// Running connections are a mean over the time since the last look; waiting work is what waits now.
+void Pooler::noteDemands() {
+  auto now = clock_.now();
+  auto since = now - demandsSince_;
+  if (since < leastDemandTime) return;
+  for (auto& [name, watch] : watches_) watch.demands.clear();
+  auto tenths = [since](Duration ran) { return static_cast<std::uint32_t>((ran.count() * demandUnit + since.count() / 2) / since.count()); };
+  for (const auto& [name, view] : guide_.services())
+    for (const auto& [database, news] : view.databases) {
+      auto& shelf = pool_.shelf(database);
+      for (const auto& connection : shelf.busy)
+        if (connection->running) shelf.ran[connection->order] += now - std::max(connection->usedAt, demandsSince_);
+      for (const auto& [order, ran] : std::exchange(shelf.ran, {}))
+        if (auto amount = tenths(ran); amount > 0) watches_[name].demands[database][order] += amount;
+    }
+  for (const auto& demand : demands_.waiting()) {
+    auto found = routeNamed(demand->kind);
+    if (!found) continue;
+    auto& demands = watches_[found->kind->service].demands;
+    if (demand->atPrimary)
+      demands[found->service->primary.primary][demand->order] += demandUnit;
+    else
+      for (const auto& [database, ration] : found->service->rations) demands[database][demand->order] += demandUnit;
+  }
+  demandsSince_ = now;
+}
+
 std::vector<DatabaseName> Pooler::candidates(const Demand& demand, const Route& route, std::optional<Place>& after) const {
   const auto& view = *route.service;
   const auto& primary = view.primary.primary;
   auto usable = [&](const DatabaseName& database) {
     const auto* shelf = pool_.find(database);
-    return view.databases.contains(database) && !view.drained.contains(database) && !(shelf && shelf->suspect);
+    return view.databases.contains(database) && !view.drained.contains(database) && !(shelf && shelf->suspect) && !rationed(view, database, demand.order);
   };
   bool primaryServes = view.primary.promoted && usable(primary);
   std::vector<DatabaseName> chosen;
@@ -113,7 +158,7 @@
   while (demand->stage == DemandStage::waiting) {
     co_await demand->decided.wait(clock_, demand->holdUntil);
     if (demand->stage == DemandStage::waiting && clock_.now() >= demand->holdUntil)
-      demands_.refuse(demand, StatementFault::busy, "no database could take it in time");
+      demands_.refuse(demand, StatementFault::busy, demand->rationed ? "work of earlier orders goes first at a crowded database" : "no database could take it in time");
   }
   co_return Acquired{demand->connection, demand->after, demand->fault, demand->reason};
 }
@@ -168,6 +213,7 @@
   connection->usedAt = askedAt;
   auto reply = co_await connection->link->run(std::move(statement), after, deadline);
   connection->running = false;
+  pool_.shelf(target.database).ran[connection->order] += clock_.now() - std::max(askedAt, demandsSince_);
   if (!connection->cut) {
     bool well = reply.fate == BackEndFate::replied && reply.fault != StatementFault::failed && reply.fault != StatementFault::timedOut;
     pool_.ended(target.database, well);
--- a/src/pooler/service_watch.hpp
+++ b/src/pooler/service_watch.hpp
@@ -2,7 +2,7 @@
 
 #include <set>
 
-#include "control/names.hpp"
+#include "control/ration.hpp"
 #include "pooler/freshness.hpp"
 
 namespace tamarindshift {
@@ -15,6 +15,7 @@
   Instant finishUntil{};
   std::set<DatabaseName> suspects;
   std::set<DatabaseName> strained;
+  std::map<DatabaseName, OrderedDemand> demands;
   Freshness freshness;
   Instant workedAt{};
   double demand = 0;
--- a/tests/control_cluster.cpp
+++ b/tests/control_cluster.cpp
@@ -11,7 +11,7 @@
 
 }  // namespace
 
-ControlCluster::ControlCluster()
+ControlCluster::ControlCluster(bool rations)
     : world(7), network(world), outside(world), databases(outside, [this](DatabaseHeartbeat heartbeat) { return replica(heartbeat.number % 3).heartbeat(heartbeat); }), disks(3), nodeLink(network, outside, Address{"10.1.0.1:1"}), nodeDesk(outside, nodeLink) {
   for (std::size_t index = 0; index < 3; ++index) {
     ownClocks.push_back(std::make_unique<SimulatedClock>(world));
@@ -24,6 +24,7 @@
     settings.zone = Zone{"z1"};
     settings.seeds = {replicaAddress(0), replicaAddress(1), replicaAddress(2)};
     settings.timings.databaseHeartbeat = 1200ms;
+    settings.rations = rations;
     nodes.push_back(std::make_unique<ReplicaNode>(clock, *links.back(), *stores.back(), databases, *journals.back(), settings, world.incarnation()));
     REQUIRE_FALSE(nodes.back()->start());
   }
--- a/tests/control_cluster.hpp
+++ b/tests/control_cluster.hpp
@@ -14,7 +14,7 @@
 // three replicas, databases that do what a test says, and one node that reports what a test says
 class ControlCluster {
  public:
-  ControlCluster();
+  explicit ControlCluster(bool rations = false);
   ~ControlCluster();
 
   void run(Duration duration) { world.runUntil(world.now() + duration); }
--- a/tests/platform/adapter_settings.cpp
+++ b/tests/platform/adapter_settings.cpp
@@ -52,6 +52,7 @@
   settings.timings.databaseHeartbeat = 1200ms;
   settings.mayFound = process.machine().firstStart;
   settings.losses = 1;
+  settings.rations = true;
   return settings;
 }
 
--- a/tests/platform/client_kind.hpp
+++ b/tests/platform/client_kind.hpp
@@ -11,6 +11,7 @@
   std::string zone = "zone-1";
   RouteClass routeClass = RouteClass::primary;
   Duration staleness{};
+  unsigned precedence = 1;
   std::size_t sessions = 4;
   bool singleOperation = false;
   Duration pause = 100ms;
--- a/tests/platform/platform_script.cpp
+++ b/tests/platform/platform_script.cpp
@@ -72,10 +72,11 @@
     events_.push_back(std::move(event));
     return read;
   }
-  if (words[0] != "expect" || words.size() != 7 || words[1] != "served") return false;
+  bool ofKind = words.size() == 9 && words[7] == "of";
+  if (words[0] != "expect" || (words.size() != 7 && !ofKind) || words[1] != "served") return false;
   Expectation expectation;
   expectation.share = std::stod(words[2]);
-  bool read = take(words[4], expectation.from) && take(words[6], expectation.until);
+  bool read = take(words[4], expectation.from) && take(words[6], expectation.until) && (!ofKind || take(words[8], expectation.kind.emplace()));
   expectations_.push_back(expectation);
   return read;
 }
@@ -120,6 +121,7 @@
                 : key == "leaves"       ? take(value, kind.leaves)
                 : key == "step"         ? take(value, kind.stepPause)
                 : key == "staleness"    ? take(value, kind.staleness)
+                : key == "precedence"   ? take(value, kind.precedence)
                                         : key == "class";
     if (!read) return false;
     if (key != "class") continue;
@@ -145,8 +147,8 @@
   for (const auto& broken : world.finish()) faults.push_back(broken.rule + ": " + broken.text);
   for (const auto& fault : world.history().clients.faults) faults.push_back("client: " + fault);
   for (const auto& expectation : expectations_) {
-    auto served = world.served(expectation.from, expectation.until);
-    if (served < expectation.share) faults.push_back("served " + std::to_string(served) + " and not " + std::to_string(expectation.share));
+    auto served = world.served(expectation.from, expectation.until, expectation.kind);
+    if (served < expectation.share) faults.push_back("served " + std::to_string(served) + " and not " + std::to_string(expectation.share) + (expectation.kind ? " of kind " + std::to_string(*expectation.kind) : ""));
   }
   lines_ = world.lines();
   summary_ = std::to_string(world.history().clients.operations.size()) + " operations, " + std::to_string(world.history().services.runs.size()) +
--- a/tests/platform/platform_script.hpp
+++ b/tests/platform/platform_script.hpp
@@ -6,7 +6,8 @@
 
 namespace tamarindshift::testing {
 
-// a day as text: lines `shape`, `kind`, `at TIME EVENT ...`, `until TIME` and `expect served SHARE from TIME until TIME`
+// a day as text: lines `shape`, `kind`, `at TIME EVENT ...`, `until TIME` and `expect served SHARE from TIME until TIME`,
+// where `of NUMBER` may follow for one kind, by its place from 0
 class PlatformScript {
  public:
   bool read(std::istream& text);
@@ -28,6 +29,7 @@
     double share = 0;
     Duration from{};
     Duration until{};
+    std::optional<std::size_t> kind;
   };
   bool readLine(const Words& words);
   bool readShape(const Words& words);
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -123,6 +123,7 @@
     route.routeClass = kind.routeClass;
     route.targetService = services_.at(service - 1)->name();
     route.staleness = milliseconds(kind.staleness);
+    route.precedence = kind.precedence;
     route.guard = milliseconds(kind.deadline / 2);
     configuration_.routes.push_back(route);
     world_.at(start_ + shape_.lead, [this, kind] { clients_->start(kind); });
@@ -402,9 +403,11 @@
   return checkRules(history_);
 }
 
-double PlatformWorld::served(Duration from, Duration until) const {
+double PlatformWorld::served(Duration from, Duration until, std::optional<std::size_t> kind) const {
   double served = 0, ended = 0;
+  auto ending = kind ? "-" + std::to_string(*kind) : std::string{};
   for (const auto& operation : history_.clients.operations) {
+    if (!operation.hostName.ends_with(ending)) continue;
     if (!operation.ended || operation.left || operation.beganAt < start_ + from || operation.beganAt >= start_ + until) continue;
     ended += 1;
     served += operation.served ? 1 : 0;
--- a/tests/platform/platform_world.hpp
+++ b/tests/platform/platform_world.hpp
@@ -26,7 +26,8 @@
   void runUntil(Duration sinceStart) { world_.runUntil(start_ + sinceStart); }
   // clients stop, what was configured is read back, and the rules are checked
   std::vector<BrokenRule> finish();
-  double served(Duration from, Duration until) const;
+  // of all kinds of work, or of one by its place in the shape
+  double served(Duration from, Duration until, std::optional<std::size_t> kind = std::nullopt) const;
   const std::vector<std::string>& lines() const { return lines_; }
 
   // machines
