Old leases count from the first sight of a recovery; strain after a takeover is waited out

Cause 1: a member that lays the duties down and takes them again, or takes them from another, counted the leases of the old epoch afresh from then, so each view change during a recovery cost up to 1.75 s more. The time when a member first saw the recovery green holds whoever has the duty: no lease without it has a later proof. It is now noted on and off duty.

"Settled" counted from the recovery, now from the takeover, and while a node is out of reach the strain must last as long as its lease.

--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -21,6 +21,7 @@
   for (;;) {
     co_await sleep(clock_, timings_.dutyPause);
     co_await wake_.wait(clock_, clock_.now() + timings_.duty);
+    noteEpochs();
     if (onDuty() != wasOnDuty_) {
       wasOnDuty_ = onDuty();
       takenAt_ = clock_.now();
@@ -39,6 +40,15 @@
   }
 }
 
+void Duties::noteEpochs() {
+  std::erase_if(seenEpochs_, [&](const auto& each) { return !state_.services().contains(each.first); });
+  for (const auto& [name, service] : state_.services()) {
+    auto& seen = seenEpochs_[name];
+    if (seen.at == Instant{} || seen.epoch != service.epoch) seen = SeenEpoch{service.epoch, clock_.now(), std::nullopt};
+    if (service.promoted && !seen.promotedAt) seen.promotedAt = clock_.now();
+  }
+}
+
 void Duties::pass() {
   access_.forgetNodesBefore(clock_.now() - 10 * timings_.nodeSilence);
   members();
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -40,6 +40,12 @@
     Epoch highestTerm;
     bool busy = false;
   };
+  // when this member first saw a service's epoch and then its promotion, on duty or not
+  struct SeenEpoch {
+    Epoch epoch;
+    Instant at{};
+    std::optional<Instant> promotedAt;
+  };
   struct Candidate {
     DatabaseName database;
     DatabaseStanding standing;
@@ -49,6 +55,7 @@
 
   Task<void> run();
   Task<void> wakeOnGreen();
+  void noteEpochs();
   void pass();
   Task<void> care(ServiceName name);
   Task<void> careFor(ServiceName name);
@@ -89,6 +96,8 @@
   bool everyNodeFollows(const ServiceName& name, const ServiceState& service) const;
   bool everyNodeLeftOldEpochs(const ServiceName& name, const ServiceState& service) const;
   bool leasesOver(const ServiceName& name) const;
+  const SeenEpoch* seenEpoch(const ServiceName& name) const;
+  bool everyNodeHeard() const;
   bool suspected(const ServiceName& name, const DatabaseName& database) const;
   bool strained(const ServiceName& name, const DatabaseName& database) const;
   bool mostSay(const ServiceName& name, const DatabaseName& database, std::set<DatabaseName> ServiceReport::*told) const;
@@ -117,6 +126,7 @@
   ServerId own_;
   std::size_t losses_;
   std::map<ServerId, Instant> awaySince_;
+  std::map<ServiceName, SeenEpoch> seenEpochs_;
   std::map<ServiceName, ServiceDuty> duties_;
   std::map<ServiceName, std::string> waits_;
   bool nodesBusy_ = false;
--- a/src/control/recovery_duties.cpp
+++ b/src/control/recovery_duties.cpp
@@ -66,19 +66,22 @@
   });
 }
 
-// a primary that most nodes find strained gives its place to a replica that is not, in order and not too often
+// a primary that most nodes find strained for as long as the change may cost gives its place to a replica that is not, in order and not too often
 Task<void> Duties::relieve(ServiceName name) {
   auto& duty = duties_[name];
   auto primary = state_.services().at(name).primary;
-  bool settled = clock_.now() - duty.seenAt > timings_.lease && (!duty.relievedAt || clock_.now() - *duty.relievedAt > timings_.reliefPause);
+  auto now = clock_.now();
+  const auto* seen = seenEpoch(name);
+  bool settled = seen && seen->promotedAt && now - *seen->promotedAt > timings_.lease && now - duty.takenAt > timings_.suspicionKept && (!duty.relievedAt || now - *duty.relievedAt > timings_.reliefPause);
   if (!discovered(name) || !settled || !strained(name, primary) || !hasBetter(name)) {
     duty.strainedSince.reset();
     co_return;
   }
-  if (!duty.strainedSince) duty.strainedSince = clock_.now();
-  if (clock_.now() - *duty.strainedSince < timings_.strainKept) co_return;
+  if (!duty.strainedSince) duty.strainedSince = now;
+  auto kept = timings_.strainKept + (everyNodeHeard() ? Duration::zero() : timings_.lease + timings_.leaseMargin);
+  if (now - *duty.strainedSince < kept) co_return;
   duty.strainedSince.reset();
-  duty.relievedAt = clock_.now();
+  duty.relievedAt = now;
   journal_.count("duties.reliefs");
   co_await recover(name, "primary is strained");
 }
@@ -137,7 +140,22 @@
   return suspecting > 0 && 2 * suspecting >= working;
 }
 
-bool Duties::leasesOver(const ServiceName& name) const { return clock_.now() - duties_.at(name).seenAt > timings_.lease + timings_.leaseMargin; }
+bool Duties::leasesOver(const ServiceName& name) const {
+  const auto* seen = seenEpoch(name);
+  return seen && clock_.now() - seen->at > timings_.lease + timings_.leaseMargin;
+}
+
+const Duties::SeenEpoch* Duties::seenEpoch(const ServiceName& name) const {
+  auto found = seenEpochs_.find(name);
+  return found != seenEpochs_.end() && found->second.epoch == state_.services().at(name).epoch ? &found->second : nullptr;
+}
+
+bool Duties::everyNodeHeard() const {
+  return std::all_of(state_.nodes().begin(), state_.nodes().end(), [&](const auto& each) {
+    const auto* known = heard(each.first);
+    return known && clock_.now() - known->heardAt <= timings_.suspicionKept;
+  });
+}
 
 bool Duties::everyNodeLeftOldEpochs(const ServiceName& name, const ServiceState& service) const {
   return std::all_of(state_.nodes().begin(), state_.nodes().end(), [&](const auto& each) {
