--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -42,6 +42,12 @@
     std::map<DatabaseName, Instant> rationsReviewedAt;
     bool busy = false;
   };
+  // when this member first saw a service's epoch and then its promotion, on duty or not
+  struct SeenEpoch {
+    Epoch epoch;
+    Instant at{};
+    std::optional<Instant> promotedAt;
+  };
   struct Candidate {
     DatabaseName database;
     DatabaseStanding standing;
@@ -51,6 +57,7 @@
 
   Task<void> run();
   Task<void> wakeOnGreen();
+  void noteEpochs();
   void pass();
   Task<void> care(ServiceName name);
   Task<void> careFor(ServiceName name);
@@ -93,6 +100,8 @@
   bool everyNodeFollows(const ServiceName& name, const ServiceState& service) const;
   bool everyNodeLeftOldEpochs(const ServiceName& name, const ServiceState& service) const;
   bool leasesOver(const ServiceName& name) const;
+  const SeenEpoch* seenEpoch(const ServiceName& name) const;
+  bool everyNodeHeard() const;
   bool suspected(const ServiceName& name, const DatabaseName& database) const;
   bool strained(const ServiceName& name, const DatabaseName& database) const;
   bool mostSay(const ServiceName& name, const DatabaseName& database, std::set<DatabaseName> ServiceReport::*told) const;
@@ -122,6 +131,7 @@
   std::size_t losses_;
   bool rationing_;
   std::map<ServerId, Instant> awaySince_;
+  std::map<ServiceName, SeenEpoch> seenEpochs_;
   std::map<ServiceName, ServiceDuty> duties_;
   std::map<ServiceName, std::string> waits_;
   bool nodesBusy_ = false;
