A pooler looks at lease and epoch before each send; names laid in a transaction

Four ways in which a statement could end against what its client was told:

- A statement of a transaction was passed without a second look at lease and epoch after its values and names had been laid on the connection, which may take as long as the database likes.
- A COMMIT that was busy was sent again after a pause without that look.
- A promise (busy) that left a transaction open at the database also left it open towards the client: a COMMIT that came after it would have kept what was promised not to be.
Now the promise ends the transaction.
Such refusals, and those of a COMMIT, tell when to come back.
- Names laid on a connection inside a transaction that was rolled back were held to be there still.
Where a database forgets them, the next EXECUTE of that name was unknown or, in the stand-in, ran another shape.
Such a connection is reset now, as it already was for values.

--- a/src/pooler/client_session.hpp
+++ b/src/pooler/client_session.hpp
@@ -14,7 +14,8 @@
   bool failed = false;
   bool told = false;
   bool wrote = false;
-  bool valuesChanged = false;
+  // values or names were laid on its connection, which a rollback may take back
+  bool laid = false;
   std::shared_ptr<PooledBackEnd> connection;
 };
 
--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -177,7 +177,7 @@
   switch (statement.kind) {
     case StatementKind::set:
       session.values[statement.name] = statement.value;
-      if (session.transaction) session.transaction->valuesChanged = true;
+      if (session.transaction) session.transaction->laid = true;
       break;
     case StatementKind::prepareRead:
     case StatementKind::prepareWrite:
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -210,6 +210,7 @@
   for (const auto& step : steps) {
     auto reply = co_await runOn(connection, step, std::nullopt, deadline);
     journal_.count("pool.conformed");
+    if (session->transaction && session->transaction->connection == connection) session->transaction->laid = true;
     if (reply.fate != BackEndFate::replied || reply.fault != StatementFault::none) co_return false;
     if (step.kind == StatementKind::reset) connection->dubious = false;
     if (step.kind == StatementKind::set) connection->values[step.name] = step.value;
--- a/src/pooler/pooler_transactions.cpp
+++ b/src/pooler/pooler_transactions.cpp
@@ -15,6 +15,11 @@
          fault == StatementFault::misdirected || fault == StatementFault::unknownName;
 }
 
+bool promisesNothingKept(StatementFault fault) {
+  return fault == StatementFault::busy || fault == StatementFault::aborted || fault == StatementFault::behind ||
+         fault == StatementFault::readOnly || fault == StatementFault::misdirected || fault == StatementFault::overloaded;
+}
+
 bool mayBeReadAgain(StatementFault fault) { return fault == StatementFault::failed || fault == StatementFault::timedOut; }
 
 }  // namespace
@@ -158,6 +163,7 @@
       failTransaction(*session);
       co_return refused(StatementFault::aborted, "the transaction's connection was lost", TransactionState::failed);
     }
+    if (!mayPass(connection, transaction.kind, true)) continue;
     if (keeps) transaction.wrote = true;
     auto until = std::min(deadline, clock_.now() + patience(connection, transaction.kind, 0));
     auto reply = co_await runOn(connection, statement, std::nullopt, until);
@@ -179,7 +185,13 @@
     }
     if (reply.state == TransactionState::failed) transaction.failed = true;
     if (reply.fault != StatementFault::none) journal_.count("replies.faults");
-    co_return passed(std::move(reply));
+    auto given = passed(std::move(reply));
+    if (notRun(given.fault)) given.comeBack = settings_.timings.comeBack;
+    if (given.state == TransactionState::open && promisesNothingKept(given.fault)) {
+      failTransaction(*session);
+      given.state = TransactionState::failed;
+    }
+    co_return given;
   }
 }
 
@@ -204,11 +216,15 @@
     co_return refused(StatementFault::aborted, "the transaction's database may not be used any more");
   }
   bool wrote = transaction.wrote;
-  bool valuesChanged = transaction.valuesChanged;
+  bool laid = transaction.laid;
   auto reply = co_await runOn(connection, statement, std::nullopt, deadline);
   auto notRunYet = [&reply] { return reply.fate == BackEndFate::replied && reply.fault == StatementFault::busy && reply.state == TransactionState::open; };
-  for (auto pause = leastPause; notRunYet() && clock_.now() + pause < deadline && mayPass(connection, transaction.kind, true); pause = std::min(2 * pause, mostPause)) {
+  for (auto pause = leastPause; notRunYet() && clock_.now() + pause < deadline; pause = std::min(2 * pause, mostPause)) {
     co_await sleep(clock_, pause);
+    if (!mayPass(connection, transaction.kind, true)) {
+      rollback(session);
+      co_return refused(StatementFault::aborted, "the transaction's database may not be used any more");
+    }
     reply = co_await runOn(connection, statement, std::nullopt, deadline);
   }
   session->transaction.reset();
@@ -217,7 +233,7 @@
     if (wrote && reply.fate == BackEndFate::lost) co_return refused(StatementFault::unknownOutcome, "the reply to the commit was lost");
     co_return refused(StatementFault::aborted, "the transaction's connection was lost");
   }
-  if (reply.fault != StatementFault::none && valuesChanged) connection->dubious = true;
+  if (reply.fault != StatementFault::none && laid) connection->dubious = true;
   bool good = !wrote || mayAcknowledge(connection);
   if (wrote && reply.fault == StatementFault::none) noteOwn(*session, connection, reply);
   if (reply.state == TransactionState::idle)
@@ -227,6 +243,7 @@
   if (reply.fault == StatementFault::none && !good) co_return refused(StatementFault::unknownOutcome, "the lease ended before the reply");
   auto given = passed(std::move(reply));
   given.state = TransactionState::idle;
+  if (notRun(given.fault)) given.comeBack = settings_.timings.comeBack;
   co_return given;
 }
 
@@ -234,7 +251,7 @@
   auto transaction = std::move(*session->transaction);
   session->transaction.reset();
   if (transaction.connection) {
-    if (transaction.valuesChanged) transaction.connection->dubious = true;
+    if (transaction.laid) transaction.connection->dubious = true;
     scope_.spawn(finishRollback(transaction.connection));
   }
   return answeredHere(TransactionState::idle);
@@ -258,7 +275,7 @@
   transaction.failed = true;
   auto connection = std::exchange(transaction.connection, nullptr);
   if (!connection) return;
-  if (transaction.valuesChanged) connection->dubious = true;
+  if (transaction.laid) connection->dubious = true;
   scope_.spawn(finishRollback(connection));
 }
 
--- a/tests/scripted_back_ends.cpp
+++ b/tests/scripted_back_ends.cpp
@@ -11,6 +11,8 @@
   bool running = false;
   std::map<std::string, std::string> values;
   std::map<std::string, PreparedStatement> prepared;
+  std::map<std::string, std::string> valuesBefore;
+  std::map<std::string, PreparedStatement> preparedBefore;
   TransactionState state = TransactionState::idle;
   std::string owner;
   bool plain = false;
@@ -130,6 +132,8 @@
       wire.state = TransactionState::open;
       wire.owner = ownerOf(statement.id);
       wire.plain = statement.kind == StatementKind::begin;
+      wire.valuesBefore = wire.values;
+      wire.preparedBefore = wire.prepared;
       break;
     case StatementKind::commit:
     case StatementKind::rollback: {
@@ -139,6 +143,10 @@
       auto ids = std::exchange(wire.written, {});
       auto before = std::exchange(wire.state, TransactionState::idle);
       if (keeps) commit(database, ids);
+      if (!keeps && database.rollbackForgets) {
+        wire.values = wire.valuesBefore;
+        wire.prepared = wire.preparedBefore;
+      }
       if (statement.kind == StatementKind::commit && before == TransactionState::failed) return StatementFault::aborted;
       break;
     }
--- a/tests/scripted_back_ends.hpp
+++ b/tests/scripted_back_ends.hpp
@@ -52,6 +52,8 @@
   Duration lag = 2ms;
   bool follows = true;
   bool dark = false;
+  // values and names laid in a transaction go with its rollback
+  bool rollbackForgets = false;
   std::map<StatementKind, std::deque<ScriptedOutcome>> next;
   ScriptedOpening opening = ScriptedOpening::accepted;
   std::uint32_t connections = 0;
