--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -36,6 +36,7 @@
   Duration promotePatience = 1500ms;
   Duration nodeSilence = 2500ms;
   Duration memberAway = 1s;
+  Duration connectionsKept = 3s;
   Duration deadConnections = 10s;
   Duration orderPatience = 4s;
   Duration statementPatience = 10s;
--- a/src/pooler/back_end_pool.cpp
+++ b/src/pooler/back_end_pool.cpp
@@ -14,8 +14,8 @@
 
 }  // namespace
 
-BackEndPool::BackEndPool(Clock& clock, BackEnds& backEnds, Journal& journal, std::function<void()> changed)
-    : clock_(clock), backEnds_(backEnds), journal_(journal), changed_(std::move(changed)) {}
+BackEndPool::BackEndPool(Clock& clock, BackEnds& backEnds, Journal& journal, std::function<void()> changed, Fits fits)
+    : clock_(clock), backEnds_(backEnds), journal_(journal), changed_(std::move(changed)), fits_(std::move(fits)) {}
 
 const BackEndPool::Shelf* BackEndPool::find(const DatabaseName& database) const {
   auto found = shelves_.find(database);
@@ -93,6 +93,12 @@
   shelf.openPause = Duration::zero();
   shelf.suspect = false;
   shelf.heardAt = clock_.now();
+  if (!fits_(target)) {
+    journal_.count("pool.opened_in_vain");
+    opened.connection->close();
+    changed_();
+    co_return;
+  }
   auto connection = std::make_shared<PooledBackEnd>();
   connection->target = std::move(target);
   connection->link = std::move(opened.connection);
@@ -127,6 +133,20 @@
   found->second.idle.clear();
 }
 
+void BackEndPool::closeAll(const ServiceName& service) {
+  for (auto& [database, shelf] : shelves_) {
+    auto closed = std::erase_if(shelf.idle, [&](const auto& connection) {
+      if (connection->target.service != service) return false;
+      connection->link->close();
+      return true;
+    });
+    if (closed > 0) journal_.count("pool.lapsed", closed);
+    auto busy = shelf.busy;
+    for (const auto& connection : busy)
+      if (connection->target.service == service) drop(connection);
+  }
+}
+
 void BackEndPool::trim(const DatabaseName& database, std::uint32_t most) {
   auto& shelf = shelves_[database];
   while (!shelf.idle.empty() && shelf.total() > most) {
--- a/src/pooler/back_end_pool.hpp
+++ b/src/pooler/back_end_pool.hpp
@@ -34,7 +34,9 @@
     std::uint32_t total() const { return static_cast<std::uint32_t>(idle.size() + busy.size()) + opening; }
   };
 
-  BackEndPool(Clock& clock, BackEnds& backEnds, Journal& journal, std::function<void()> changed);
+  using Fits = std::function<bool(const DatabaseTarget&)>;
+  // `fits` says whether one more connection may be held when it has been opened
+  BackEndPool(Clock& clock, BackEnds& backEnds, Journal& journal, std::function<void()> changed, Fits fits);
 
   Shelf& shelf(const DatabaseName& database) { return shelves_[database]; }
   const Shelf* find(const DatabaseName& database) const;
@@ -46,6 +48,7 @@
   void release(const std::shared_ptr<PooledBackEnd>& connection);
   void drop(const std::shared_ptr<PooledBackEnd>& connection);
   void closeIdle(const DatabaseName& database);
+  void closeAll(const ServiceName& service);
   void trim(const DatabaseName& database, std::uint32_t most);
   void forget(const std::set<DatabaseName>& known);
   void heard(const DatabaseName& database, Duration taken);
@@ -73,6 +76,7 @@
   BackEnds& backEnds_;
   Journal& journal_;
   std::function<void()> changed_;
+  Fits fits_;
   std::map<DatabaseName, Shelf> shelves_;
   Instant mellowedAt_{};
   TaskScope scope_;
--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -6,7 +6,7 @@
 
 Pooler::Pooler(Clock& clock, Guide& guide, BackEnds& backEnds, Journal& journal, PoolerSettings settings, std::uint64_t boot, Reports reports)
     : clock_(clock), guide_(guide), journal_(journal), settings_(std::move(settings)), boot_(boot), reports_(std::move(reports)),
-      pool_(clock, backEnds, journal, [this] { serve(); }) {
+      pool_(clock, backEnds, journal, [this] { serve(); }, [this](const DatabaseTarget& target) { return fits(target); }) {
   scope_.spawn(watch());
   scope_.spawn(report());
 }
@@ -106,18 +106,32 @@
 std::optional<std::string> Pooler::notReady() const {
   if (draining()) return "this node is leaving";
   if (!guide_.servicesKnown()) return "no news of every service under a lease";
-  bool works = false;
-  for (const auto& [name, view] : guide_.services()) works = works || allowed(view) > 0;
+  bool works = guide_.services().empty();
+  for (const auto& [name, view] : guide_.services()) works = works || allowed(name, view) > 0;
   if (!works) return "no share of any service yet";
   return std::nullopt;
 }
 
-std::uint32_t Pooler::allowed(const Guide::ServiceView& view) const {
+std::uint32_t Pooler::allowed(const ServiceName& name, const Guide::ServiceView& view) const {
+  auto watch = watches_.find(name);
+  if (watch == watches_.end() || clock_.now() - watch->second.leasedAt > settings_.timings.connectionsKept) return 0;
   std::uint32_t sum = 0;
   for (const auto& [branch, most] : view.share.most) sum += most;
   return sum;
 }
 
+bool Pooler::fits(const DatabaseTarget& target) const {
+  const auto* view = guide_.service(target.service);
+  const auto* shelf = pool_.find(target.database);
+  return view && (!shelf || shelf->total() < allowed(target.service, *view));
+}
+
+std::optional<std::uint64_t> Pooler::limit(const std::string& name) const {
+  auto found = guide_.limits().find(name);
+  if (found == guide_.limits().end()) return std::nullopt;
+  return found->second;
+}
+
 std::optional<Pooler::Route> Pooler::route(const std::string& host) const {
   auto found = hosts_.find(host);
   if (found == hosts_.end()) return std::nullopt;
@@ -241,12 +255,14 @@
   pool_.mellow();
   pool_.watch(settings_.suspicion);
   for (const auto& [name, view] : guide_.services()) careService(name, view);
+  for (const auto& [name, watch] : watches_)
+    if (!guide_.service(name) && clock_.now() - watch.leasedAt > settings_.timings.connectionsKept) pool_.closeAll(name);
   auto now = clock_.now();
   bool halfOver = drainingSince_ && now - *drainingSince_ > settings_.timings.stopTransactions;
   for (const auto& session : sessions_) {
     if (!session->transaction || session->busy || session->transaction->failed) continue;
-    auto rests = guide_.limits().find("idle-transaction-ms");
-    bool tooLong = rests != guide_.limits().end() && now - session->usedAt > std::chrono::milliseconds{rests->second};
+    auto rests = limit("idle-transaction-ms");
+    bool tooLong = rests && now - session->usedAt > std::chrono::milliseconds{*rests};
     if (halfOver || tooLong) {
       journal_.count("transactions.rested_too_long");
       failTransaction(*session);
@@ -259,6 +275,9 @@
 void Pooler::careService(const ServiceName& name, const Guide::ServiceView& view) {
   auto& watch = watches_[name];
   auto now = clock_.now();
+  bool leased = guide_.leased(name);
+  if (now - watch.leasedAt > settings_.timings.connectionsKept) pool_.closeAll(name);
+  if (leased) watch.leasedAt = now;
   if (view.primary.epoch != watch.seen) {
     bool first = watch.seen == Epoch{};
     watch.finishUntil = view.primary.planned ? now + settings_.plannedFinish : now;
@@ -282,9 +301,9 @@
   bool within = true;
   for (const auto& [database, news] : view.databases) {
     auto& shelf = pool_.shelf(database);
-    pool_.trim(database, allowed(view));
-    within = within && shelf.total() <= allowed(view);
-    if (shelf.suspect && now - shelf.trialAt > 500ms && pool_.mayOpen(database, allowed(view))) {
+    pool_.trim(database, allowed(name, view));
+    within = within && shelf.total() <= allowed(name, view);
+    if (leased && shelf.suspect && now - shelf.trialAt > 500ms && pool_.mayOpen(database, allowed(name, view))) {
       shelf.trialAt = now;
       DatabaseTarget target{name, database, news.address};
       pool_.open(target, 400ms);
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -37,6 +37,7 @@
   std::size_t sessions() const { return sessions_.size(); }
   const BackEndPool& pool() const { return pool_; }
   std::size_t waiting() const { return demands_.size(); }
+  std::optional<std::uint64_t> limit(const std::string& name) const;
 
  private:
   struct Route {
@@ -88,7 +89,9 @@
   StatementReply passed(BackEndReply reply) const;
   void noteOwn(ClientSession& session, const Connection& connection, const BackEndReply& reply);
   void failTransaction(ClientSession& session);
-  std::uint32_t allowed(const Guide::ServiceView& view) const;
+  // how many connections may be held to a database of the service, and whether one more fits
+  std::uint32_t allowed(const ServiceName& name, const Guide::ServiceView& view) const;
+  bool fits(const DatabaseTarget& target) const;
   Duration statementBound(const KindName& kind) const;
   // how long work that may be done again is waited for, from what such work usually takes
   Duration patience(const Connection& connection, const KindName& kind, int attempt) const;
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -36,7 +36,7 @@
     demands_.grant(demand, connection);
   };
   for (const auto& database : databases)
-    if (pool_.shelf(database).busy.size() < allowed(view))
+    if (pool_.shelf(database).busy.size() < allowed(service, view))
       if (auto idle = pool_.takeIdle(database, *demand->session, demand->preparedName, demand->wantsPrepared)) return grant(idle);
   for (const auto& database : databases) {
     auto& claimed = claimed_[database];
@@ -44,7 +44,7 @@
       ++claimed;
       return;
     }
-    if (!pool_.mayOpen(database, allowed(view))) continue;
+    if (!pool_.mayOpen(database, allowed(service, view))) continue;
     DatabaseTarget target{service, database, view.databases.at(database).address};
     pool_.open(target, settings_.suspicion * 2);
     ++claimed;
@@ -182,8 +182,9 @@
     pool_.drop(connection);
   } else if (reply.fate == BackEndFate::lost && clock_.now() >= deadline) {
     pool_.gaveUp(target.database);
-  } else if (reply.fate == BackEndFate::lost && view && pool_.shelf(target.database).opening == 0 && pool_.mayOpen(target.database, allowed(*view))) {
-    pool_.open(target, settings_.suspicion);
+  } else if (reply.fate == BackEndFate::lost && guide_.leased(target.service)) {
+    const auto* now = guide_.service(target.service);
+    if (now && pool_.shelf(target.database).opening == 0 && pool_.mayOpen(target.database, allowed(target.service, *now))) pool_.open(target, settings_.suspicion);
   }
   co_return reply;
 }
--- a/src/pooler/service_watch.hpp
+++ b/src/pooler/service_watch.hpp
@@ -13,6 +13,7 @@
   Epoch confirmed;
   DatabaseName primary;
   Instant finishUntil{};
+  Instant leasedAt{};
   std::set<DatabaseName> suspects;
   std::set<DatabaseName> strained;
   Freshness freshness;
--- a/tests/platform/platform_day_generator.cpp
+++ b/tests/platform/platform_day_generator.cpp
@@ -139,4 +139,54 @@
   }
 }
 
+std::string PlatformDayGenerator::rejoinDay() {
+  shape();
+  text_ = "shape forgets=" + number(0, 1) + " trunks=" + number(24, 60) + "\n" + text_;
+  for (std::uint64_t episodes = 3 + below(4); episodes > 0; --episodes) {
+    if (below(3) != 0) change();
+    now_ += below(3) * below(700);
+    for (std::uint64_t troubles = 1 + below(3); troubles > 0; --troubles) {
+      accessTrouble();
+      now_ += below(3) * below(900);
+    }
+    if (below(3) == 0) change();
+    if (below(4) == 0) at("press " + number(2, 5) + lasting(1000, 5000));
+    now_ += 2000 + below(9000);
+  }
+  now_ += 14000;
+  return text_ + "until " + std::to_string(now_) + "ms\n";
+}
+
+// of a primary, planned or not, or of what may be done with it
+void PlatformDayGenerator::change() {
+  auto one = service();
+  switch (below(7)) {
+    case 0:
+    case 1: return at("crash primary " + one + lasting(1000, 8000));
+    case 2: return at("release primary " + one);
+    case 3: return at("dark primary " + one + lasting(1500, 8000));
+    case 4: return at("cut-database primary " + one + " from core replicas" + lasting(2000, 8000));
+    case 5: return at("slow-database primary " + one + " " + number(3, 10) + lasting(1000, 4000));
+    default: return at("lose-answers primary " + one + " " + number(50, 300) + lasting(1000, 4000));
+  }
+}
+
+void PlatformDayGenerator::accessTrouble() {
+  auto one = access();
+  switch (below(11)) {
+    case 0: return at("kill " + one);
+    case 1: return at("power-off " + one + lasting(300, 6000));
+    case 2:
+    case 3: return at("freeze " + one + lasting(300, 9000));
+    case 4: return at("terminate " + one);
+    case 5: return at("slow " + one + " " + number(5, 40) + "ms" + lasting(1000, 5000));
+    case 6: return at("reset " + one + " " + number(200, 1000));
+    case 7: return at("cut-database " + std::string(below(2) == 0 ? "all " : "primary ") + service() + " from " + one + lasting(500, 7000));
+    default: {
+      auto duration = lasting(500, 20000);
+      for (const auto& each : cores_) at("cut " + one + " " + each + duration);
+    }
+  }
+}
+
 }  // namespace tamarindshift::testing
--- a/tests/platform/platform_day_generator.hpp
+++ b/tests/platform/platform_day_generator.hpp
@@ -12,6 +12,8 @@
  public:
   explicit PlatformDayGenerator(std::uint64_t seed) : random_(seed) {}
   std::string day();
+  // troubles of access nodes upon changes of primary, cuts and one another
+  std::string rejoinDay();
 
  private:
   std::uint64_t below(std::uint64_t bound) { return random_() % bound; }
@@ -29,6 +31,8 @@
   void ofDatabases();
   void ofOperators();
   void ofNetwork();
+  void change();
+  void accessTrouble();
   void replaceCore();
 
   std::mt19937_64 random_;
--- a/tests/platform/platform_script.cpp
+++ b/tests/platform/platform_script.cpp
@@ -72,6 +72,7 @@
     events_.push_back(std::move(event));
     return read;
   }
+  if (words.size() == 2 && words[0] == "expect" && words[1] == "no-overload") return noOverload_ = true;
   if (words[0] != "expect" || words.size() != 7 || words[1] != "served") return false;
   Expectation expectation;
   expectation.share = std::stod(words[2]);
@@ -98,6 +99,7 @@
                 : key == "lag"        ? take(value, shape_.database.lag)
                 : key == "disk"       ? take(value, shape_.diskSync)
                 : key == "fence"      ? take(value, shape_.bounds.fenceChecked)
+                : key == "forgets"    ? take(value, shape_.database.rollbackForgets)
                 : key == "lead"       ? take(value, shape_.lead)
                                       : false;
     if (!read) return false;
@@ -148,6 +150,7 @@
     auto served = world.served(expectation.from, expectation.until);
     if (served < expectation.share) faults.push_back("served " + std::to_string(served) + " and not " + std::to_string(expectation.share));
   }
+  if (noOverload_ && world.history().services.overloads > 0) faults.push_back("databases refused " + std::to_string(world.history().services.overloads) + " connections beyond the limit");
   lines_ = world.lines();
   summary_ = std::to_string(world.history().clients.operations.size()) + " operations, " + std::to_string(world.history().services.runs.size()) +
              " runs at databases, served " + std::to_string(world.served(shape_.lead, until_));
--- a/tests/platform/platform_script.hpp
+++ b/tests/platform/platform_script.hpp
@@ -6,7 +6,8 @@
 
 namespace tamarindshift::testing {
 
-// a day as text: lines `shape`, `kind`, `at TIME EVENT ...`, `until TIME` and `expect served SHARE from TIME until TIME`
+// a day as text: lines `shape`, `kind`, `at TIME EVENT ...`, `until TIME`, `expect served SHARE from TIME until TIME`
+// and `expect no-overload`
 class PlatformScript {
  public:
   bool read(std::istream& text);
@@ -36,6 +37,7 @@
   PlatformShape shape_;
   std::vector<Event> events_;
   std::vector<Expectation> expectations_;
+  bool noOverload_ = false;
   Duration until_ = 34s;
   std::string reason_;
   std::vector<std::string> lines_;
--- a/tests/platform/service_history.hpp
+++ b/tests/platform/service_history.hpp
@@ -15,6 +15,8 @@
   std::uint64_t lastConnection = 0;
   std::uint64_t lastTransaction = 0;
   std::uint64_t lastStamp = 0;
+  // connections that were refused because a database had as many as it takes
+  std::uint64_t overloads = 0;
 };
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/standin_wire_database.cpp
+++ b/tests/platform/standin_wire_database.cpp
@@ -56,7 +56,10 @@
   auto who = takeWireWord(*asked);
   if (word != "SETUP" || service.empty() || who.empty()) co_return refuse("MALFORMED");
   if (service != settings_.service || (!asked->empty() && *asked != settings_.id)) co_return refuse("MISROUTED");
-  if (connections_ > settings_.trunkLimit) co_return refuse("OVERLOAD");
+  if (connections_ > settings_.trunkLimit) {
+    ++history_.overloads;
+    co_return refuse("OVERLOAD");
+  }
   auto slot = co_await slots_.take();
   if (!slot) co_return refuse("CONGESTED");
   co_await work(settings_.newConnection);
@@ -135,7 +138,7 @@
   bool ends = statement->verb == WireVerb::commit || statement->verb == WireVerb::rollback;
   if (connection.state == 'E') {
     if (!ends) co_return fault("MALFORMED");
-    connection.state = 'I';
+    rollBack(connection);
     if (statement->verb == WireVerb::commit) co_return fault("ABORTED");
     co_return Answer{};
   }
@@ -187,9 +190,18 @@
   connection.readOnly = statement.reads;
   connection.term = term_;
   connection.writes.clear();
+  connection.valuesBefore = connection.values;
+  connection.preparedBefore = connection.prepared;
   return Answer{};
 }
 
+void StandinWireDatabase::rollBack(Connection& connection) {
+  connection.state = 'I';
+  if (!settings_.rollbackForgets) return;
+  connection.values = connection.valuesBefore;
+  connection.prepared = connection.preparedBefore;
+}
+
 StandinWireDatabase::Answer StandinWireDatabase::keepNames(Connection& connection, const WireStatement& statement) {
   if (statement.verb == WireVerb::set) connection.values[statement.name] = statement.data;
   if (statement.verb == WireVerb::prepare) connection.prepared[statement.name] = Prepared{statement.reads, statement.shape};
@@ -246,7 +258,7 @@
 
 Task<StandinWireDatabase::Answer> StandinWireDatabase::end(Connection& connection, bool commits, std::size_t run) {
   if (!commits) {
-    connection.state = 'I';
+    rollBack(connection);
     co_return Answer{};
   }
   auto slot = co_await slots_.take();
--- a/tests/platform/standin_wire_database.hpp
+++ b/tests/platform/standin_wire_database.hpp
@@ -44,6 +44,8 @@
     std::map<std::string, std::string> writes;
     std::map<std::string, std::string> values;
     std::map<std::string, Prepared> prepared;
+    std::map<std::string, std::string> valuesBefore;
+    std::map<std::string, Prepared> preparedBefore;
   };
   struct Answer {
     std::string error;
@@ -69,6 +71,7 @@
   Task<Answer> status(std::size_t run);
   Task<Answer> suspend(std::uint64_t term, std::size_t run);
   Task<Answer> demote(std::uint64_t term, std::size_t run);
+  void rollBack(Connection& connection);
   Answer begin(Connection& connection, const WireStatement& statement);
   Answer keepNames(Connection& connection, const WireStatement& statement);
   Task<bool> keep(std::map<std::string, std::string> writes, std::size_t run);
--- a/tests/platform/standin_wire_database_settings.hpp
+++ b/tests/platform/standin_wire_database_settings.hpp
@@ -22,6 +22,8 @@
   Duration status = 500us;
   Duration lag = 20ms;
   Duration darkDropped = 3s;
+  // values and names laid inside a transaction go with its rollback
+  bool rollbackForgets = false;
 };
 
 }  // namespace tamarindshift::testing
--- a/tests/programs/platform-days.cpp
+++ b/tests/programs/platform-days.cpp
@@ -31,6 +31,7 @@
   TCLAP::SwitchArg lines("", "lines", "print the lines of all processes", command);
   TCLAP::SwitchArg summary("", "summary", "print what was served", command);
   TCLAP::SwitchArg generated("", "generated", "run a day made of each seed", command);
+  TCLAP::SwitchArg rejoins("", "rejoins", "generated days are troubles of access nodes upon changes of primary", command);
   TCLAP::SwitchArg print("", "print", "print the days that would run", command);
   TCLAP::UnlabeledMultiArg<std::string> files("files", "days as text", false, "path", command);
   command.parse(argumentCount, arguments);
@@ -39,12 +40,13 @@
     std::cerr << "platform-days: name files, or --generated\n";
     return 2;
   }
-  if (paths.empty()) paths = {"generated"};
+  if (paths.empty()) paths = {rejoins.getValue() ? "generated rejoins" : "generated"};
   std::size_t passed = 0;
   std::size_t failed = 0;
   for (const auto& path : paths)
     for (auto seed = first.getValue(); seed < first.getValue() + seeds.getValue(); ++seed) {
-      auto text = generated.getValue() ? std::optional{PlatformDayGenerator(seed).day()} : read(path);
+      PlatformDayGenerator generator(seed);
+      auto text = !generated.getValue() ? read(path) : std::optional{rejoins.getValue() ? generator.rejoinDay() : generator.day()};
       std::istringstream stream(text.value_or(""));
       PlatformScript script;
       if (!text || !script.read(stream)) {
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -31,6 +31,9 @@
 add_test(NAME platform.generated COMMAND platform-days --generated --seeds 20)
 set_tests_properties(platform.generated PROPERTIES TIMEOUT 300)
 
+add_test(NAME platform.generated-rejoins COMMAND platform-days --generated --rejoins --seeds 20)
+set_tests_properties(platform.generated-rejoins PROPERTIES TIMEOUT 300)
+
 add_test(NAME scenario.proxy-frozen.seed-1004 COMMAND scenario --seed 1004 ${CMAKE_SOURCE_DIR}/tests/scenarios/proxy-frozen.txt)
 
 add_test(NAME day.generated COMMAND scenario --days small --seed 1 --seeds 4)
