Under a plan without any service a node is ready and knows no host

Such a configuration was taken, but readiness waited for news of a service and for a share that can never come, so no node was ever ready under it.

--- a/src/pool/guide.cpp
+++ b/src/pool/guide.cpp
@@ -100,7 +100,7 @@
 }
 
 bool Guide::servicesKnown() const {
-  if (!anyLease() || fleetPlan_.kinds.empty()) return false;
+  if (!anyLease() || fleetPlan_.mark == PlanMark{}) return false;
   return std::all_of(fleetPlan_.kinds.begin(), fleetPlan_.kinds.end(), [this](const auto& each) {
     const auto* own = service(each.second);
     return own && own->plan && leased(each.second);
--- a/tests/pooler_partial_news_test.cpp
+++ b/tests/pooler_partial_news_test.cpp
@@ -41,3 +41,20 @@
   trial.run(20ms);
   CHECK(trial.client("bob")->session);
 }
+
+TEST_CASE("pooler routes: under a plan without any service a node is ready and knows no host", "[pooler][routes][mended]") {
+  PoolerTrial::Choice choice;
+  choice.published = false;
+  PoolerTrial trial(choice);
+  trial.run(200ms);
+  CHECK(trial.pooler->notReady());
+  trial.publishFleet();
+  trial.run(200ms);
+  CHECK(trial.pooler->notReady().value_or("") == "");
+  auto alice = trial.client("alice", "anyhost");
+  CHECK_FALSE(alice->session);
+  CHECK(alice->refusal.fault == StatementFault::noDatabase);
+  trial.run(10s);
+  CHECK_FALSE(trial.pooler->cutOff());
+  CHECK_FALSE(trial.pooler->notReady());
+}
