--- a/tests/platform/platform_script.hpp
+++ b/tests/platform/platform_script.hpp
@@ -6,8 +6,8 @@
 
 namespace tamarindshift::testing {
 
-// a day as text: lines `shape`, `kind`, `at TIME EVENT ...`, `until TIME` and `expect served SHARE from TIME until TIME`,
-// where `of NUMBER` may follow for one kind, by its place from 0
+// a day as text: lines `shape`, `kind`, `at TIME EVENT ...`, `until TIME`, `expect no-overload` and
+// `expect served SHARE from TIME until TIME`, where `of NUMBER` may follow for one kind, by its place from 0
 class PlatformScript {
  public:
   bool read(std::istream& text);
@@ -38,6 +38,7 @@
   PlatformShape shape_;
   std::vector<Event> events_;
   std::vector<Expectation> expectations_;
+  bool noOverload_ = false;
   Duration until_ = 34s;
   std::string reason_;
   std::vector<std::string> lines_;
