Duties survive being laid down while databases are asked

A view lost in the middle of a survey clears what the holder knows of its services. diedWithPrimary then looked the service up and threw; the exception came out at the next spawn inside the loop of the duties and ended it without a word, so a node that took the duties again did nothing for good. Seen by the new test at two of 24 moments (a listed database that was never heard, dark, and the holder cut off meanwhile): no promotion in 20 s.

Services and duties are looked up again after every wait, a pending recovery is one whose duty has been seen in this tenure, and what fails in the care of one service is logged, counted (duties.failed) and done again.

Ruled out: a plan that removes the service while STATUS is asked; its test (18 moments, planned and not, with and without synchronous replicas) passes on the code before, too, and is kept. Whether a node reports is decided in one place.

--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -62,7 +62,12 @@
 
 Task<void> Duties::care(ServiceName name) {
   duties_[name].busy = true;
-  co_await careFor(name);
+  try {
+    co_await careFor(name);
+  } catch (const std::exception& error) {
+    journal_.count("duties.failed");
+    journal_.line("the duties of service " + name.get() + " failed and are done again: " + error.what());
+  }
   duties_[name].busy = false;
 }
 
@@ -89,7 +94,7 @@
 
 bool Duties::silent(const Address& node) const {
   const auto* known = heard(node);
-  return clock_.now() - std::max(known ? known->heardAt : Instant{}, takenAt_) > timings_.nodeSilence;
+  return !(known && reporting(*known)) && clock_.now() - takenAt_ > timings_.nodeSilence;
 }
 
 std::uint64_t Duties::followed(const ServiceName& name, const Address& node) const {
@@ -201,7 +206,7 @@
   std::vector<NodeReport> reports;
   Orders orders;
   for (const auto& [address, node] : access_.nodes())
-    if (clock_.now() - node.heardAt < timings_.nodeSilence) reports.push_back(node.report);
+    if (reporting(node)) reports.push_back(node.report);
   for (const auto& report : reports) {
     auto known = state_.nodes().find(report.node);
     NodeUpdate update{report.node, report.zone, report.boot};
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -90,6 +90,7 @@
   bool everyNodeLeftOldEpochs(const ServiceName& name, const ServiceState& service) const;
   bool leasesOver(const ServiceName& name) const;
   bool suspected(const ServiceName& name, const DatabaseName& database) const;
+  bool reporting(const AccessTables::Node& node) const { return clock_.now() - node.heardAt <= timings_.nodeSilence; }
   bool strained(const ServiceName& name, const DatabaseName& database) const;
   bool mostSay(const ServiceName& name, const DatabaseName& database, std::set<DatabaseName> ServiceReport::*told) const;
   bool hasBetter(const ServiceName& name) const;
--- a/src/control/recovery_duties.cpp
+++ b/src/control/recovery_duties.cpp
@@ -110,9 +110,12 @@
   return !planned || planned->keepsAcknowledged();
 }
 
+// also false where the duties were laid down since, and what was seen under them is forgotten
 bool Duties::pending(const ServiceName& name, Epoch epoch) const {
   auto found = state_.services().find(name);
-  return found != state_.services().end() && found->second.epoch == epoch && !found->second.promoted && onDuty();
+  auto duty = duties_.find(name);
+  bool seen = wasOnDuty_ && duty != duties_.end() && duty->second.epoch == epoch && duty->second.seenAt != Instant{};
+  return seen && found != state_.services().end() && found->second.epoch == epoch && !found->second.promoted && onDuty();
 }
 
 bool Duties::saysPrimary(const ServiceName& name, const DatabaseName& database) const {
@@ -137,7 +140,11 @@
   return suspecting > 0 && 2 * suspecting >= working;
 }
 
-bool Duties::leasesOver(const ServiceName& name) const { return clock_.now() - duties_.at(name).seenAt > timings_.lease + timings_.leaseMargin; }
+bool Duties::leasesOver(const ServiceName& name) const {
+  auto duty = duties_.find(name);
+  bool seen = duty != duties_.end() && duty->second.seenAt != Instant{};
+  return seen && clock_.now() - duty->second.seenAt > timings_.lease + timings_.leaseMargin;
+}
 
 bool Duties::everyNodeLeftOldEpochs(const ServiceName& name, const ServiceState& service) const {
   return std::all_of(state_.nodes().begin(), state_.nodes().end(), [&](const auto& each) {
@@ -219,18 +226,21 @@
     if (!heard(address)) return "node " + address.get() + " has not reported";
   for (const auto& [address, known] : access_.nodes()) {
     auto own = known.report.services.find(name);
-    bool current = clock_.now() - known.heardAt <= timings_.nodeSilence && own != known.report.services.end() && own->second.epoch >= service.epoch;
+    bool current = reporting(known) && own != known.report.services.end() && own->second.epoch >= service.epoch;
     if (!current && known.heardAt > primary->heardAt - timings_.databaseOut) return "node " + address.get() + " has not reported what it acknowledged";
   }
   return std::nullopt;
 }
 
 bool Duties::diedWithPrimary(const ServiceName& name, const DatabaseName& database) const {
-  const auto& service = state_.services().at(name);
-  if (service.servedBy.get().empty() || database == service.servedBy) return false;
+  auto service = state_.services().find(name);
+  auto duty = duties_.find(name);
+  if (service == state_.services().end() || duty == duties_.end()) return false;
+  const auto& servedBy = service->second.servedBy;
+  if (servedBy.get().empty() || database == servedBy) return false;
   const auto* own = access_.database(name, database);
-  const auto* primary = access_.database(name, service.servedBy);
-  if (!own) return clock_.now() - duties_.at(name).takenAt < timings_.databaseOut;
+  const auto* primary = access_.database(name, servedBy);
+  if (!own) return clock_.now() - duty->second.takenAt < timings_.databaseOut;
   auto primaryHeardAt = primary ? primary->heardAt : clock_.now();
   return primaryHeardAt - own->heardAt < timings_.databaseOut;
 }
--- /dev/null
+++ b/tests/recovery_removal_test.cpp
@@ -0,0 +1,83 @@
+#include <catch2/catch.hpp>
+
+#include "tests/control_cluster.hpp"
+
+using namespace tamarindshift;
+
+namespace {
+
+struct Removed : ControlCluster {
+  explicit Removed(std::uint32_t syncReplicas) {
+    start("d1", "primary", Position{100});
+    start("d2", "replica", Position{98});
+    start("d3", "replica", Position{95});
+    plan(1, discovered(syncReplicas));
+    REQUIRE(runUntil(5s, [&] { return promoted("d1"); }));
+    run(2s);
+    report.services[ServiceName{"s1"}].working = true;
+  }
+  void removeService() {
+    auto reply = ask(replica(0).replacePlan(R"({"mark":2,"services":{},"kinds":{}})"));
+    INFO(reply.body);
+    REQUIRE(reply.status == 200);
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a plan that removes a service while its databases are asked leaves the duties whole") {
+  auto syncReplicas = GENERATE(0u, 1u);
+  auto planned = GENERATE(false, true);
+  auto after = GENERATE(range(0, 18));
+  CAPTURE(syncReplicas, planned, after);
+  Removed cluster(syncReplicas);
+  cluster.databases.at("d3").dark = true;
+  if (planned) {
+    cluster.databases.at("d1").heartbeat.leaving = true;
+    cluster.databases.tell("d1");
+  } else {
+    cluster.databases.at("d1").dark = true;
+    cluster.report.services[ServiceName{"s1"}].suspects = {DatabaseName{"d1"}};
+  }
+  cluster.run(after * 100ms);
+  cluster.removeService();
+  cluster.report.services.clear();
+  cluster.run(4s);
+  CHECK_FALSE(cluster.replica(0).state().services().contains(ServiceName{"s1"}));
+  cluster.databases.at("d1").up = false;
+  cluster.databases.at("d1").silent = true;
+  cluster.databases.at("d3").dark = false;
+  cluster.databases.at("d2").heartbeat.role = "primary";
+  cluster.databases.tell("d2");
+  cluster.plan(3, cluster.discovered(syncReplicas));
+  CHECK(cluster.runUntil(20s, [&] { return cluster.promoted("d2") || cluster.promoted("d3"); }));
+  CHECK(cluster.counted("duties.failed") == 0);
+}
+
+TEST_CASE("duties that are lost while databases are asked that were never heard are taken up again whole") {
+  ControlCluster cluster;
+  cluster.start("d1", "primary", Position{100});
+  cluster.start("d3", "replica", Position{95});
+  cluster.databases.addUnheard("d2");
+  cluster.plan(1, R"({"databases":{"d1":{"address":"10.2.0.1:1","cap":10},"d2":{"address":"10.2.0.2:1","cap":10},"d3":{"address":"10.2.0.3:1","cap":10}},
+                      "quota":{"connections":10,"branches":{"b":{"connections":10}}}})");
+  REQUIRE(cluster.runUntil(5s, [&] { return cluster.promoted("d1"); }));
+  cluster.run(2s);
+  cluster.databases.at("d1").up = false;
+  cluster.databases.at("d1").silent = true;
+  auto after = GENERATE(range(0, 24));
+  CAPTURE(after);
+  cluster.run(1200ms + after * 50ms);
+  auto cut = [&](bool apart) {
+    for (const char* other : {"10.0.0.2", "10.0.0.3"}) {
+      apart ? cluster.network.cut("10.0.0.1", other) : cluster.network.heal("10.0.0.1", other);
+      apart ? cluster.network.cut(other, "10.0.0.1") : cluster.network.heal(other, "10.0.0.1");
+    }
+  };
+  cut(true);
+  cluster.run(2s);
+  cut(false);
+  CHECK(cluster.runUntil(20s, [&] { return cluster.promoted("d3"); }));
+  cluster.run(3s);
+  CHECK(cluster.counted("duties.failed") == 0);
+}
--- a/tests/scripted_databases.hpp
+++ b/tests/scripted_databases.hpp
@@ -31,6 +31,8 @@
   ScriptedDatabases(Clock& clock, Deliver deliver) : clock_(clock), deliver_(std::move(deliver)) {}
   Database& at(const std::string& name) { return databases_.at(DatabaseName{name}); }
   void add(const DatabaseHeartbeat& heartbeat, Place place);
+  // a database that never sent a heartbeat and answers nothing
+  void addUnheard(const std::string& name) { databases_[DatabaseName{name}].dark = true; }
   void tell(const std::string& name);
   std::uint64_t statusCalls() const;
   const std::vector<DutyHolder>& holders() const { return holders_; }
