--- a/src/real/tcp_line_door.hpp
+++ b/src/real/tcp_line_door.hpp
@@ -4,7 +4,7 @@
 #include "base/clock.hpp"
 #include "base/task_scope.hpp"
 #include "edge/line_keeper.hpp"
-#include "real/asio.hpp"
+#include "real/tcp_listener.hpp"
 
 namespace tamarindshift {
 
@@ -14,12 +14,10 @@
   std::optional<std::string> open();
 
  private:
-  Task<void> accept();
-  boost::asio::io_context& context_;
   Clock& clock_;
   Address address_;
   LineKeeper& keeper_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  TcpListener listener_;
   TaskScope scope_;
 };
 
--- a/src/real/tcp_link.cpp
+++ b/src/real/tcp_link.cpp
@@ -54,32 +54,9 @@
 }  // namespace
 
 TcpLink::TcpLink(boost::asio::io_context& context, Clock& clock, Journal& journal, Address own, Detours detours)
-    : context_(context), clock_(clock), journal_(journal), own_(std::move(own)), detours_(std::move(detours)), boot_(static_cast<std::uint64_t>(clock.now().time_since_epoch().count())), acceptor_(context) {}
-
-std::optional<std::string> TcpLink::listen() {
-  auto endpoint = endpointOf(own_);
-  if (!endpoint) return "not an address of the form ip:port: " + own_.get();
-  Error error;
-  acceptor_.open(endpoint->protocol(), error);
-  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor_.bind(*endpoint, error);
-  if (!error) acceptor_.listen(tcp::acceptor::max_listen_connections, error);
-  if (error) return "cannot listen on " + own_.get() + ": " + error.message();
-  scope_.spawn(accept());
-  return std::nullopt;
-}
+    : context_(context), clock_(clock), journal_(journal), own_(std::move(own)), detours_(std::move(detours)), boot_(static_cast<std::uint64_t>(clock.now().time_since_epoch().count())), listener_(context, clock, [this](auto socket) { scope_.spawn(receive(std::move(socket))); }) {}
 
-Task<void> TcpLink::accept() {
-  for (;;) {
-    auto socket = std::make_shared<tcp::socket>(context_);
-    auto [error] = co_await Completion<Error>([&](auto done) { acceptor_.async_accept(*socket, done); });
-    if (error) {
-      co_await sleep(clock_, 50ms);
-      continue;
-    }
-    scope_.spawn(receive(socket));
-  }
-}
+std::optional<std::string> TcpLink::listen() { return listener_.open(own_, tcp::acceptor::max_listen_connections); }
 
 Task<void> TcpLink::receive(std::shared_ptr<tcp::socket> socket) {
   Error ignored;
--- a/src/real/tcp_link.hpp
+++ b/src/real/tcp_link.hpp
@@ -7,7 +7,7 @@
 #include "base/journal.hpp"
 #include "base/peer_link.hpp"
 #include "base/task_scope.hpp"
-#include "real/asio.hpp"
+#include "real/tcp_listener.hpp"
 
 namespace tamarindshift {
 
@@ -31,7 +31,6 @@
 
   void heardFrom(const Address& peer, bool restarted);
   std::string hello() const { return own_.get() + " " + std::to_string(boot_); }
-  Task<void> accept();
   Task<void> receive(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
   Task<void> send(Address peer);
 
@@ -42,9 +41,9 @@
   Detours detours_;
   std::uint64_t boot_;
   std::map<Address, std::string> boots_;
-  boost::asio::ip::tcp::acceptor acceptor_;
   std::map<Address, std::unique_ptr<Outgoing>> outgoing_;
   TaskScope scope_;
+  TcpListener listener_;
 };
 
 }  // namespace tamarindshift
