GET /status at the platform's addresses, with what waits and why

At a control address the same as at a replica's operator address; at a readiness address what the pooler sees: queue lengths and longest waits by precedence, what a service waits for, why this node has no share, why a database is not used, what is left of the leases. The replica on duty says which nodes a move of shares waits for, for whom connections are reserved, and why a node is without a share. The content is made in the product (replica_status, pooler_status) from what is held anyway, when it is asked for; platform/ has the paths.

--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -105,19 +105,23 @@
 }
 
 bool Duties::overdue(const ServiceName& name, const Address& node) const {
-  const auto& seen = duties_.at(name).reservedSeenAt;
+  auto duty = duties_.find(name);
+  if (duty == duties_.end()) return false;
+  const auto& seen = duty->second.reservedSeenAt;
   auto found = seen.find(node);
   return found != seen.end() && clock_.now() - found->second.second > timings_.shareHold();
 }
 
+bool Duties::follows(const ServiceName& name, const ServiceState& service, const Address& node) const {
+  if (followed(name, node) >= service.sharesAt) return true;
+  if (!silent(node)) return false;
+  auto reserved = service.reserved.find(node);
+  if (reserved == service.reserved.end()) return !service.holds(node);
+  return followed(name, node) >= reserved->second.basis || overdue(name, node);
+}
+
 bool Duties::everyNodeFollows(const ServiceName& name, const ServiceState& service) const {
-  for (const auto& [address, node] : state_.nodes()) {
-    auto reserved = service.reserved.find(address);
-    bool silentButCounted = silent(address) && (!service.holds(address) || (reserved != service.reserved.end() &&
-                                                (followed(name, address) >= reserved->second.basis || overdue(name, address))));
-    if (!silentButCounted && followed(name, address) < service.sharesAt) return false;
-  }
-  return true;
+  return std::all_of(state_.nodes().begin(), state_.nodes().end(), [&](const auto& each) { return follows(name, service, each.first); });
 }
 
 Grants Duties::reserve(const ServiceName& name, const ServiceState& service) {
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -18,6 +18,12 @@
   // something came that a duty may wait for
   void wake() { wake_.open(); }
   const std::map<ServiceName, std::string>& waits() const { return waits_; }
+  // nodes whose report that they follow the last move of shares is missing
+  std::vector<Address> awaited(const ServiceName& name) const;
+  // nodes that have no share of a service, with the reason
+  std::map<Address, std::string> shareless(const ServiceName& name) const;
+  // why a database gets no work, or less than it could
+  std::vector<std::string> unused(const ServiceName& name, const DatabaseName& database) const;
 
  private:
   struct ServiceDuty {
@@ -84,13 +90,14 @@
   std::optional<std::string> unproved(const ServiceName& name) const;
   bool diedWithPrimary(const ServiceName& name, const DatabaseName& database) const;
   const AccessTables::Node* heard(const Address& node) const;
+  bool reporting(const AccessTables::Node& node) const { return clock_.now() - node.heardAt <= timings_.nodeSilence; }
   bool silent(const Address& node) const;
   std::uint64_t followed(const ServiceName& name, const Address& node) const;
+  bool follows(const ServiceName& name, const ServiceState& service, const Address& node) const;
   bool everyNodeFollows(const ServiceName& name, const ServiceState& service) const;
   bool everyNodeLeftOldEpochs(const ServiceName& name, const ServiceState& service) const;
   bool leasesOver(const ServiceName& name) const;
   bool suspected(const ServiceName& name, const DatabaseName& database) const;
-  bool reporting(const AccessTables::Node& node) const { return clock_.now() - node.heardAt <= timings_.nodeSilence; }
   bool strained(const ServiceName& name, const DatabaseName& database) const;
   bool mostSay(const ServiceName& name, const DatabaseName& database, std::set<DatabaseName> ServiceReport::*told) const;
   bool hasBetter(const ServiceName& name) const;
--- a/src/control/operator_door.hpp
+++ b/src/control/operator_door.hpp
@@ -11,7 +11,6 @@
   void gone(ConnectionId) override {}
 
  private:
-  DoorReply status() const;
   ReplicaNode& replica_;
   Clock& clock_;
 };
--- /dev/null
+++ b/src/control/replica_status.cpp
@@ -0,0 +1,94 @@
+#include "control/replica_status.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace tamarindshift {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::vector<std::string> texts(const std::vector<Address>& addresses) {
+  std::vector<std::string> read;
+  for (const auto& address : addresses) read.push_back(address.get());
+  return read;
+}
+
+void addEngine(Json& json, const ReplicaNode& replica, Instant now) {
+  const auto& engine = replica.engine();
+  json["engine"] = {{"state", text(engine.state())},          {"green", engine.greenLine()},        {"white", engine.whiteLine()},
+                    {"red", engine.redCount()},                {"yellow", engine.yellowCount()},     {"ongoing", engine.ongoingCount()},
+                    {"vulnerable", engine.vulnerable().valid}, {"on_duty", replica.duties().onDuty()}};
+  if (engine.state() == EngineState::regPrim && !engine.conf().set.empty()) json["duty_holder"] = engine.conf().set.begin()->address.get();
+  Json primary = Json::array();
+  for (const auto& server : engine.primComponent().servers) primary.push_back(text(server));
+  json["primary_component"] = {{"index", engine.primComponent().primIndex}, {"attempt", engine.primComponent().attemptIndex}, {"servers", primary}};
+  json["members"] = Json::object();
+  for (const auto& [server, line] : engine.greenLines()) {
+    auto cut = engine.redCut().find(server);
+    json["members"][text(server)] = {{"green", line}, {"red_cut", cut == engine.redCut().end() ? 0 : cut->second}};
+  }
+  if (auto proved = engine.provedAt()) {
+    json["proved_ms_ago"] = milliseconds(now - *proved).count();
+    json["lease_ms"] = milliseconds(std::max(Duration::zero(), *proved + replica.settings().timings.lease - now)).count();
+  }
+}
+
+Json serviceStatus(const ReplicaNode& replica, const ServiceName& name, const ServiceState& service, Instant now) {
+  const auto& state = replica.state();
+  const auto& duties = replica.duties();
+  Json own{{"epoch", service.epoch.get()}, {"primary", service.primary.get()}, {"promoted", service.promoted}};
+  own["drained"] = Json::array();
+  for (const auto& [database, mark] : service.drained) own["drained"].push_back(database.get());
+  for (const auto& [node, branches] : service.grants)
+    for (const auto& [branch, amount] : branches) own["shares"][node.get()][branch.get()] = amount;
+  for (const auto& [node, share] : service.reserved)
+    for (const auto& [branch, amount] : share.most) own["reserved"][node.get()][branch.get()] = amount;
+  for (const auto& sign : replica.access().signs(name, now))
+    own["databases"][sign.database] = {{"role", sign.role}, {"epoch", sign.epoch}, {"position", sign.position},
+                                       {"contact_ms", milliseconds(sign.contactAge).count()}, {"heard_ms_ago", milliseconds(sign.age).count()}};
+  for (const auto& [database, enrolled] : state.databases(name)) {
+    own["addresses"][database.get()] = enrolled.address.get();
+    if (auto reasons = duties.unused(name, database); !reasons.empty()) own["unused"][database.get()] = reasons;
+  }
+  if (!duties.onDuty()) return own;
+  if (auto waits = duties.waits().find(name); waits != duties.waits().end()) own["waits"] = waits->second;
+  if (auto awaited = duties.awaited(name); !awaited.empty()) own["shares_awaited"] = texts(awaited);
+  for (const auto& [node, reason] : duties.shareless(name)) own["shareless"][node.get()] = reason;
+  return own;
+}
+
+void addNodes(Json& json, const ReplicaNode& replica, Instant now) {
+  const auto& heard = replica.access().nodes();
+  for (const auto& [address, node] : replica.state().nodes()) {
+    auto& own = json["nodes"][address.get()];
+    own = {{"zone", node.zone.get()}, {"draining", node.draining}};
+    auto known = heard.find(address);
+    if (known == heard.end()) continue;
+    own["heard_ms_ago"] = milliseconds(now - known->second.heardAt).count();
+    own["plan_mark"] = known->second.report.mark.get();
+    own["lease_ms"] = milliseconds(known->second.report.lease).count();
+  }
+  for (const auto& [address, node] : heard)
+    if (!replica.state().nodes().contains(address))
+      json["unregistered"][address.get()] = {{"zone", node.report.zone.get()}, {"heard_ms_ago", milliseconds(now - node.heardAt).count()}};
+}
+
+}  // namespace
+
+Json replicaStatus(const ReplicaNode& replica, Instant now) {
+  const auto& state = replica.state();
+  Json json;
+  json["address"] = replica.settings().address.get();
+  json["zone"] = replica.settings().zone.get();
+  json["view"] = text(replica.group().view());
+  addEngine(json, replica, now);
+  json["plan_mark"] = state.plan() ? state.plan()->mark.get() : 0;
+  for (const auto& [name, service] : state.services()) json["services"][name.get()] = serviceStatus(replica, name, service, now);
+  addNodes(json, replica, now);
+  return json;
+}
+
+}  // namespace tamarindshift
--- a/src/news/agent_node.cpp
+++ b/src/news/agent_node.cpp
@@ -113,7 +113,7 @@
     if (leaseUntil(fleetTopic) && !drainingSince_) co_return DoorReply{200, "{}", std::nullopt};
     co_return refusal(503, drainingSince_ ? "this node is leaving" : "no current lease", {}, settings_.timings.comeBack);
   }
-  if (request.path == "/status") co_return status();
+  if (request.path == "/status") co_return DoorReply{200, status().dump(2), std::nullopt};
   if (request.path == "/counters") co_return DoorReply{200, nlohmann::json(journal_.counters()).dump(2), std::nullopt};
   co_return refusal(404, "no such path");
 }
@@ -127,7 +127,7 @@
   co_return refusal(503, "no replica took it in time", "send it again", settings_.timings.comeBack);
 }
 
-DoorReply AgentNode::status() const {
+nlohmann::json AgentNode::status() const {
   nlohmann::json json;
   json["address"] = settings_.address.get();
   json["zone"] = settings_.zone.get();
@@ -136,7 +136,7 @@
     own = {{"mark", board().mark(topic)}, {"source", followed.source.get()}};
     if (followed.leaseUntil && *followed.leaseUntil > clock_.now()) own["lease_ms"] = milliseconds(*followed.leaseUntil - clock_.now()).count();
   }
-  return DoorReply{200, json.dump(2), std::nullopt};
+  return json;
 }
 
 }  // namespace tamarindshift
--- a/src/news/agent_node.hpp
+++ b/src/news/agent_node.hpp
@@ -2,6 +2,8 @@
 
 #include <memory>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "control/access_messages.hpp"
 #include "edge/door.hpp"
 #include "news/agent_settings.hpp"
@@ -24,6 +26,7 @@
   Task<DoorReply> serve(DoorRequest request) override;
   void gone(ConnectionId) override {}
   std::vector<Address> sources(const Topic& topic) const;
+  nlohmann::json status() const;
   void change(AgentSettings settings);
   void drain();
   bool stopped() const;
@@ -33,7 +36,6 @@
   const std::vector<Address>& zoneAgents() const;
   Task<void> peers();
   Task<DoorReply> askReplicas(std::string subject, std::string body);
-  DoorReply status() const;
 
   Clock& clock_;
   Journal& journal_;
--- a/src/pool/guide.cpp
+++ b/src/pool/guide.cpp
@@ -22,6 +22,17 @@
   return nodeKnown_ && node_news_.boot == boot_ && feed_.position(name.get()) >= node_news_.enrolledAt;
 }
 
+std::optional<std::string> Guide::shareless(const ServiceName& name) const {
+  const auto* view = service(name);
+  if (!view) return "no news of the service yet";
+  if (!nodeKnown_) return "not registered";
+  if (node_news_.boot != boot_) return "registered under another boot";
+  if (feed_.position(name.get()) < node_news_.enrolledAt) return "news of the service are older than the registration";
+  bool granted = std::any_of(view->granted.most.begin(), view->granted.most.end(), [](const auto& each) { return each.second > 0; });
+  if (granted) return std::nullopt;
+  return "nothing is granted; the status of the duty holder says why";
+}
+
 void Guide::readFleet() {
   const auto* entry = feed_.board().find(fleetTopic);
   if (!entry || entry->mark == fleetMark_) return;
--- a/src/pool/guide.hpp
+++ b/src/pool/guide.hpp
@@ -28,6 +28,8 @@
   KindView kind(const KindName& name) const;
   const ServiceView* service(const ServiceName& name) const;
   const std::map<ServiceName, ServiceView>& services() const { return services_; }
+  // why this node holds no share of a service, as far as the news tell
+  std::optional<std::string> shareless(const ServiceName& name) const;
   bool leased(const ServiceName& name) const;
   std::optional<Instant> leaseUntil(const ServiceName& name) const;
   std::vector<DatabaseSign> signs(const ServiceName& name) const;
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "base/journal.hpp"
 #include "control/access_messages.hpp"
 #include "pool/guide.hpp"
@@ -34,6 +36,8 @@
   // had leases and has none for so long that clients fare better elsewhere
   bool cutOff() const;
   std::optional<std::string> notReady() const;
+  // what an operator sees, made when it is asked for
+  nlohmann::json status() const;
   std::size_t sessions() const { return sessions_.size(); }
   const BackEndPool& pool() const { return pool_; }
   std::size_t waiting() const { return demands_.size(); }
@@ -59,6 +63,7 @@
   // whether an epoch is seen and work of the one before still runs
   bool changing() const;
   void careService(const ServiceName& name, const Guide::ServiceView& view);
+  nlohmann::json serviceStatus(const ServiceName& name, const Guide::ServiceView& view) const;
   void sendReport();
   NodeReport reportNow();
   NodeReport whatChanged(NodeReport report);
--- /dev/null
+++ b/src/pooler/pooler_status.cpp
@@ -0,0 +1,85 @@
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "pooler/pooler.hpp"
+
+namespace tamarindshift {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::vector<std::string> unused(const BackEndPool::Shelf& shelf, Instant now) {
+  std::vector<std::string> reasons;
+  if (shelf.suspect) reasons.push_back("suspected");
+  if (shelf.strained()) reasons.push_back("strained");
+  if (shelf.openAfter > now) reasons.push_back("new connections fail");
+  if (shelf.behindUntil > now) reasons.push_back("behind");
+  return reasons;
+}
+
+}  // namespace
+
+Json Pooler::status() const {
+  auto now = clock_.now();
+  Json json{{"address", settings_.node.get()}, {"zone", settings_.zone.get()}, {"plan_mark", guide_.planMark().get()}, {"sessions", sessions_.size()},
+            {"leaving", draining()}, {"cut_off", cutOff()}};
+  auto hindrance = notReady();
+  json["ready"] = !hindrance;
+  if (hindrance) json["hindrance"] = *hindrance;
+  if (auto replied = guide_.coreRepliedAt(); replied != Instant{}) json["core_replied_ms_ago"] = milliseconds(now - replied).count();
+  struct Precedence {
+    std::size_t length = 0;
+    Duration longestWait{};
+  };
+  std::map<std::uint32_t, Precedence> queue;
+  for (const auto& demand : demands_.waiting()) {
+    auto& own = queue[demand->order];
+    ++own.length;
+    own.longestWait = std::max(own.longestWait, now - demand->arrivedAt);
+  }
+  json["queue"] = Json::object();
+  for (const auto& [order, own] : queue) json["queue"][std::to_string(order)] = {{"length", own.length}, {"longest_wait_ms", milliseconds(own.longestWait).count()}};
+  json["services"] = Json::object();
+  for (const auto& [name, view] : guide_.services()) json["services"][name.get()] = serviceStatus(name, view);
+  return json;
+}
+
+Json Pooler::serviceStatus(const ServiceName& name, const Guide::ServiceView& view) const {
+  auto now = clock_.now();
+  const auto& primary = view.primary;
+  Json own{{"epoch", primary.epoch.get()}, {"primary", primary.primary.get()}, {"promoted", primary.promoted}, {"share", allowed(view)}};
+  auto lease = guide_.leaseUntil(name);
+  own["lease_ms"] = lease ? milliseconds(*lease - now).count() : 0;
+  if (auto reason = guide_.shareless(name)) own["shareless"] = *reason;
+  const auto* shelfOfPrimary = pool_.find(primary.primary);
+  auto watch = watches_.find(name);
+  Json waits = Json::array();
+  if (!lease) waits.push_back("no current lease");
+  if (primary.primary.get().empty()) waits.push_back("no primary yet");
+  else if (!primary.promoted) waits.push_back("the primary is being recovered");
+  else if (view.drained.contains(primary.primary)) waits.push_back("the primary is leaving");
+  else if (shelfOfPrimary && shelfOfPrimary->suspect) waits.push_back("the primary is suspected");
+  if (watch != watches_.end() && watch->second.confirmed != watch->second.seen) waits.push_back("work of an epoch before still runs");
+  if (allowed(view) == 0) waits.push_back("no share");
+  if (!waits.empty()) own["waits"] = waits;
+  own["databases"] = Json::object();
+  for (const auto& [database, news] : view.databases) {
+    auto& entry = own["databases"][database.get()];
+    entry = {{"zone", news.zone.get()}, {"busy", 0}, {"idle", 0}, {"opening", 0}};
+    std::vector<std::string> reasons;
+    if (const auto* shelf = pool_.find(database)) {
+      entry["busy"] = shelf->busy.size();
+      entry["idle"] = shelf->idle.size();
+      entry["opening"] = shelf->opening;
+      if (shelf->heardAt != Instant{}) entry["heard_ms_ago"] = milliseconds(now - shelf->heardAt).count();
+      reasons = unused(*shelf, now);
+    }
+    if (view.drained.contains(database)) reasons.insert(reasons.begin(), "drained");
+    if (!reasons.empty()) entry["unused"] = reasons;
+  }
+  return own;
+}
+
+}  // namespace tamarindshift
--- a/tests/platform/adapter_programs.cpp
+++ b/tests/platform/adapter_programs.cpp
@@ -15,7 +15,7 @@
       pooler_(process.clock(), guide_, wrapped<BackEnds>(wraps_.backEnds, wireBackEnds_, backEnds_), process.journal(), poolerSettings(process), boot_,
               [this](NodeReport report) { agent_.report(std::move(report)); }),
       frontDoor_(process.clock(), pooler_),
-      readinessDoor_(pooler_, process.journal()) {
+      readinessDoor_(pooler_, agent_, process.journal()) {
   process.listen(process.machine().front(), frontDoor_);
   process.serve(process.machine().readiness(), readinessDoor_);
 }
--- a/tests/platform/adapter_programs.hpp
+++ b/tests/platform/adapter_programs.hpp
@@ -21,6 +21,7 @@
   std::optional<std::string> notReady() const override { return pooler_.notReady(); }
   Pooler& pooler() { return pooler_; }
   AgentNode& agent() { return agent_; }
+  DoorKeeper& readiness() { return readinessDoor_; }
 
  private:
   PlatformProcess& process_;
@@ -46,6 +47,7 @@
   void diskSlowed(Duration sync) override { disk_.slow(sync); }
   std::optional<std::string> notReady() const override;
   ReplicaNode& replica() { return replica_; }
+  DoorKeeper& control() { return controlDoor_; }
 
  private:
   Task<void> watch();
