Settings that contradict each other are refused, at the start and on SIGHUP

On SIGHUP the old values stay. Nothing is refused for a bound that could still be served worse, since a program that does not start serves nothing.

--- a/src/base/setting_kinds.cpp
+++ b/src/base/setting_kinds.cpp
@@ -14,6 +14,8 @@
   return value;
 }
 
+std::string rangeText(std::size_t least, std::size_t most) { return "from " + std::to_string(least) + " to " + std::to_string(most); }
+
 std::optional<std::string> takeAddresses(const std::string& text, std::set<Address>& target) {
   std::set<Address> read;
   std::istringstream stream(text);
@@ -87,20 +89,22 @@
 }
 
 Setting durationSetting(std::string key, std::string meaning, Duration& target, Duration least, Duration most) {
-  return Setting{std::move(key), std::move(meaning) + ", in milliseconds", std::to_string(milliseconds(target).count()), false,
-                 [&target, least, most](const std::string& text) -> std::optional<std::string> {
+  auto range = rangeText(static_cast<std::size_t>(milliseconds(least).count()), static_cast<std::size_t>(milliseconds(most).count()));
+  return Setting{std::move(key), std::move(meaning) + ", in milliseconds " + range, std::to_string(milliseconds(target).count()), false,
+                 [&target, least, most, range](const std::string& text) -> std::optional<std::string> {
                    auto value = wholeNumber(text);
-                   if (!value || std::chrono::milliseconds{*value} < least || std::chrono::milliseconds{*value} > most)
-                     return "must be a whole number from " + std::to_string(milliseconds(least).count()) + " to " + std::to_string(milliseconds(most).count());
+                   bool fits = value && *value >= static_cast<std::size_t>(milliseconds(least).count()) && *value <= static_cast<std::size_t>(milliseconds(most).count());
+                   if (!fits) return "must be a whole number " + range;
                    target = std::chrono::milliseconds{*value};
                    return std::nullopt;
                  }};
 }
 
 Setting numberSetting(std::string key, std::string meaning, std::size_t& target, std::size_t least, std::size_t most) {
-  return Setting{std::move(key), std::move(meaning), std::to_string(target), false, [&target, least, most](const std::string& text) -> std::optional<std::string> {
+  auto range = rangeText(least, most);
+  return Setting{std::move(key), std::move(meaning) + ", " + range, std::to_string(target), false, [&target, least, most, range](const std::string& text) -> std::optional<std::string> {
                    auto value = wholeNumber(text);
-                   if (!value || *value < least || *value > most) return "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most);
+                   if (!value || *value < least || *value > most) return "must be a whole number " + range;
                    target = *value;
                    return std::nullopt;
                  }};
--- a/src/real/program.cpp
+++ b/src/real/program.cpp
@@ -39,7 +39,7 @@
   }
   auto values = fileValues();
   if (!values) return complain(name_, reason_);
-  if (!take(*values)) return complain(name_, reason_);
+  if (!take(*values) || !settled()) return complain(name_, reason_);
   return std::nullopt;
 }
 
@@ -105,16 +105,23 @@
 bool Program::reread() {
   auto values = fileValues();
   if (!values || !known(*values)) return false;
-  if (takeAgain(values_, *values)) {
+  if (takeAgain(values_, *values) && settled()) {
     values_ = std::move(*values);
     return true;
   }
   auto reason = reason_;
   takeAgain(*values, values_);
+  settled();
   reason_ = reason;
   return false;
 }
 
+bool Program::settled() {
+  auto fault = settle_ ? settle_() : std::nullopt;
+  if (fault) reason_ = *fault;
+  return !fault;
+}
+
 std::uint64_t freshEntropy() {
   std::random_device device;
   std::uint64_t high = device();
--- a/src/real/program.hpp
+++ b/src/real/program.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -15,6 +17,8 @@
   Program(std::string name, std::string purpose) : name_(std::move(name)), purpose_(std::move(purpose)) {}
   void add(Setting setting) { settings_.push_back(std::move(setting)); }
   void add(std::vector<Setting> settings);
+  // what settles things that follow from the settings taken, or says how they contradict each other
+  void settle(std::function<std::optional<std::string>()> settle) { settle_ = std::move(settle); }
   std::optional<int> read(int argumentCount, char** arguments);
   void defaultFile(std::string path) { file_ = std::move(path); }
   bool reread();
@@ -24,10 +28,12 @@
   bool take(const std::map<std::string, std::string>& values);
   bool known(const std::map<std::string, std::string>& values);
   bool takeAgain(const std::map<std::string, std::string>& from, const std::map<std::string, std::string>& to);
+  bool settled();
   std::optional<std::map<std::string, std::string>> fileValues();
   std::string name_;
   std::string purpose_;
   std::vector<Setting> settings_;
+  std::function<std::optional<std::string>()> settle_;
   std::map<std::string, std::string> flagValues_;
   std::map<std::string, std::string> values_;
   std::string file_;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -49,3 +49,30 @@
   CHECK(trial.refusal("address=1.2.3.4:5\n").empty());
   CHECK((trial.queue == 20 && trial.sessions == 30));
 }
+
+TEST_CASE("settings that contradict each other are refused with the reason, and the old ones stay") {
+  Trial trial;
+  std::vector<std::size_t> settled;
+  trial.program.settle([&]() -> std::optional<std::string> {
+    settled.push_back(trial.queue);
+    if (trial.queue > trial.sessions) return "queue must not pass sessions";
+    return std::nullopt;
+  });
+  CHECK(trial.refusal("address=1.2.3.4:5\nqueue=9\nsessions=10\n").empty());
+  CHECK(trial.refusal("address=1.2.3.4:5\nqueue=12\nsessions=10\n") == "queue must not pass sessions");
+  CHECK((trial.queue == 9 && trial.sessions == 10));
+  CHECK(settled == std::vector<std::size_t>{9, 12, 9});
+  CHECK(trial.refusal("address=1.2.3.4:5\nqueue=10\nsessions=10\n").empty());
+}
+
+TEST_CASE("a file with a key twice, a section or no sense is refused, and the old settings stay") {
+  Trial trial;
+  for (const char* text : {"address=1.2.3.4:5\nqueue=8\nqueue=9\n", "[part]\nqueue=8\n", "\xff\xfe", "queue=8\n", "address=1.2.3.4:5\nqueue=\n", "address=1.2.3.4:5\nqueue=8 9\n"}) {
+    CAPTURE(text);
+    CHECK_FALSE(trial.refusal(text).empty());
+    CHECK(trial.queue == 7);
+  }
+  std::filesystem::remove(trial.file);
+  CHECK_FALSE(trial.program.reread());
+  CHECK(trial.queue == 7);
+}
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -40,3 +40,10 @@
 
 add_test(NAME scale.small COMMAND scale --replicas 3 --nodes 4 --databases 6 --window 1000 --folder ${CMAKE_BINARY_DIR}/scale-small --prefix 127.78)
 set_tests_properties(scale.small PROPERTIES TIMEOUT 180 RUN_SERIAL ON)
+
+foreach(program platform-access platform-core)
+  add_test(NAME help.${program} COMMAND ${program} --help)
+  set_tests_properties(help.${program} PROPERTIES PASS_REGULAR_EXPRESSION "--peer-port.*--seeds.*--zone.*--address")
+  add_test(NAME unknown-key.${program} COMMAND ${program} --surprise 1)
+  set_tests_properties(unknown-key.${program} PROPERTIES WILL_FAIL ON)
+endforeach()
