A check of the boundary: nothing outside platform/ includes from it or says its names

The names are collected from what platform/ itself spells, so new ones count by themselves. Its own test plants a breach of each kind and sees it noticed. src/ had none; tests of the translation moved to tests/platform. Tests of the pooler go on writing statements and faults in words of the wire, which one file reads for them; the check allows these words there and nothing else.

--- a/tests/configuration_translation_test.cpp
+++ b/tests/platform/configuration_translation_test.cpp
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "control/plan_reader.hpp"
-#include "../platform/configuration_translation.hpp"
+#include "platform/configuration_translation.hpp"
 
 using namespace tamarindshift;
 using namespace tamarindshift::platform;
--- a/tests/line_door_test.cpp
+++ b/tests/platform/line_door_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "tests/line_door_trial.hpp"
+#include "tests/platform/line_door_trial.hpp"
 
 using namespace tamarindshift;
 
--- a/tests/line_door_trial.hpp
+++ b/tests/platform/line_door_trial.hpp
@@ -3,7 +3,7 @@
 #include <array>
 
 #include "control/service_news.hpp"
-#include "../platform/front_door.hpp"
+#include "platform/front_door.hpp"
 #include "real/real_clock.hpp"
 #include "real/tcp_line_door.hpp"
 #include "simulated/simulated_journal.hpp"
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform/platform_wire_test.cpp
@@ -2,9 +2,9 @@
 
 #include <catch2/catch.hpp>
 
-#include "../platform/front_door.hpp"
-#include "../platform/wire_back_end.hpp"
-#include "../platform/wire_words.hpp"
+#include "platform/front_door.hpp"
+#include "platform/wire_back_end.hpp"
+#include "platform/wire_words.hpp"
 #include "tests/pooler_trial.hpp"
 #include "tests/scripted_line.hpp"
 
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -1,4 +1,6 @@
 add_test(NAME unit COMMAND tests)
+add_test(NAME boundary COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/boundary.py ${CMAKE_SOURCE_DIR})
+add_test(NAME boundary.notices COMMAND ${Python3_EXECUTABLE} -B ${CMAKE_SOURCE_DIR}/tests/boundary_test.py)
 
 file(GLOB SCENARIOS CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/scenarios/*.txt)
 foreach(scenario ${SCENARIOS})
