--- a/tests/control_cluster.cpp
+++ b/tests/control_cluster.cpp
@@ -1,7 +1,6 @@
 #include "tests/control_cluster.hpp"
 
-#include <catch2/catch.hpp>
-#include <nlohmann/json.hpp>
+#include "tests/door_asking.hpp"
 
 namespace tamarindshift {
 
@@ -59,13 +58,7 @@
 }
 
 DoorReply ControlCluster::ask(Task<DoorReply> task) {
-  std::optional<DoorReply> reply;
-  TaskScope own;
-  auto asking = [](Task<DoorReply> asked, std::optional<DoorReply>& reply) -> Task<void> { reply = co_await std::move(asked); };
-  own.spawn(asking(std::move(task), reply));
-  runUntil(10s, [&] { return reply.has_value(); });
-  REQUIRE(reply);
-  return *reply;
+  return answered(std::move(task), [this] { run(5ms); }, 2000);
 }
 
 std::string ControlCluster::discovered(std::uint32_t syncReplicas) const {
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -1,34 +1,16 @@
-#include <catch2/catch.hpp>
-
-#include <nlohmann/json.hpp>
-
-#include "simulated/simulated_fleet.hpp"
+#include "tests/fleet_trial.hpp"
 
 using namespace tamarindshift;
 using Json = nlohmann::json;
 
 namespace {
 
-struct OneProxy {
-  OneProxy() : fleet(shape(), 1) {
-    fleet.run(1s);
-    fleet.sendPlan(0, 1, fleet.planText(StandinPlanChoice{1}), true);
-    fleet.run(4s);
-  }
-  static FleetShape shape() {
-    FleetShape shape;
-    shape.machines = 1;
-    return shape;
-  }
+struct OneProxy : FleetTrial {
+  OneProxy() : FleetTrial(machines(1)) { sendFirstPlan(4s); }
+  SessionDoor& door() { return *fleet.machines()[0]->door; }
   DoorReply ask(const std::string& method, const std::string& path, const std::string& body = {}, std::uint64_t connection = 7) {
-    std::optional<DoorReply> reply;
-    TaskScope scope;
-    scope.spawn(serve(DoorRequest{method, path, body, ConnectionId{connection}}, reply));
-    for (int step = 0; step < 200 && !reply; ++step) fleet.run(100ms);
-    REQUIRE(reply);
-    return *reply;
+    return FleetTrial::ask(door(), DoorRequest{method, path, body, ConnectionId{connection}});
   }
-  Task<void> serve(DoorRequest request, std::optional<DoorReply>& reply) { reply = co_await fleet.machines()[0]->door->serve(std::move(request)); }
   std::string open(const std::string& kind = "counter1") {
     auto reply = ask("POST", "/sessions", Json{{"kind", kind}}.dump());
     REQUIRE(reply.status == 201);
@@ -40,7 +22,6 @@
     CHECK(reply.status == status);
     return Json::parse(reply.body);
   }
-  SimulatedFleet fleet;
 };
 
 }  // namespace
@@ -127,7 +108,8 @@
   auto session = proxy.open();
   std::optional<DoorReply> reply;
   TaskScope scope;
-  scope.spawn(proxy.serve(DoorRequest{"POST", session + "/run", R"({"operation":"set","name":"who","text":"gone"})", ConnectionId{8}}, reply));
+  DoorRequest request{"POST", session + "/run", R"({"operation":"set","name":"who","text":"gone"})", ConnectionId{8}};
+  scope.spawn(answering(proxy.door().serve(std::move(request)), reply));
   for (int step = 0; step < 100 && proxy.fleet.databases()[0]->node->history().empty(); ++step) proxy.fleet.run(1ms);
   REQUIRE_FALSE(reply);
   proxy.fleet.machines()[0]->door->gone(ConnectionId{8});
--- a/tests/operator_door_test.cpp
+++ b/tests/operator_door_test.cpp
@@ -1,23 +1,14 @@
-#include <catch2/catch.hpp>
-
-#include <nlohmann/json.hpp>
-
-#include "simulated/simulated_fleet.hpp"
+#include "tests/fleet_trial.hpp"
 
 using namespace tamarindshift;
 using Json = nlohmann::json;
 
 namespace {
 
-struct OneCore {
-  OneCore() : fleet(shape(), 1) {
-    fleet.run(1s);
-    fleet.sendPlan(0, 1, fleet.planText(StandinPlanChoice{1}), true);
-    fleet.run(3s);
-  }
+struct OneCore : FleetTrial {
+  OneCore() : FleetTrial(shape()) { sendFirstPlan(3s); }
   static FleetShape shape() {
-    FleetShape shape;
-    shape.machines = 2;
+    auto shape = machines(2);
     CallerKind kind;
     kind.kind = KindName{"counter1"};
     kind.service = ServiceName{"s1"};
@@ -26,14 +17,8 @@
     return shape;
   }
   DoorReply ask(std::size_t replica, const std::string& method, const std::string& path, const std::string& body = {}) {
-    std::optional<DoorReply> reply;
-    TaskScope scope;
-    scope.spawn(serve(*fleet.replicas()[replica]->door, DoorRequest{method, path, body, ConnectionId{7}}, reply));
-    for (int step = 0; step < 100 && !reply; ++step) fleet.run(100ms);
-    REQUIRE(reply);
-    return *reply;
+    return FleetTrial::ask(*fleet.replicas()[replica]->door, DoorRequest{method, path, body, ConnectionId{7}});
   }
-  static Task<void> serve(OperatorDoor& door, DoorRequest request, std::optional<DoorReply>& reply) { reply = co_await door.serve(std::move(request)); }
   std::uint64_t counted(std::size_t replica, const std::string& name) {
     const auto& counters = fleet.replicas()[replica]->journal->counters();
     auto found = counters.find(name);
@@ -51,7 +36,6 @@
       fleet.network().cut(fleet.replicas()[other]->host, fleet.replicas()[replica]->host);
     }
   }
-  SimulatedFleet fleet;
 };
 
 }  // namespace
