--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -72,7 +72,12 @@
 
 Task<void> Duties::care(ServiceName name) {
   duties_[name].busy = true;
-  co_await careFor(name);
+  try {
+    co_await careFor(name);
+  } catch (const std::exception& error) {
+    journal_.count("duties.failed");
+    journal_.line("the duties of service " + name.get() + " failed and are done again: " + error.what());
+  }
   duties_[name].busy = false;
 }
 
@@ -99,7 +104,7 @@
 
 bool Duties::silent(const Address& node) const {
   const auto* known = heard(node);
-  return clock_.now() - std::max(known ? known->heardAt : Instant{}, takenAt_) > timings_.nodeSilence;
+  return !(known && reporting(*known)) && clock_.now() - takenAt_ > timings_.nodeSilence;
 }
 
 std::uint64_t Duties::followed(const ServiceName& name, const Address& node) const {
@@ -110,19 +115,23 @@
 }
 
 bool Duties::overdue(const ServiceName& name, const Address& node) const {
-  const auto& seen = duties_.at(name).reservedSeenAt;
+  auto duty = duties_.find(name);
+  if (duty == duties_.end()) return false;
+  const auto& seen = duty->second.reservedSeenAt;
   auto found = seen.find(node);
   return found != seen.end() && clock_.now() - found->second.second > timings_.shareHold();
 }
 
+bool Duties::follows(const ServiceName& name, const ServiceState& service, const Address& node) const {
+  if (followed(name, node) >= service.sharesAt) return true;
+  if (!silent(node)) return false;
+  auto reserved = service.reserved.find(node);
+  if (reserved == service.reserved.end()) return !service.holds(node);
+  return followed(name, node) >= reserved->second.basis || overdue(name, node);
+}
+
 bool Duties::everyNodeFollows(const ServiceName& name, const ServiceState& service) const {
-  for (const auto& [address, node] : state_.nodes()) {
-    auto reserved = service.reserved.find(address);
-    bool silentButCounted = silent(address) && (!service.holds(address) || (reserved != service.reserved.end() &&
-                                                (followed(name, address) >= reserved->second.basis || overdue(name, address))));
-    if (!silentButCounted && followed(name, address) < service.sharesAt) return false;
-  }
-  return true;
+  return std::all_of(state_.nodes().begin(), state_.nodes().end(), [&](const auto& each) { return follows(name, service, each.first); });
 }
 
 Grants Duties::reserve(const ServiceName& name, const ServiceState& service) {
@@ -211,7 +220,7 @@
   std::vector<NodeReport> reports;
   Orders orders;
   for (const auto& [address, node] : access_.nodes())
-    if (clock_.now() - node.heardAt < timings_.nodeSilence) reports.push_back(node.report);
+    if (reporting(node)) reports.push_back(node.report);
   for (const auto& report : reports) {
     auto known = state_.nodes().find(report.node);
     NodeUpdate update{report.node, report.zone, report.boot};
