Followers go on from the source that answered last, not to a silent one

Cause: a topic whose source failed went down its list, so a home whose replica was lost tried replicas that were silent (350 ms each) before one that had answered other topics, and went back to the lost one each 5 s.

A test fails before: the second topic waits for the silent source.

--- a/src/news/news_follower.cpp
+++ b/src/news/news_follower.cpp
@@ -49,11 +49,34 @@
 }
 
 std::optional<Address> NewsFollower::currentSource(const Topic& topic, Followed& followed) {
-  if (followed.attempt > 0 && clock_.now() - followed.firstTriedAt > timings_.returnToFirst) followed.attempt = 0;
-  if (followed.attempt == 0) followed.firstTriedAt = clock_.now();
   auto sources = sources_(topic);
   if (sources.empty()) return std::nullopt;
-  return sources[followed.attempt % sources.size()];
+  bool over = clock_.now() - followed.firstTriedAt > timings_.returnToFirst;
+  if (followed.instead && (over || std::find(sources.begin(), sources.end(), *followed.instead) == sources.end())) {
+    followed.instead.reset();
+    followed.failed.clear();
+  }
+  if (followed.instead) return followed.instead;
+  followed.firstTriedAt = clock_.now();
+  return sources.front();
+}
+
+NewsFollower::Standing NewsFollower::standing(const Address& source) const {
+  auto found = standings_.find(source);
+  return found == standings_.end() ? Standing{} : found->second;
+}
+
+bool NewsFollower::silent(const Address& source) const {
+  auto since = standing(source).silentAt;
+  return since && clock_.now() - *since < timings_.returnToFirst;
+}
+
+// of the sources that were not tried yet the one that answered last, a silent one at the end
+Address NewsFollower::nextSource(const std::vector<Address>& sources, const std::set<Address>& failed) const {
+  auto rank = [&](const Address& source) {
+    return std::tuple(failed.contains(source), silent(source), -standing(source).answeredAt.time_since_epoch().count());
+  };
+  return *std::min_element(sources.begin(), sources.end(), [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
 }
 
 bool NewsFollower::superseded(const Address& source, std::uint64_t turn) const {
@@ -89,6 +112,7 @@
     auto bytes = co_await desk_.ask(source, "follow", packed(ask), asked + timings_.patience);
     auto reply = bytes ? unpacked<FollowReply>(*bytes) : std::nullopt;
     if (reply && reply->core) coreRepliedAt_ = clock_.now();
+    standings_[source].silentAt = reply ? std::nullopt : std::optional{clock_.now()};
     bool failed = false;
     for (const auto& [topic, have] : ask.have) {
       auto own = reply ? reply->topics.find(topic) : decltype(reply->topics.end()){};
@@ -110,6 +134,8 @@
 void NewsFollower::take(const Topic& topic, const Address& source, Instant at, TopicReply reply) {
   auto& followed = topics_[topic];
   bool lapsed = !leaseUntil(topic);
+  followed.failed.clear();
+  standings_[source].answeredAt = clock_.now();
   if (followed.source != source) {
     followed.source = source;
     journal_.line("news " + topic + " from " + source.get());
@@ -123,7 +149,11 @@
 
 void NewsFollower::fail(const Topic& topic, const Address& source) {
   auto& followed = topics_[topic];
-  if (currentSource(topic, followed) == source) ++followed.attempt;
+  if (currentSource(topic, followed) != source) return;
+  auto sources = sources_(topic);
+  followed.failed.insert(source);
+  if (std::all_of(sources.begin(), sources.end(), [&](const auto& each) { return followed.failed.contains(each) || silent(each); })) followed.failed = {source};
+  followed.instead = nextSource(sources, followed.failed);
 }
 
 }  // namespace tamarindshift
--- a/src/news/news_follower.hpp
+++ b/src/news/news_follower.hpp
@@ -11,8 +11,10 @@
  public:
   using Sources = std::function<std::vector<Address>(const Topic&)>;
   struct Followed {
-    std::size_t attempt = 0;
+    // the source that is asked instead of the first one, since when, and those that failed since one answered
+    std::optional<Address> instead;
     Instant firstTriedAt{};
+    std::set<Address> failed;
     Address asking;
     Address source;
     std::optional<Instant> leaseUntil;
@@ -37,7 +39,14 @@
   void startAsks();
   void take(const Topic& topic, const Address& source, Instant at, TopicReply reply);
   void fail(const Topic& topic, const Address& source);
+  struct Standing {
+    Instant answeredAt{};
+    std::optional<Instant> silentAt;
+  };
   std::optional<Address> currentSource(const Topic& topic, Followed& followed);
+  Standing standing(const Address& source) const;
+  bool silent(const Address& source) const;
+  Address nextSource(const std::vector<Address>& sources, const std::set<Address>& failed) const;
   bool superseded(const Address& source, std::uint64_t turn) const;
 
   Clock& clock_;
@@ -48,6 +57,7 @@
   NewsBoard board_;
   std::map<Topic, Followed> topics_;
   std::map<Address, std::uint64_t> turns_;
+  std::map<Address, Standing> standings_;
   std::uint32_t failures_ = 0;
   Instant coreRepliedAt_{};
   std::uint64_t lastTurn_ = 0;
--- a/tests/news_test.cpp
+++ b/tests/news_test.cpp
@@ -39,8 +39,8 @@
 
 struct Following {
   Following()
-      : world(3), network(world), first(world, network, "10.0.0.1"), second(world, network, "10.0.0.2"), clock(world), link(network, clock, Address{"10.1.0.1:1"}), desk(clock, link), journal("node", [](const std::string&) {}), follower(clock, desk, journal, [](const Topic&) { return std::vector{Address{"10.0.0.1:1"}, Address{"10.0.0.2:1"}}; }, FollowTimings{450ms, 50ms}) {
-    for (auto* source : {&first, &second}) {
+      : world(3), network(world), first(world, network, "10.0.0.1"), second(world, network, "10.0.0.2"), third(world, network, "10.0.0.3"), clock(world), link(network, clock, Address{"10.1.0.1:1"}), desk(clock, link), journal("node", [](const std::string&) {}), follower(clock, desk, journal, [](const Topic&) { return std::vector{Address{"10.0.0.1:1"}, Address{"10.0.0.2:1"}, Address{"10.0.0.3:1"}}; }, FollowTimings{450ms, 50ms}) {
+    for (auto* source : {&first, &second, &third}) {
       source->publish(fleetTopic, "plan", planOf({"s1", "s2"}));
       source->publish("s1", "a", "1");
       source->publish("s2", "a", "1");
@@ -51,6 +51,7 @@
   SimulatedNetwork network;
   Source first;
   Source second;
+  Source third;
   SimulatedClock clock;
   SimulatedLink link;
   Desk desk;
@@ -100,6 +101,26 @@
   CHECK(following.follower.topics().at("s1").source == Address{"10.0.0.1:1"});
 }
 
+TEST_CASE("a topic that leaves its source goes to the one that answered last and not to a silent one") {
+  Following following;
+  following.run(1s);
+  for (const auto& [from, to] : {std::pair("10.0.0.2", "10.1.0.1"), std::pair("10.1.0.1", "10.0.0.2")}) following.network.cut(from, to);
+  following.first.without = {"s1"};
+  following.run(1s);
+  CHECK(following.follower.topics().at("s1").source == Address{"10.0.0.3:1"});
+  following.first.without = {"s1", "s2"};
+  following.run(300ms);
+  CHECK(following.follower.topics().at("s2").source == Address{"10.0.0.3:1"});
+  for (int step = 0; step < 150; ++step) {
+    following.run(100ms);
+    for (const auto& topic : {"s1", "s2"}) {
+      auto until = following.follower.leaseUntil(topic);
+      REQUIRE(until);
+      CHECK(*until > following.clock.now() + 2s - 750ms);
+    }
+  }
+}
+
 TEST_CASE("a topic's lease counts from when its source spoke, and a held ask does not cost it") {
   Following following;
   following.run(5s);
