Only touched tables are laid anew; shares cut where something changed; restarts keep shares

Now an action names the topics it touched; shares of a service are cut again only if a report, the living nodes, its last move or the plan changed, for at most 20 ms a pass, the next going on where the last one stopped; what a silent or leaving node holds stays for 15 s if it is at most a twentieth of each branch and nobody is short. Ruled out: one action for all services, not needed once a move costs one table.

--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -20,6 +20,8 @@
   Duration reportPause = 50ms;
   Duration duty = 100ms;
   Duration dutyPause = 5ms;
+  // time that one pass may spend on shares
+  Duration dutyShares = 20ms;
   Duration sharesPause = 2s;
   Duration databaseHeartbeat = 200ms;
   Duration databaseSilence = 1s;
@@ -35,6 +37,8 @@
   Duration statusPatience = 500ms;
   Duration promotePatience = 1500ms;
   Duration nodeSilence = 2500ms;
+  // silence after which a node is not expected back
+  Duration nodeGone = 15s;
   Duration memberAway = 1s;
   Duration deadConnections = 10s;
   Duration orderPatience = 4s;
--- a/src/control/access_tables.cpp
+++ b/src/control/access_tables.cpp
@@ -4,23 +4,36 @@
 
 namespace tamarindshift {
 
-bool AccessTables::noteReport(const NodeReport& report, Instant now) {
+bool AccessTables::noteReport(NodeReport report, Instant now) {
   auto& held = nodes_[report.node];
-  auto tells = [](const NodeReport& each) {
-    std::map<ServiceName, std::tuple<Epoch, std::uint64_t, std::set<DatabaseName>, std::set<DatabaseName>>> told;
-    for (const auto& [service, own] : each.services) told.emplace(service, std::tuple(own.epoch, own.followed, own.suspects, own.strained));
-    return std::tuple(each.boot, each.draining, std::move(told));
-  };
-  if (!report.whole && held.report.boot != report.boot) return false;
-  auto before = tells(held.report);
-  if (held.report.boot != report.boot) lastLost_ = std::max(lastLost_, held.heardAt);
-  auto services = report.whole ? std::map<ServiceName, ServiceReport>{} : std::move(held.report.services);
-  for (const auto& [service, own] : report.services) services[service] = own;
-  held = Node{report, now};
-  held.report.services = std::move(services);
-  held.report.whole = true;
-  for (const auto& [service, own] : report.services) acknowledged_[service] = std::max(acknowledged_[service], own.acknowledged);
-  return before != tells(held.report);
+  bool sameBoot = held.report.boot == report.boot;
+  if (!report.whole && !sameBoot) return false;
+  if (!sameBoot) lastLost_ = std::max(lastLost_, held.heardAt);
+  bool tells = !sameBoot || held.report.draining != report.draining;
+  auto services = std::move(held.report.services);
+  if (report.whole)
+    std::erase_if(services, [&](const auto& each) {
+      if (report.services.contains(each.first)) return false;
+      ++sharesInputs_[each.first];
+      return tells = true;
+    });
+  for (auto& [service, own] : report.services) {
+    auto [before, fresh] = services.try_emplace(service, own);
+    if (fresh || !sameBoot || std::tie(before->second.followed, before->second.wanted) != std::tie(own.followed, own.wanted)) ++sharesInputs_[service];
+    tells = tells || fresh || std::tie(before->second.epoch, before->second.followed, before->second.suspects, before->second.strained) != std::tie(own.epoch, own.followed, own.suspects, own.strained);
+    auto& acknowledged = acknowledged_[service];
+    acknowledged = std::max(acknowledged, own.acknowledged);
+    if (!fresh) before->second = std::move(own);
+  }
+  report.services = std::move(services);
+  report.whole = true;
+  held = Node{std::move(report), now};
+  return tells;
+}
+
+std::uint64_t AccessTables::sharesInputs(const ServiceName& service) const {
+  auto found = sharesInputs_.find(service);
+  return found == sharesInputs_.end() ? 0 : found->second;
 }
 
 bool AccessTables::older(const DatabaseHeartbeat& heartbeat, Instant now, Duration silence) const {
--- a/src/control/access_tables.hpp
+++ b/src/control/access_tables.hpp
@@ -17,7 +17,7 @@
   };
 
   // true if the report tells another epoch, suspect or drain than the last one did
-  bool noteReport(const NodeReport& report, Instant now);
+  bool noteReport(NodeReport report, Instant now);
   bool older(const DatabaseHeartbeat& heartbeat, Instant now, Duration silence) const;
   bool noteHeartbeat(const DatabaseHeartbeat& heartbeat, Instant now, Duration silence);
   const std::map<Address, Node>& nodes() const { return nodes_; }
@@ -26,6 +26,8 @@
   Place acknowledged(const ServiceName& service) const;
   void forgetNodesBefore(Instant before);
   Instant lastLost() const { return lastLost_; }
+  // rises when a report says something else of the shares of a service that are wanted or followed
+  std::uint64_t sharesInputs(const ServiceName& service) const;
 
  private:
   static constexpr Duration numbersRise = 3s;
@@ -33,6 +35,7 @@
   std::map<Address, Node> nodes_;
   std::map<std::pair<ServiceName, DatabaseName>, Database> databases_;
   std::map<ServiceName, Place> acknowledged_;
+  std::map<ServiceName, std::uint64_t> sharesInputs_;
   Instant lastLost_{};
 };
 
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -67,6 +67,7 @@
   plan_ = std::move(plan);
   planText_ = update.text;
   retire(*plan_);
+  touchAll();
   for (const auto& [name, service] : plan_->services) {
     auto& state = services_[name];
     auto databases = this->databases(name);
@@ -109,6 +110,7 @@
 std::string ControlState::applyDatabase(const DatabaseUpdate& update, bool drained) {
   if (!databases(update.service).contains(update.database)) return "no such database";
   auto& state = services_.contains(update.service) ? services_.at(update.service) : retired_[update.service];
+  touch(update.service);
   if (!drained) {
     state.drained.erase(update.database);
     return "held";
@@ -161,6 +163,7 @@
 }
 
 void ControlState::leave(const ServiceName& service, const DatabaseName& database) {
+  touch(service);
   auto own = enrolled_.find(service);
   own->second.erase(database);
   if (own->second.empty()) enrolled_.erase(own);
@@ -175,6 +178,7 @@
     for (const auto& [name, database] : databases)
       if (database.address == update.address && (service != update.service || name != update.database)) former.emplace_back(service, name);
   for (const auto& [service, name] : former) leave(service, name);
+  touch(update.service);
   enrolled_[update.service][update.database] = EnrolledDatabase{update.address, update.zone, update.capacity};
   return "held";
 }
@@ -191,6 +195,7 @@
   auto service = services_.find(update.service);
   if (service == services_.end() || service->second.epoch != update.oldEpoch) return "other epoch";
   if (!databases(update.service).contains(update.chosen)) return "no such database";
+  touch(update.service);
   auto& state = service->second;
   state.epoch = Epoch{state.epoch.get() + 1};
   state.primary = update.chosen;
@@ -202,6 +207,7 @@
 std::string ControlState::applyPromoted(const PromotedUpdate& update) {
   auto service = services_.find(update.service);
   if (service == services_.end() || service->second.epoch != update.epoch) return "other epoch";
+  touch(update.service);
   service->second.promoted = true;
   service->second.servedBy = service->second.primary;
   return "held";
@@ -223,6 +229,7 @@
   for (const auto& [node, most] : update.reserved)
     if (auto [held, fresh] = reserved.try_emplace(node, ReservedShare{position_, update.basis, most}); !fresh) held->second.most = most;
   if (service->second.grants == update.grants) return "held";
+  touch(update.service);
   service->second.grants = update.grants;
   service->second.sharesAt = position_;
   return "held";
@@ -233,8 +240,10 @@
     auto found = nodes_.find(update.node);
     if (found == nodes_.end() || found->second.boot != update.boot) return "other boot";
     found->second.draining = true;
+    touched_.insert(fleetTopic);
     return "held";
   }
+  touched_.insert(fleetTopic);
   nodes_[update.node] = NodeState{update.zone, update.boot, false, position_};
   return "held";
 }
@@ -245,12 +254,19 @@
   for (const auto& [name, service] : services_)
     if (service.holds(update.node)) return "holds shares";
   nodes_.erase(found);
+  touched_.insert(fleetTopic);
   return "held";
 }
 
-std::map<Topic, NewsTable> ControlState::news() const {
-  std::map<Topic, NewsTable> tables;
-  auto& fleet = tables[fleetTopic];
+void ControlState::touchAll() {
+  touched_.insert(fleetTopic);
+  for (const auto& [topic, entry] : board_.entries()) touched_.insert(topic);
+  if (!plan_) return;
+  for (const auto& [name, service] : plan_->services) touch(name);
+}
+
+NewsTable ControlState::fleetNews() const {
+  NewsTable fleet;
   for (const auto& [address, node] : nodes_) {
     NodeNews news{node.zone, node.draining, {}, node.boot, node.enrolledAt};
     if (plan_)
@@ -264,15 +280,20 @@
     for (const auto& [name, kind] : plan_->kinds) fleetPlan.kinds[name] = kind.service;
   }
   fleet["plan"] = packed(fleetPlan);
-  if (plan_)
-    for (const auto& [name, service] : plan_->services) tables[name.get()] = serviceNews(name, service);
-  return tables;
+  return fleet;
+}
+
+NewsTable ControlState::news(const Topic& topic) const {
+  if (topic == fleetTopic) return fleetNews();
+  ServiceName name{topic};
+  const auto* service = planned(name);
+  return service ? serviceNews(name, *service) : NewsTable{};
 }
 
 void ControlState::publish() {
-  auto tables = news();
-  for (const auto& [name, entry] : board_.entries()) tables.try_emplace(name);
-  for (auto& [name, table] : tables) board_.publish(name, position_, std::move(table));
+  for (const auto& topic : touched_)
+    if (topic == fleetTopic || planned(ServiceName{topic}) || board_.find(topic)) board_.publish(topic, position_, news(topic));
+  touched_.clear();
 }
 
 NewsTable ControlState::serviceNews(const ServiceName& name, const PlanService& service) const {
@@ -326,13 +347,14 @@
   nodes_ = restored->nodes;
   dutyEpoch_ = restored->dutyEpoch;
   position_ = restored->position;
-  auto tables = news();
-  for (const auto& [topic, entry] : board_.entries()) tables.try_emplace(topic);
-  for (const auto& [topic, mark] : restored->marks) tables.try_emplace(topic);
-  for (auto& [topic, table] : tables) {
+  if (restored->marks.empty() && !plan_ && nodes_.empty()) return true;
+  touchAll();
+  for (const auto& [topic, mark] : restored->marks) touched_.insert(topic);
+  for (const auto& topic : touched_) {
     auto mark = restored->marks.find(topic);
-    board_.restore(topic, mark == restored->marks.end() ? position_ : mark->second, std::move(table));
+    board_.restore(topic, mark == restored->marks.end() ? position_ : mark->second, news(topic));
   }
+  touched_.clear();
   return true;
 }
 
--- a/src/control/control_state.hpp
+++ b/src/control/control_state.hpp
@@ -79,7 +79,10 @@
   void retire(const Plan& plan);
   void leave(const ServiceName& service, const DatabaseName& database);
   const ServiceState* known(const ServiceName& service) const;
-  std::map<Topic, NewsTable> news() const;
+  void touch(const ServiceName& service) { touched_.insert(service.get()); }
+  void touchAll();
+  NewsTable fleetNews() const;
+  NewsTable news(const Topic& topic) const;
   NewsTable serviceNews(const ServiceName& name, const PlanService& service) const;
   void publish();
 
@@ -92,6 +95,8 @@
   std::map<Address, NodeState> nodes_;
   std::uint64_t dutyEpoch_ = 0;
   std::uint64_t position_ = 0;
+  // topics whose tables an action may have changed
+  std::set<Topic> touched_{fleetTopic};
 };
 
 }  // namespace tamarindshift
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -44,7 +44,15 @@
   members();
   if (!nodesBusy_) scope_.spawn(nodes());
   if (!enrolmentsBusy_) scope_.spawn(enrolments());
-  for (const auto& [name, service] : state_.services()) {
+  noteLiving();
+  sharesSpent_ = {};
+  std::vector<ServiceName> names;
+  for (const auto& [name, service] : state_.services()) names.push_back(name);
+  if (sharesLeftAt_) std::rotate(names.begin(), std::lower_bound(names.begin(), names.end(), *sharesLeftAt_), names.end());
+  sharesLeftAt_.reset();
+  for (const auto& name : names) {
+    if (!state_.services().contains(name)) continue;
+    const auto& service = state_.services().at(name);
     auto& duty = duties_[name];
     auto now = clock_.now();
     if (duty.seenAt == Instant{} || duty.epoch != service.epoch) {
@@ -137,11 +145,44 @@
   return reserved;
 }
 
+void Duties::noteLiving() {
+  std::vector<std::pair<Address, std::uint64_t>> living;
+  for (const auto& [address, node] : state_.nodes())
+    if (!node.draining && !silent(address)) living.emplace_back(address, node.boot);
+  if (std::exchange(living_, living) != living) ++livingChanges_;
+}
+
+Duties::SharesInputs Duties::sharesInputs(const ServiceName& name, const ServiceState& service) const {
+  return SharesInputs{access_.sharesInputs(name), livingChanges_, service.sharesAt, state_.plan()->mark};
+}
+
+// few connections of nodes that may come back stay with them until another node is short
+bool Duties::canWait(const ServiceName& name, const ServiceState& service, const Grants& target) const {
+  if (!service.reserved.empty()) return false;
+  if (std::any_of(target.begin(), target.end(), [&](const auto& each) { return !service.grants.contains(each.first); })) return false;
+  std::map<BranchName, std::uint64_t> away;
+  for (const auto& [node, branches] : service.grants) {
+    if (target.contains(node)) continue;
+    const auto* known = heard(node);
+    if (!state_.nodes().contains(node) || !known || clock_.now() - known->heardAt > timings_.nodeGone) return false;
+    for (const auto& [branch, amount] : branches) away[branch] += amount;
+  }
+  const auto& branches = state_.plan()->services.at(name).branches;
+  return std::all_of(away.begin(), away.end(), [&](const auto& each) { return each.second * fewOfABranch <= branches.at(each.first).connections; });
+}
+
 Task<void> Duties::shares(ServiceName name) {
   if (!state_.services().contains(name)) co_return;
   const auto& service = state_.services().at(name);
   auto& duty = duties_[name];
   if (clock_.now() < duty.sharesAfter && duty.sharesFor == state_.nodes().size()) co_return;
+  auto inputs = sharesInputs(name, service);
+  if (service.reserved.empty() && duty.sharesFit == inputs) co_return;
+  if (sharesSpent_ > timings_.dutyShares) {
+    if (!sharesLeftAt_) sharesLeftAt_ = name;
+    co_return;
+  }
+  auto began = clock_.now();
   duty.sharesAfter = clock_.now() + 2 * timings_.duty;
   duty.sharesFor = state_.nodes().size();
   Wanted wanted;
@@ -158,19 +199,24 @@
   Grants reservedBefore;
   for (const auto& [node, share] : service.reserved) reservedBefore[node] = share.most;
   auto target = cutShares(without(state_.plan()->services.at(name), reserved), wanted, weights);
-  if (target == service.grants && reserved == reservedBefore) co_return;
+  sharesSpent_ += clock_.now() - began;
+  if (target == service.grants && reserved == reservedBefore) {
+    duty.sharesFit = inputs;
+    co_return;
+  }
   auto lower = lowered(service.grants, target);
   for (const auto& [node, share] : service.reserved)
     if (!reserved.contains(node) && target.contains(node) && !lower.contains(node)) lower[node] = lowered({{node, share.most}}, target)[node];
   if (lower != service.grants || reserved != reservedBefore) {
     bool nodesChanged = reserved != reservedBefore || target.size() != service.grants.size();
-    bool pressing = nodesChanged;
+    bool pressing = nodesChanged && !canWait(name, service, target);
     for (const auto& [node, branches] : wanted)
       for (const auto& [branch, want] : branches) {
         auto held = service.grants.find(node);
         if (held == service.grants.end() || !held->second.contains(branch)) continue;
         pressing = pressing || (want > held->second.at(branch) && target[node][branch] > held->second.at(branch));
       }
+    if (!pressing && reserved.empty()) duty.sharesFit = inputs;
     bool early = clock_.now() - duty.sharesMovedAt < timings_.sharesPause;
     if (!pressing || (early && !(nodesChanged && everyNodeFollows(name, service)))) co_return;
     duty.sharesMovedAt = clock_.now();
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -20,6 +20,13 @@
   const std::map<ServiceName, std::string>& waits() const { return waits_; }
 
  private:
+  struct SharesInputs {
+    std::uint64_t told = 0;
+    std::uint64_t living = 0;
+    std::uint64_t sharesAt = 0;
+    PlanMark mark;
+    bool operator==(const SharesInputs&) const = default;
+  };
   struct ServiceDuty {
     Epoch epoch;
     Instant seenAt{};
@@ -30,6 +37,8 @@
     Instant sharesMovedAt{};
     Instant sharesAfter{};
     std::size_t sharesFor = 0;
+    // what the shares were last cut from, if they were found to be as they should
+    std::optional<SharesInputs> sharesFit;
     std::map<Address, std::pair<std::uint64_t, Instant>> reservedSeenAt;
     Instant silentSince{};
     std::optional<Instant> strainedSince;
@@ -47,6 +56,9 @@
     std::optional<DatabaseName> mayHoldMore;
   };
 
+  // a part of a branch that is small enough to stay unused for a while
+  static constexpr std::uint64_t fewOfABranch = 20;
+
   Task<void> run();
   Task<void> wakeOnGreen();
   void pass();
@@ -76,6 +88,9 @@
   Task<void> orderAll(Orders orders);
   Task<void> orderOne(ControlMatter matter, std::string body, std::shared_ptr<std::size_t> left);
   Task<void> shares(ServiceName name);
+  SharesInputs sharesInputs(const ServiceName& name, const ServiceState& service) const;
+  bool canWait(const ServiceName& name, const ServiceState& service, const Grants& target) const;
+  void noteLiving();
   Task<void> nodes();
   void members();
   Task<void> enrolments();
@@ -119,6 +134,11 @@
   std::map<ServerId, Instant> awaySince_;
   std::map<ServiceName, ServiceDuty> duties_;
   std::map<ServiceName, std::string> waits_;
+  std::vector<std::pair<Address, std::uint64_t>> living_;
+  std::uint64_t livingChanges_ = 0;
+  // time that this pass spent on cutting shares, and where it stopped for it
+  Duration sharesSpent_{};
+  std::optional<ServiceName> sharesLeftAt_;
   bool nodesBusy_ = false;
   bool enrolmentsBusy_ = false;
   bool wasOnDuty_ = false;
--- a/src/control/replica_node.cpp
+++ b/src/control/replica_node.cpp
@@ -23,7 +23,7 @@
 
 void ReplicaNode::serveDesk() {
   desk_.serve("report", [this](Address, std::string body) -> Task<std::optional<std::string>> {
-    if (auto report = unpacked<NodeReport>(body); report && access_.noteReport(*report, clock_.now())) duties_->wake();
+    if (auto report = unpacked<NodeReport>(body); report && access_.noteReport(std::move(*report), clock_.now())) duties_->wake();
     co_return std::nullopt;
   });
   desk_.serve("heartbeat", [this](Address, std::string body) -> Task<std::optional<std::string>> {
--- a/tests/news_restored_test.cpp
+++ b/tests/news_restored_test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <random>
+
 #include "control/control_state.hpp"
 
 using namespace tamarindshift;
@@ -13,6 +15,11 @@
     action.update = packed(ControlUpdate{matter, 0, std::move(body)});
     CHECK(state.applyGreen(action, ++position) == "held");
   }
+  void offer(ControlMatter matter, std::string body) {
+    Action action;
+    action.update = packed(ControlUpdate{matter, 0, std::move(body)});
+    state.applyGreen(action, ++position);
+  }
   void enrol(const std::string& node, std::uint64_t boot) { take(ControlMatter::enrolNode, packed(NodeUpdate{Address{node}, Zone{"z1"}, boot})); }
   void remove(const std::string& node, std::uint64_t boot) { take(ControlMatter::removeNode, packed(NodeUpdate{Address{node}, Zone{"z1"}, boot})); }
   void drainOf(const std::string& node, std::uint64_t boot) { take(ControlMatter::drainNode, packed(NodeUpdate{Address{node}, Zone{"z1"}, boot})); }
@@ -77,3 +84,57 @@
   CHECK(late.board.find(fleetTopic)->table == ordered.board.find(fleetTopic)->table);
   CHECK(late.board.mark(fleetTopic) == ordered.board.mark(fleetTopic));
 }
+
+TEST_CASE("only topics that an action touched are laid anew, and they stand as if all were") {
+  auto planOf = [](std::uint64_t mark, int services) {
+    std::string text = "{\"mark\":" + std::to_string(mark) + ",\"services\":{";
+    std::string kinds;
+    for (int number = 1; number <= services; ++number) {
+      auto name = std::to_string(number);
+      text += std::string(number > 1 ? "," : "") + "\"s" + name + "\":{\"discovery\":\"heartbeats\",\"quota\":{\"connections\":10,\"branches\":{\"work\":{\"connections\":10,\"order\":1}}}}";
+      kinds += std::string(number > 1 ? "," : "") + "\"k" + name + "\":{\"service\":\"s" + name + "\",\"branch\":\"work\",\"consistency\":\"primary\"}";
+    }
+    return text + "},\"kinds\":{" + kinds + "}}";
+  };
+  for (unsigned seed = 1; seed <= 40; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    auto below = [&](unsigned bound) { return static_cast<unsigned>(random() % bound); };
+    Replica replica;
+    std::uint64_t mark = 0;
+    for (int step = 0; step < 120; ++step) {
+      ServiceName service{"s" + std::to_string(1 + below(3))};
+      DatabaseName database{"d" + std::to_string(1 + below(3))};
+      Address node{"10.0.0." + std::to_string(1 + below(3)) + ":1"};
+      auto held = replica.state.services().find(service);
+      auto epoch = held == replica.state.services().end() ? Epoch{} : held->second.epoch;
+      auto basis = held == replica.state.services().end() ? 0 : held->second.sharesAt;
+      auto before = replica.board.mark(service.get());
+      auto other = replica.board.mark(service == ServiceName{"s1"} ? "s2" : "s1");
+      switch (below(9)) {
+        case 0: replica.offer(ControlMatter::plan, packed(PlanUpdate{planOf(++mark, 1 + static_cast<int>(below(3)))})); break;
+        case 1: replica.offer(ControlMatter::enrolNode, packed(NodeUpdate{node, Zone{"z1"}, below(3)})); break;
+        case 2: replica.offer(below(2) ? ControlMatter::drainNode : ControlMatter::removeNode, packed(NodeUpdate{node, Zone{"z1"}, below(3)})); break;
+        case 3: replica.offer(ControlMatter::enrolDatabase, packed(EnrolmentUpdate{service, database, Address{"10.2.0." + std::to_string(below(4)) + ":1"}, Zone{"z1"}, 5, 1, 1, "replica"})); break;
+        case 4: replica.offer(ControlMatter::removeDatabase, packed(DatabaseUpdate{service, database, 1, 1, true})); break;
+        case 5: replica.offer(below(2) ? ControlMatter::drainDatabase : ControlMatter::returnDatabase, packed(DatabaseUpdate{service, database, 1, 1, below(2) == 0})); break;
+        case 6: replica.offer(ControlMatter::recovery, packed(RecoveryUpdate{service, epoch, database, "lost", false})); break;
+        case 7: replica.offer(ControlMatter::promoted, packed(PromotedUpdate{service, epoch})); break;
+        case 8: {
+          replica.offer(ControlMatter::shares, packed(SharesUpdate{service, basis, {{node, {{BranchName{"work"}, below(11)}}}}, {}}));
+          CHECK(replica.board.mark(service == ServiceName{"s1"} ? "s2" : "s1") == other);
+          CHECK(replica.board.mark(service.get()) >= before);
+          break;
+        }
+      }
+      Replica anew;
+      REQUIRE(anew.state.restore(replica.state.snapshot()));
+      for (const auto& [topic, entry] : replica.board.entries()) {
+        CAPTURE(step, topic);
+        REQUIRE(anew.board.find(topic));
+        CHECK(anew.board.find(topic)->table == entry->table);
+        CHECK(anew.board.mark(topic) == entry->mark);
+      }
+    }
+  }
+}
