Asks, replies and reports name only what is new

Now asks are numbered, a source remembers the marks a follower told, an ask names marks that are new and a reply topics with news, with one lease and one place for all others; signs come for topics whose signs somebody looked at in the last 5 s. The agent tells each replica what changed since the report before, a whole one each 20 s, and again when a replica that misses one asks. Fields are added at the end only; an ask without a number is answered as before. Ruled out: a digest of all marks, which both sides would compute for each ask. An ask tells how short the lease is, and a source that has more, or a replica that gets one again, answers at once instead of after 150 ms.

--- a/src/control/access_messages.hpp
+++ b/src/control/access_messages.hpp
@@ -12,6 +12,7 @@
   std::set<DatabaseName> suspects;
   bool working = false;
   std::set<DatabaseName> strained;
+  bool operator==(const ServiceReport&) const = default;
   MSGPACK_DEFINE(followed, epoch, acknowledged, wanted, suspects, working, strained)
 };
 
@@ -25,7 +26,10 @@
   std::map<ServiceName, ServiceReport> services;
   // false: services that are not named are as the last report of this boot said
   bool whole = true;
-  MSGPACK_DEFINE(node, zone, boot, draining, mark, lease, services, whole)
+  // rises with each report; one that is not whole goes on from the report `after`, if that is not 0
+  std::uint64_t number = 0;
+  std::uint64_t after = 0;
+  MSGPACK_DEFINE(node, zone, boot, draining, mark, lease, services, whole, number, after)
 };
 
 struct DatabaseHeartbeat {
--- a/src/control/access_tables.cpp
+++ b/src/control/access_tables.cpp
@@ -4,10 +4,20 @@
 
 namespace tamarindshift {
 
+bool AccessTables::misses(const NodeReport& report) const {
+  if (report.whole) return false;
+  auto held = nodes_.find(report.node);
+  return held == nodes_.end() || held->second.report.boot != report.boot || (report.after != 0 && held->second.report.number != report.after);
+}
+
 bool AccessTables::noteReport(NodeReport report, Instant now) {
   auto& held = nodes_[report.node];
   bool sameBoot = held.report.boot == report.boot;
   if (!report.whole && !sameBoot) return false;
+  if (misses(report)) {
+    held.heardAt = now;
+    return false;
+  }
   if (!sameBoot) lastLost_ = std::max(lastLost_, held.heardAt);
   bool tells = !sameBoot || held.report.draining != report.draining;
   auto services = std::move(held.report.services);
--- a/src/control/access_tables.hpp
+++ b/src/control/access_tables.hpp
@@ -16,6 +16,8 @@
     Instant heardAt{};
   };
 
+  // whether the report goes on from one that is not known here
+  bool misses(const NodeReport& report) const;
   // true if the report tells another epoch, suspect or drain than the last one did
   bool noteReport(NodeReport report, Instant now);
   bool older(const DatabaseHeartbeat& heartbeat, Instant now, Duration silence) const;
--- a/src/control/replica_node.cpp
+++ b/src/control/replica_node.cpp
@@ -22,8 +22,11 @@
 }
 
 void ReplicaNode::serveDesk() {
-  desk_.serve("report", [this](Address, std::string body) -> Task<std::optional<std::string>> {
-    if (auto report = unpacked<NodeReport>(body); report && access_.noteReport(std::move(*report), clock_.now())) duties_->wake();
+  desk_.serve("report", [this](Address from, std::string body) -> Task<std::optional<std::string>> {
+    auto report = unpacked<NodeReport>(body);
+    if (!report) co_return std::nullopt;
+    if (access_.misses(*report)) desk_.tell(from, "report-whole", {});
+    if (access_.noteReport(std::move(*report), clock_.now())) duties_->wake();
     co_return std::nullopt;
   });
   desk_.serve("heartbeat", [this](Address, std::string body) -> Task<std::optional<std::string>> {
--- a/src/news/agent_node.cpp
+++ b/src/news/agent_node.cpp
@@ -16,6 +16,11 @@
     if (auto report = unpacked<NodeReport>(body)) this->report(std::move(*report));
     co_return std::nullopt;
   });
+  desk_.serve("report-whole", [this](Address from, std::string) -> Task<std::optional<std::string>> {
+    reports_.forget(from);
+    if (replicas_.contains(from) && reports_.last().boot != 0) desk_.tell(from, "report", reports_.tell(from, clock_.now()));
+    co_return std::nullopt;
+  });
   scope_.spawn(peers());
 }
 
@@ -89,8 +94,8 @@
   reportedAt_ = clock_.now();
   report.node = settings_.address;
   report.zone = settings_.zone;
-  auto bytes = packed(report);
-  for (const auto& replica : replicas_) desk_.tell(replica, "report", bytes);
+  if (!reports_.note(std::move(report))) return;
+  for (const auto& replica : replicas_) desk_.tell(replica, "report", reports_.tell(replica, clock_.now()));
 }
 
 Task<DoorReply> AgentNode::serve(DoorRequest request) {
--- a/src/news/agent_node.hpp
+++ b/src/news/agent_node.hpp
@@ -7,6 +7,7 @@
 #include "news/agent_settings.hpp"
 #include "news/news_desk.hpp"
 #include "news/news_follower.hpp"
+#include "news/report_book.hpp"
 
 namespace tamarindshift {
 
@@ -44,6 +45,7 @@
   mutable std::uint64_t zoneAgentsAt_ = 0;
   NewsFollower news_;
   NewsDesk newsDesk_;
+  ReportBook reports_{20s};
   Instant reportedAt_{};
   std::optional<Instant> drainingSince_;
   TaskScope scope_;
--- a/src/news/news_desk.hpp
+++ b/src/news/news_desk.hpp
@@ -11,12 +11,26 @@
   NewsDesk(Clock& clock, Desk& desk, NewsBoard& board, NewsSource& source, Duration wait);
 
  private:
-  Task<std::optional<std::string>> follow(std::string body);
-  bool nothingNew(const FollowAsk& ask) const;
+  using Marks = std::map<Topic, std::uint64_t>;
+  struct Remembered {
+    std::uint64_t number = 0;
+    std::shared_ptr<const Marks> have;
+    Instant askedAt{};
+  };
+  static constexpr Duration remembered = 10s;
+  static constexpr Duration lookAgain = 20ms;
+  Task<std::optional<std::string>> follow(Address from, std::string body);
+  std::shared_ptr<const Marks> whole(const Address& from, FollowAsk& ask);
+  Task<void> wait(std::shared_ptr<const Marks> have, Duration lease);
+  bool nothingNew(const Marks& have) const;
+  std::optional<Instant> leasedUntil(const Marks& have) const;
+  FollowReply reply(const FollowAsk& ask, const Marks& have) const;
+  static void leaveOutQuiet(FollowReply& reply);
   Clock& clock_;
   NewsBoard& board_;
   NewsSource& source_;
   Duration wait_;
+  std::map<Address, Remembered> followers_;
 };
 
 }  // namespace tamarindshift
--- a/src/news/news_follower.cpp
+++ b/src/news/news_follower.cpp
@@ -1,13 +1,14 @@
 #include "news/news_follower.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include "control/service_news.hpp"
 
 namespace tamarindshift {
 
 NewsFollower::NewsFollower(Clock& clock, Desk& desk, Journal& journal, Sources sources, FollowTimings timings)
-    : clock_(clock), desk_(desk), journal_(journal), sources_(std::move(sources)), timings_(timings) {
+    : clock_(clock), desk_(desk), journal_(journal), sources_(std::move(sources)), timings_(timings), lastAsk_(static_cast<std::uint64_t>(clock.now().time_since_epoch().count())) {
   topics_[fleetTopic];
   scope_.spawn(keepTopics());
 }
@@ -21,6 +22,7 @@
 std::vector<DatabaseSign> NewsFollower::signs(const Topic& topic) {
   auto found = topics_.find(topic);
   if (found == topics_.end()) return {};
+  found->second.signsReadAt = clock_.now();
   auto aged = found->second.signs;
   for (auto& sign : aged) {
     sign.age += clock_.now() - found->second.signsAt;
@@ -48,8 +50,18 @@
   }
 }
 
+const std::vector<Address>& NewsFollower::sourcesOf(const Topic& topic, Followed& followed) {
+  auto fleetMark = board_.mark(fleetTopic);
+  if (followed.sources.empty() || followed.sourcesOf != fleetMark || clock_.now() - followed.sourcesAt > timings_.sourcesKept) {
+    followed.sources = sources_(topic);
+    followed.sourcesOf = fleetMark;
+    followed.sourcesAt = clock_.now();
+  }
+  return followed.sources;
+}
+
 std::optional<Address> NewsFollower::currentSource(const Topic& topic, Followed& followed) {
-  auto sources = sources_(topic);
+  const auto& sources = sourcesOf(topic, followed);
   if (sources.empty()) return std::nullopt;
   bool over = clock_.now() - followed.firstTriedAt > timings_.returnToFirst;
   if (followed.instead && (over || std::find(sources.begin(), sources.end(), *followed.instead) == sources.end())) {
@@ -94,36 +106,70 @@
   }
 }
 
+NewsFollower::Marks NewsFollower::marksFor(const Address& source) {
+  Marks have;
+  for (auto& [topic, followed] : topics_)
+    if (currentSource(topic, followed) == source) {
+      followed.asking = source;
+      have[topic] = board_.mark(topic);
+    }
+  return have;
+}
+
+FollowAsk NewsFollower::makeAsk(const Address& source, const Marks& have) {
+  FollowAsk ask;
+  ask.signs = timings_.signs;
+  ask.number = ++lastAsk_;
+  auto shortest = Instant::max();
+  for (const auto& [topic, mark] : have) {
+    const auto& followed = topics_.at(topic);
+    shortest = std::min(shortest, leaseUntil(topic).value_or(clock_.now()));
+    if (ask.signs && followed.signsReadAt && clock_.now() - *followed.signsReadAt < timings_.signsKept) ask.signsOf.insert(topic);
+  }
+  ask.lease = shortest - clock_.now();
+  auto told = told_.find(source);
+  auto sameTopics = [&] { return std::equal(have.begin(), have.end(), told->second.have.begin(), told->second.have.end(), [](const auto& left, const auto& right) { return left.first == right.first; }); };
+  if (told == told_.end() || !sameTopics()) {
+    ask.have = have;
+    return ask;
+  }
+  ask.after = told->second.number;
+  std::set_difference(have.begin(), have.end(), told->second.have.begin(), told->second.have.end(), std::inserter(ask.have, ask.have.end()));
+  return ask;
+}
+
 Task<void> NewsFollower::follow(Address source, std::uint64_t turn) {
   while (!superseded(source, turn)) {
-    FollowAsk ask;
-    ask.signs = timings_.signs;
-    for (auto& [topic, followed] : topics_)
-      if (currentSource(topic, followed) == source) {
-        followed.asking = source;
-        ask.have[topic] = board_.mark(topic);
-      }
-    if (ask.have.empty()) {
+    auto have = marksFor(source);
+    if (have.empty()) {
       turns_.erase(source);
       co_return;
     }
+    auto ask = makeAsk(source, have);
     auto asked = clock_.now();
     journal_.count("news.asks");
     auto bytes = co_await desk_.ask(source, "follow", packed(ask), asked + timings_.patience);
     auto reply = bytes ? unpacked<FollowReply>(*bytes) : std::nullopt;
     if (reply && reply->core) coreRepliedAt_ = clock_.now();
-    standings_[source].silentAt = reply ? std::nullopt : std::optional{clock_.now()};
+    told_.erase(source);
+    if (reply && reply->number == 0 && ask.after != 0) continue;
+    bool remembers = reply && reply->number == ask.number;
     bool failed = false;
-    for (const auto& [topic, have] : ask.have) {
-      auto own = reply ? reply->topics.find(topic) : decltype(reply->topics.end()){};
+    standings_[source].silentAt = reply ? std::nullopt : std::optional{clock_.now()};
+    for (const auto& [topic, mark] : have) {
       if (!topics_.contains(topic)) continue;
-      if (reply && own != reply->topics.end() && board_.apply(topic, own->second)) {
-        take(topic, source, asked + std::min(reply->held, clock_.now() - asked), std::move(own->second));
-        continue;
+      if (reply) {
+        auto at = asked + std::min(reply->held, clock_.now() - asked);
+        auto own = reply->topics.find(topic);
+        if (own != reply->topics.end() ? board_.apply(topic, own->second) : remembers) {
+          take(topic, source, at, own != reply->topics.end() ? std::move(own->second) : TopicReply{FollowFate::changes, mark, {}, {}, reply->lease, {}, reply->position});
+          continue;
+        }
       }
       fail(topic, source);
       failed = true;
     }
+    if (remembers) told_[source] = Told{ask.number, std::move(have)};
     if (failed) journal_.count("news.attempts_failed");
     failures_ = failed ? std::min(failures_ + 1, 3u) : 0;
     co_await sleep(clock_, failed ? timings_.pause * failures_ : Duration{5ms});
@@ -141,8 +187,10 @@
     journal_.line("news " + topic + " from " + source.get());
   }
   followed.leaseUntil = std::max(followed.leaseUntil.value_or(Instant::min()), at + reply.lease);
-  followed.signs = std::move(reply.signs);
-  followed.signsAt = at;
+  if (!reply.signs.empty()) {
+    followed.signs = std::move(reply.signs);
+    followed.signsAt = at;
+  }
   followed.position = std::max(followed.position, reply.position);
   if (lapsed || !reply.table.empty() || !reply.changes.empty()) changed_.open();
 }
@@ -150,7 +198,7 @@
 void NewsFollower::fail(const Topic& topic, const Address& source) {
   auto& followed = topics_[topic];
   if (currentSource(topic, followed) != source) return;
-  auto sources = sources_(topic);
+  const auto& sources = sourcesOf(topic, followed);
   followed.failed.insert(source);
   if (std::all_of(sources.begin(), sources.end(), [&](const auto& each) { return followed.failed.contains(each) || silent(each); })) followed.failed = {source};
   followed.instead = nextSource(sources, followed.failed);
--- a/src/news/news_follower.hpp
+++ b/src/news/news_follower.hpp
@@ -9,6 +9,7 @@
 
 class NewsFollower : public NewsFeed {
  public:
+  using Marks = std::map<Topic, std::uint64_t>;
   using Sources = std::function<std::vector<Address>(const Topic&)>;
   struct Followed {
     // the source that is asked instead of the first one, since when, and those that failed since one answered
@@ -16,10 +17,15 @@
     Instant firstTriedAt{};
     std::set<Address> failed;
     Address asking;
+    std::vector<Address> sources;
+    std::uint64_t sourcesOf = 0;
+    Instant sourcesAt{};
     Address source;
     std::optional<Instant> leaseUntil;
     std::vector<DatabaseSign> signs;
     Instant signsAt{};
+    // when somebody last looked at the signs
+    std::optional<Instant> signsReadAt;
     std::uint64_t position = 0;
   };
 
@@ -36,13 +42,21 @@
  private:
   Task<void> keepTopics();
   Task<void> follow(Address source, std::uint64_t turn);
+  Marks marksFor(const Address& source);
+  FollowAsk makeAsk(const Address& source, const Marks& have);
   void startAsks();
   void take(const Topic& topic, const Address& source, Instant at, TopicReply reply);
   void fail(const Topic& topic, const Address& source);
+  // what a source remembers of the last ask that it answered
+  struct Told {
+    std::uint64_t number = 0;
+    Marks have;
+  };
   struct Standing {
     Instant answeredAt{};
     std::optional<Instant> silentAt;
   };
+  const std::vector<Address>& sourcesOf(const Topic& topic, Followed& followed);
   std::optional<Address> currentSource(const Topic& topic, Followed& followed);
   Standing standing(const Address& source) const;
   bool silent(const Address& source) const;
@@ -58,6 +72,8 @@
   std::map<Topic, Followed> topics_;
   std::map<Address, std::uint64_t> turns_;
   std::map<Address, Standing> standings_;
+  std::map<Address, Told> told_;
+  std::uint64_t lastAsk_;
   std::uint32_t failures_ = 0;
   Instant coreRepliedAt_{};
   std::uint64_t lastTurn_ = 0;
--- a/src/news/news_messages.hpp
+++ b/src/news/news_messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "news/news_table.hpp"
@@ -30,7 +31,15 @@
 struct FollowAsk {
   std::map<Topic, std::uint64_t> have;
   bool signs = true;
-  MSGPACK_DEFINE(have, signs)
+  // rises with each ask of a follower; 0 if the source needs to remember nothing
+  std::uint64_t number = 0;
+  // the ask that this one goes on from: topics that are not named are as they were there; 0 if all are named
+  std::uint64_t after = 0;
+  // of a numbered ask, the topics whose signs are wanted
+  std::set<Topic> signsOf;
+  // what is left of the shortest lease of the topics, below 0 if that is not told
+  Duration lease{-1};
+  MSGPACK_DEFINE(have, signs, number, after, signsOf, lease)
 };
 
 enum class FollowFate : std::uint8_t { changes = 0, snapshot = 1, notCurrent = 2 };
@@ -51,7 +60,12 @@
   Duration held{};
   // whether a replica says so itself
   bool core = false;
-  MSGPACK_DEFINE(topics, held, core)
+  // the ask that the source remembers; 0 if it does not know the one that this ask went on from
+  std::uint64_t number = 0;
+  // what holds for topics that were asked for and are not named, for nothing is new there
+  Duration lease{};
+  std::uint64_t position = 0;
+  MSGPACK_DEFINE(topics, held, core, number, lease, position)
 };
 
 }  // namespace tamarindshift
--- /dev/null
+++ b/src/news/report_book.cpp
@@ -0,0 +1,48 @@
+#include "news/report_book.hpp"
+
+namespace tamarindshift {
+
+bool ReportBook::note(NodeReport report) {
+  bool sameBoot = last_.boot == report.boot;
+  if (!report.whole && !sameBoot) return false;
+  if (!sameBoot) told_.clear();
+  auto number = last_.number + 1;
+  auto services = std::move(last_.services);
+  if (report.whole && std::erase_if(services, [&](const auto& each) { return !report.services.contains(each.first); }) > 0) told_.clear();
+  for (auto& [service, own] : report.services) {
+    auto [before, fresh] = services.try_emplace(service, own);
+    if (!fresh && before->second == own) continue;
+    before->second = std::move(own);
+    changedBy_[service] = number;
+  }
+  std::erase_if(changedBy_, [&](const auto& each) { return !services.contains(each.first); });
+  last_ = std::move(report);
+  last_.services = std::move(services);
+  last_.whole = true;
+  last_.number = number;
+  last_.after = 0;
+  bytes_.clear();
+  return true;
+}
+
+const std::string& ReportBook::tell(const Address& replica, Instant now) {
+  auto [told, fresh] = told_.try_emplace(replica);
+  auto& own = told->second;
+  bool whole = fresh || now - own.wholeAt > whole_;
+  auto after = whole ? 0 : own.number;
+  if (whole) own.wholeAt = now;
+  own.number = last_.number;
+  return bytesAfter(after);
+}
+
+const std::string& ReportBook::bytesAfter(std::uint64_t number) {
+  auto [bytes, fresh] = bytes_.try_emplace(number);
+  if (!fresh) return bytes->second;
+  if (number == 0) return bytes->second = packed(last_);
+  NodeReport report{last_.node, last_.zone, last_.boot, last_.draining, last_.mark, last_.lease, {}, false, last_.number, number};
+  for (const auto& [service, changedBy] : changedBy_)
+    if (changedBy > number) report.services[service] = last_.services.at(service);
+  return bytes->second = packed(report);
+}
+
+}  // namespace tamarindshift
--- a/src/scale/light_zone.cpp
+++ b/src/scale/light_zone.cpp
@@ -25,6 +25,11 @@
       desk(zone.clock_, metered) {
   for (std::size_t replica = 0; replica < zone.addresses_.shape.replicas; ++replica) replicas.push_back(zone.addresses_.replica(replica));
   std::rotate(replicas.begin(), replicas.begin() + static_cast<std::ptrdiff_t>(spread(address.get()) % replicas.size()), replicas.end());
+  desk.serve("report-whole", [this](Address from, std::string) -> Task<std::optional<std::string>> {
+    book.forget(from);
+    if (book.last().boot != 0) tell(from);
+    co_return std::nullopt;
+  });
   if (!follows) return;
   follower = std::make_unique<NewsFollower>(zone.clock_, desk, zone.journal_, [this](const Topic& topic) { return sources(topic); },
                                             FollowTimings{zone.timings_.newsPatience});
@@ -68,7 +73,8 @@
       report.services = zone.services_;
       for (const auto& [service, own] : report.services)
         if (auto until = zone.shared_->leaseUntil(service.get())) report.lease = std::max(report.lease, *until - zone.clock_.now());
-      tellAll("report", packed(report));
+      book.note(std::move(report));
+      for (const auto& replica : replicas) tell(replica);
       told = zone.changesOfServices_;
       toldAt = zone.clock_.now();
     }
--- a/src/scale/light_zone.hpp
+++ b/src/scale/light_zone.hpp
@@ -4,6 +4,7 @@
 #include "edge/door.hpp"
 #include "news/news_desk.hpp"
 #include "news/news_follower.hpp"
+#include "news/report_book.hpp"
 #include "real/tcp_link.hpp"
 #include "scale/metered_link.hpp"
 #include "scale/scale_addresses.hpp"
@@ -33,6 +34,7 @@
     void gone(ConnectionId) override {}
     Task<void> report();
     void tellAll(const std::string& subject, const std::string& bytes);
+    void tell(const Address& replica) { desk.tell(replica, "report", book.tell(replica, zone.clock_.now())); }
     LightZone& zone;
     std::size_t index;
     Address address;
@@ -41,6 +43,7 @@
     MeteredLink metered;
     Desk desk;
     std::vector<Address> replicas;
+    ReportBook book{20s};
     std::unique_ptr<NewsFollower> follower;
     std::unique_ptr<NewsDesk> news;
   };
