--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -27,6 +27,13 @@
   std::vector<std::string> unused(const ServiceName& name, const DatabaseName& database) const;
 
  private:
+  struct SharesInputs {
+    std::uint64_t told = 0;
+    std::uint64_t living = 0;
+    std::uint64_t sharesAt = 0;
+    PlanMark mark;
+    bool operator==(const SharesInputs&) const = default;
+  };
   struct ServiceDuty {
     Epoch epoch;
     Instant seenAt{};
@@ -37,6 +44,8 @@
     Instant sharesMovedAt{};
     Instant sharesAfter{};
     std::size_t sharesFor = 0;
+    // what the shares were last cut from, if they were found to be as they should
+    std::optional<SharesInputs> sharesFit;
     std::map<Address, std::pair<std::uint64_t, Instant>> reservedSeenAt;
     Instant silentSince{};
     std::optional<Instant> strainedSince;
@@ -45,7 +54,7 @@
     Instant promoteAfter{};
     Duration promotePause{};
     Epoch highestTerm;
-    std::map<DatabaseName, Instant> rationsReviewedAt;
+    Instant rationsReviewedAt{};
     bool busy = false;
   };
   // when this member first saw a service's epoch and then its promotion, on duty or not
@@ -61,6 +70,9 @@
     std::optional<DatabaseName> mayHoldMore;
   };
 
+  // a part of a branch that is small enough to stay unused for a while
+  static constexpr std::uint64_t fewOfABranch = 20;
+
   Task<void> run();
   Task<void> wakeOnGreen();
   void noteEpochs();
@@ -92,7 +104,10 @@
   Task<void> orderOne(ControlMatter matter, std::string body, std::shared_ptr<std::size_t> left);
   Task<void> shares(ServiceName name);
   Task<void> rations(ServiceName name);
-  NodeDemands demands(const ServiceName& name, const DatabaseName& database) const;
+  std::map<DatabaseName, NodeDemands> demands(const ServiceName& name) const;
+  SharesInputs sharesInputs(const ServiceName& name, const ServiceState& service) const;
+  bool canWait(const ServiceName& name, const ServiceState& service, const Grants& target) const;
+  void noteLiving();
   Task<void> nodes();
   void members();
   Task<void> enrolments();
@@ -142,6 +157,11 @@
   std::map<ServiceName, SeenEpoch> seenEpochs_;
   std::map<ServiceName, ServiceDuty> duties_;
   std::map<ServiceName, std::string> waits_;
+  std::vector<std::pair<Address, std::uint64_t>> living_;
+  std::uint64_t livingChanges_ = 0;
+  // time that this pass spent on cutting shares, and where it stopped for it
+  Duration sharesSpent_{};
+  std::optional<ServiceName> sharesLeftAt_;
   bool nodesBusy_ = false;
   bool enrolmentsBusy_ = false;
   bool wasOnDuty_ = false;
--- a/src/control/ration_duties.cpp
+++ b/src/control/ration_duties.cpp
@@ -12,34 +12,33 @@
 
 }  // namespace
 
-NodeDemands Duties::demands(const ServiceName& name, const DatabaseName& database) const {
-  NodeDemands demands;
+std::map<DatabaseName, NodeDemands> Duties::demands(const ServiceName& name) const {
+  std::map<DatabaseName, NodeDemands> demands;
   for (const auto& [address, node] : access_.nodes()) {
     if (clock_.now() - node.heardAt > timings_.suspicionKept) continue;
     auto own = node.report.services.find(name);
     if (own == node.report.services.end()) continue;
-    if (auto found = own->second.demands.find(database); found != own->second.demands.end()) demands[address] = found->second;
+    for (const auto& [database, orders] : own->second.demands) demands[database][address] = orders;
   }
   return demands;
 }
 
 Task<void> Duties::rations(ServiceName name) {
   if (!rationing_ || !discovered(name) || !state_.services().contains(name)) co_return;
-  auto& kept = duties_[name].rationsReviewedAt;
-  auto held = state_.services().at(name).rations;
-  auto databases = state_.databases(name);
-  std::erase_if(kept, [&](const auto& each) { return !databases.contains(each.first); });
+  auto& reviewedAt = duties_[name].rationsReviewedAt;
+  if (clock_.now() - reviewedAt < timings_.rationPause) co_return;
+  reviewedAt = clock_.now();
+  const auto& held = state_.services().at(name).rations;
+  auto asked = demands(name);
   Orders orders;
-  for (const auto& [database, own] : databases) {
+  for (const auto& [database, own] : state_.databases(name)) {
     auto current = held.find(database);
-    auto& reviewedAt = kept[database];
-    if (clock_.now() - reviewedAt < timings_.rationPause) continue;
-    reviewedAt = clock_.now();
-    auto asked = demands(name, database);
+    const auto& demands = asked[database];
+    if (demands.empty() && current == held.end()) continue;
     Weights weights;
-    for (const auto& [node, orders] : asked) weights[node] = state_.plan()->weightOf(node);
+    for (const auto& [node, asks] : demands) weights[node] = state_.plan()->weightOf(node);
     auto before = current == held.end() ? Ration{} : current->second;
-    auto ration = cutRation(runningPerSlot * std::max(own.capacity, 1u), asked, weights, before);
+    auto ration = cutRation(runningPerSlot * std::max(own.capacity, 1u), demands, weights, before);
     if (current == held.end() ? !ration : ration == before) continue;
     if (!ration || current == held.end())
       journal_.line("database " + database.get() + " of " + name.get() + (ration ? " is crowded, its work goes by order" : " is rationed no more"));
--- a/src/control/replica_status.cpp
+++ b/src/control/replica_status.cpp
@@ -46,6 +46,11 @@
     for (const auto& [branch, amount] : branches) own["shares"][node.get()][branch.get()] = amount;
   for (const auto& [node, share] : service.reserved)
     for (const auto& [branch, amount] : share.most) own["reserved"][node.get()][branch.get()] = amount;
+  for (const auto& [database, ration] : service.rations) {
+    auto& told = own["rations"][database.get()];
+    told["free_through"] = ration.freeThrough;
+    for (const auto& [node, amount] : ration.later) told["later"][node.get()] = amount;
+  }
   for (const auto& sign : replica.access().signs(name, now))
     own["databases"][sign.database] = {{"role", sign.role}, {"epoch", sign.epoch}, {"position", sign.position},
                                        {"contact_ms", milliseconds(sign.contactAge).count()}, {"heard_ms_ago", milliseconds(sign.age).count()}};
--- a/src/news/agent_node.hpp
+++ b/src/news/agent_node.hpp
@@ -9,6 +9,8 @@
 #include "news/agent_settings.hpp"
 #include "news/news_desk.hpp"
 #include "news/news_follower.hpp"
+#include "news/report_book.hpp"
+#include "news/zone_homes.hpp"
 
 namespace tamarindshift {
 
@@ -32,8 +34,7 @@
   bool stopped() const;
 
  private:
-  static constexpr std::size_t homesInZone = 2;
-  const std::vector<Address>& zoneAgents() const;
+  const ZoneHomes& homes() const;
   Task<void> peers();
   Task<DoorReply> askReplicas(std::string subject, std::string body);
 
@@ -42,10 +43,11 @@
   AgentSettings settings_;
   std::set<Address> replicas_;
   Desk desk_;
-  mutable std::vector<Address> zoneAgents_;
-  mutable std::uint64_t zoneAgentsAt_ = 0;
+  mutable ZoneHomes homes_;
+  mutable std::uint64_t homesAt_ = 0;
   NewsFollower news_;
   NewsDesk newsDesk_;
+  ReportBook reports_{20s};
   Instant reportedAt_{};
   std::optional<Instant> drainingSince_;
   TaskScope scope_;
--- a/src/scale/light_zone.hpp
+++ b/src/scale/light_zone.hpp
@@ -4,6 +4,8 @@
 #include "edge/door.hpp"
 #include "news/news_desk.hpp"
 #include "news/news_follower.hpp"
+#include "news/report_book.hpp"
+#include "news/zone_homes.hpp"
 #include "real/tcp_link.hpp"
 #include "scale/metered_link.hpp"
 #include "scale/scale_addresses.hpp"
@@ -33,6 +35,7 @@
     void gone(ConnectionId) override {}
     Task<void> report();
     void tellAll(const std::string& subject, const std::string& bytes);
+    void tell(const Address& replica) { desk.tell(replica, "report", book.tell(replica, zone.clock_.now())); }
     LightZone& zone;
     std::size_t index;
     Address address;
@@ -41,13 +44,11 @@
     MeteredLink metered;
     Desk desk;
     std::vector<Address> replicas;
+    ReportBook book{20s};
     std::unique_ptr<NewsFollower> follower;
     std::unique_ptr<NewsDesk> news;
   };
 
-  static constexpr std::size_t homesInZone = 2;
-  std::size_t homes() const { return std::min(homesInZone, agents_.size()); }
-  bool isHome(const Address& agent) const;
   Task<void> keepServices();
   std::map<ServiceName, ServiceReport> services() const;
   template <class News>
@@ -58,7 +59,7 @@
   const ScaleAddresses& addresses_;
   std::size_t zone_;
   Timings timings_;
-  std::vector<Address> agents_;
+  ZoneHomes homes_;
   std::vector<std::unique_ptr<Node>> nodes_;
   NewsFollower* shared_ = nullptr;
   std::map<ServiceName, ServiceReport> services_;
