--- a/src/pooler/pooler_status.cpp
+++ b/src/pooler/pooler_status.cpp
@@ -49,7 +49,7 @@
 Json Pooler::serviceStatus(const ServiceName& name, const Guide::ServiceView& view) const {
   auto now = clock_.now();
   const auto& primary = view.primary;
-  Json own{{"epoch", primary.epoch.get()}, {"primary", primary.primary.get()}, {"promoted", primary.promoted}, {"share", allowed(view)}};
+  Json own{{"epoch", primary.epoch.get()}, {"primary", primary.primary.get()}, {"promoted", primary.promoted}, {"share", allowed(name, view)}};
   auto lease = guide_.leaseUntil(name);
   own["lease_ms"] = lease ? milliseconds(*lease - now).count() : 0;
   if (auto reason = guide_.shareless(name)) own["shareless"] = *reason;
@@ -62,7 +62,7 @@
   else if (view.drained.contains(primary.primary)) waits.push_back("the primary is leaving");
   else if (shelfOfPrimary && shelfOfPrimary->suspect) waits.push_back("the primary is suspected");
   if (watch != watches_.end() && watch->second.confirmed != watch->second.seen) waits.push_back("work of an epoch before still runs");
-  if (allowed(view) == 0) waits.push_back("no share");
+  if (allowed(name, view) == 0) waits.push_back("no share");
   if (!waits.empty()) own["waits"] = waits;
   own["databases"] = Json::object();
   for (const auto& [database, news] : view.databases) {
