One round of STATUS serves to see that the chosen database holds what it must

The chosen database was asked alone, and then all candidates with it again. The first round now serves for both; in a planned change the chosen one is asked again as before until it has the former primary's position. Two calls a database in a recovery with synchronous replicas instead of three, and one patience less where one is dark. Services without synchronous replicas are asked as before.

--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -70,12 +70,14 @@
   Task<bool> holdsNeeded(ServiceName name, ServiceState service);
   Task<void> callPromotion(ServiceName name, ServiceState service);
   Task<bool> leads(ServiceName name, ServiceState service, Instant calledAt);
-  Task<std::optional<DatabaseStanding>> reached(ServiceName name, ServiceState service, Place needed);
+  Task<std::optional<DatabaseStanding>> reached(ServiceName name, ServiceState service, Place needed, std::optional<DatabaseStanding> standing);
   Task<void> demote(ServiceName name, DatabaseName former);
   Task<void> demoteStray(ServiceName name);
   Task<std::optional<DatabaseStanding>> status(ServiceName name, DatabaseName database, Duration patience);
   Task<void> ask(ServiceName name, DatabaseName database, std::shared_ptr<Survey> survey);
   std::vector<DatabaseName> candidates(const ServiceName& name, const std::optional<DatabaseName>& besides) const;
+  Task<std::shared_ptr<Survey>> survey(ServiceName name, std::set<DatabaseName> databases);
+  std::optional<Candidate> best(const ServiceName& name, const std::vector<DatabaseName>& among, const Survey& survey);
   Task<std::optional<Candidate>> candidate(ServiceName name, std::optional<DatabaseName> besides);
   using Orders = std::vector<std::pair<ControlMatter, std::string>>;
   Task<bool> order(ControlMatter matter, std::string body);
--- a/src/control/recovery_duties.cpp
+++ b/src/control/recovery_duties.cpp
@@ -188,18 +188,28 @@
   return wanted.empty() && discovered(name) ? others : wanted;
 }
 
+Task<std::shared_ptr<Duties::Survey>> Duties::survey(ServiceName name, std::set<DatabaseName> databases) {
+  auto survey = std::make_shared<Survey>();
+  survey->missing = databases.size();
+  for (const auto& database : databases) scope_.spawn(ask(name, database, survey));
+  while (survey->missing > 0) co_await survey->done.wait(clock_);
+  co_return survey;
+}
+
 Task<std::optional<Duties::Candidate>> Duties::candidate(ServiceName name, std::optional<DatabaseName> besides) {
   auto names = candidates(name, besides);
+  std::set<DatabaseName> asked(names.begin(), names.end());
+  auto answered = co_await survey(name, asked);
+  co_return best(name, names, *answered);
+}
+
+std::optional<Duties::Candidate> Duties::best(const ServiceName& name, const std::vector<DatabaseName>& among, const Survey& survey) {
   std::optional<Candidate> best;
-  auto survey = std::make_shared<Survey>();
-  survey->missing = names.size();
-  for (const auto& database : names) scope_.spawn(ask(name, database, survey));
-  while (survey->missing > 0) co_await survey->done.wait(clock_);
   bool allReached = true;
   std::optional<DatabaseName> mayHoldMore;
-  if (!state_.services().contains(name)) co_return best;
-  for (const auto& database : names) {
-    const auto& standing = survey->standings[database];
+  if (!state_.services().contains(name)) return best;
+  for (const auto& database : among) {
+    const auto& standing = survey.standings.at(database);
     if (!standing) {
       allReached = false;
       if (diedWithPrimary(name, database)) mayHoldMore = database;
@@ -211,11 +221,11 @@
   }
   if (!best) {
     wait(name, "no database can become primary");
-    co_return best;
+    return best;
   }
   best->allReached = allReached;
   best->mayHoldMore = mayHoldMore;
-  co_return best;
+  return best;
 }
 
 std::optional<std::string> Duties::unproved(const ServiceName& name) const {
@@ -358,13 +368,14 @@
   return mayReach && (keeps || service.planned) ? std::max(needed, duty.finalPlace) : needed;
 }
 
-Task<std::optional<DatabaseStanding>> Duties::reached(ServiceName name, ServiceState service, Place needed) {
+// in a planned change the chosen database is asked again until it has what is needed, for a while
+Task<std::optional<DatabaseStanding>> Duties::reached(ServiceName name, ServiceState service, Place needed, std::optional<DatabaseStanding> standing) {
   auto deadline = clock_.now() + timings_.statusPatience;
   for (Duration pause = 30ms;; pause = pause * 3 / 2) {
-    auto standing = co_await status(name, service.primary, timings_.statusPatience);
     bool waits = service.planned && standing && placeOf(*standing) < needed && clock_.now() < deadline && pending(name, service.epoch);
     if (!waits) co_return standing;
     co_await sleep(clock_, pause);
+    standing = co_await status(name, service.primary, timings_.statusPatience);
   }
 }
 
@@ -373,7 +384,12 @@
   bool keeps = keepsAcknowledged(name);
   auto needed = this->needed(name, service);
   if (!keeps && needed == Place{}) co_return true;
-  auto standing = co_await reached(name, service, needed);
+  auto among = keeps ? candidates(name, std::nullopt) : std::vector<DatabaseName>{};
+  std::set<DatabaseName> asked(among.begin(), among.end());
+  asked.insert(service.primary);
+  auto survey = co_await this->survey(name, asked);
+  if (!pending(name, service.epoch)) co_return false;
+  auto standing = co_await reached(name, service, needed, survey->standings[service.primary]);
   if (!pending(name, service.epoch)) co_return false;
   auto age = clock_.now() - duties_[name].seenAt;
   auto chosenPatience = discovered(name) ? timings_.silence() : 2 * (timings_.lease + timings_.leaseMargin);
@@ -386,8 +402,8 @@
     wait(name, "the chosen database has not yet what the former primary held");
     co_return false;
   }
-  auto best = co_await candidate(name, std::nullopt);
-  if (!best || !pending(name, service.epoch)) co_return false;
+  auto best = this->best(name, among, *survey);
+  if (!best) co_return false;
   if (placeOf(*standing) < needed) {
     if (placeOf(best->standing) >= needed && best->database != service.primary && leasesOver(name) && age > 2 * timings_.lease) {
       co_await recover(name, "another database holds more");
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -244,6 +244,17 @@
   CHECK(cluster.databases.at("d2").promoteCalls == 0);
 }
 
+TEST_CASE("one round of STATUS serves to choose a database, and one to see that it holds what it must") {
+  Discovered cluster(1);
+  cluster.own().acknowledged = Place{Epoch{3}, Position{97}};
+  cluster.own().working = true;
+  cluster.own().suspects = {DatabaseName{"d1"}};
+  cluster.databases.at("d1").up = false;
+  REQUIRE(cluster.runUntil(5s, [&] { return cluster.promoted("d2"); }));
+  CHECK(cluster.databases.at("d2").statusCalls == 2);
+  CHECK(cluster.databases.at("d3").statusCalls == 2);
+}
+
 TEST_CASE("enrolments are in the news and in the snapshot, also of services no plan names") {
   NewsBoard board;
   ControlState state(board);
