Branches that a plan removes count until a silent node's time is over

A silent node whose grants had all been on branches that a plan removed was held to hold nothing, and what was reserved for it shrank with the plan while its time ran on from before; so other nodes got the connections of the new branches while it might still hold its own. Now it stays reserved, with nothing if nothing is left to name, and if a plan takes some of what is reserved the time starts anew.

--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -81,7 +81,12 @@
         sum += amount;
       }
     };
-    for (auto& [node, share] : state.reserved) fit(share.most);
+    // a node that lost some of it may hold it until it follows, or until its time is over from now on
+    for (auto& [node, share] : state.reserved) {
+      auto before = share.most;
+      fit(share.most);
+      if (share.most != before) share.at = share.basis = position_;
+    }
     for (auto& [node, branches] : state.grants) fit(branches);
   }
   return "held";
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -129,10 +129,8 @@
     auto known = state_.nodes().find(node);
     bool leaves = known == state_.nodes().end() || known->second.draining || silent(node);
     if (!leaves) continue;
-    for (const auto& [branch, amount] : branches) {
-      auto& most = reserved[node][branch];
-      most = std::max(most, amount);
-    }
+    auto& held = reserved[node];
+    for (const auto& [branch, amount] : branches) held[branch] = std::max(held[branch], amount);
   }
   return reserved;
 }
