--- /dev/null
+++ b/tests/front_door_limits_test.cpp
@@ -0,0 +1,81 @@
+#include <catch2/catch.hpp>
+
+#include "../platform/front_door.hpp"
+#include "tests/pooler_trial.hpp"
+#include "tests/scripted_line.hpp"
+
+using namespace tamarindshift;
+
+namespace {
+
+struct LimitsTrial : PoolerTrial {
+  LimitsTrial() { limits(); }
+  void limits() {
+    FleetPlanNews plan;
+    plan.mark = PlanMark{100};
+    for (const auto& [name, kind] : kinds) plan.kinds[name] = kind.service;
+    plan.limits = {{"idle-transaction-ms", 3000}, {"idle-session-ms", 5000}, {"message-bytes", 200}};
+    news.put(fleetTopic, "plan", plan);
+    run(200ms);
+  }
+  std::shared_ptr<ScriptedLine> session() {
+    auto line = std::make_shared<ScriptedLine>(clock);
+    scope.spawn(door.serve(line));
+    say(*line, "SETUP strict u1\r\n");
+    return line;
+  }
+  std::string say(ScriptedLine& line, const std::string& bytes) {
+    line.arrive(bytes);
+    run(50ms);
+    return line.taken();
+  }
+  platform::FrontDoor door{clock, *pooler};
+  TaskScope scope;
+};
+
+}  // namespace
+
+TEST_CASE("front: a session that rests longer than the configuration allows is closed quietly", "[front][limits]") {
+  LimitsTrial trial;
+  auto rests = trial.session();
+  auto works = trial.session();
+  CHECK(trial.say(*rests, "QUERY u.1 READ a\r\n").starts_with("ROW"));
+  for (int second = 0; second < 7; ++second) {
+    CHECK(trial.say(*works, "QUERY u.2 READ a\r\n").starts_with("ROW"));
+    trial.run(900ms);
+  }
+  CHECK(rests->closed());
+  CHECK(rests->taken().empty());
+  CHECK_FALSE(works->closed());
+  CHECK(trial.pooler->sessions() == 1);
+}
+
+TEST_CASE("front: a session is not closed inside a transaction or while it asks", "[front][limits]") {
+  LimitsTrial trial;
+  trial.kinds.at(KindName{"strict"}).statement = 20s;
+  trial.publishService();
+  trial.run(50ms);
+  auto inside = trial.session();
+  CHECK(trial.say(*inside, "QUERY u.1 BEGIN\r\n") == "COMPLETE -\r\nIDLE T -\r\n");
+  auto asks = trial.session();
+  trial.backEnds.at("d1").work = 9s;
+  CHECK(trial.say(*asks, "QUERY u.2 WRITE a 1\r\n").empty());
+  trial.run(7s);
+  CHECK_FALSE(inside->closed());
+  CHECK_FALSE(asks->closed());
+  trial.run(2500ms);
+  CHECK(asks->taken().starts_with("COMPLETE"));
+  CHECK_FALSE(asks->closed());
+}
+
+TEST_CASE("front: a message longer than the configuration allows is refused and the session goes on", "[front][limits]") {
+  LimitsTrial trial;
+  auto line = trial.session();
+  std::string large = "QUERY u.1 WRITE a " + std::string(300, 'x') + "\r\n";
+  CHECK(trial.say(*line, large) == "ERROR MALFORMED longer than the configuration allows\r\nIDLE I -\r\n");
+  CHECK(trial.runsOf(large.substr(10, large.size() - 12)).empty());
+  CHECK(trial.say(*line, "QUERY u.2 BEGIN\r\n") == "COMPLETE -\r\nIDLE T -\r\n");
+  CHECK(trial.say(*line, large) == "ERROR MALFORMED longer than the configuration allows\r\nIDLE T -\r\n");
+  CHECK(trial.say(*line, "QUERY u.3 READ a\r\n").starts_with("ROW"));
+  CHECK_FALSE(line->closed());
+}
