--- a/tests/platform/adapter_settings.cpp
+++ b/tests/platform/adapter_settings.cpp
@@ -51,7 +51,7 @@
   settings.timings = timings(process);
   settings.timings.databaseHeartbeat = 1200ms;
   settings.mayFound = process.machine().firstStart;
-  settings.losses = 1;
+  settings.losses = process.shape().losses;
   return settings;
 }
 
--- a/tests/platform/client_operation.hpp
+++ b/tests/platform/client_operation.hpp
@@ -16,6 +16,8 @@
   bool ended = false;
   bool served = false;
   bool left = false;
+  // asked directly at one node, and earning nothing
+  bool visits = false;
 };
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/order_checks.cpp
+++ b/tests/platform/order_checks.cpp
@@ -57,7 +57,7 @@
   if (!history_.closingFault || !history_.backAt) return;
   std::size_t before = 0, servedBefore = 0, after = 0, servedAfter = 0;
   for (const auto& operation : history_.clients.operations) {
-    if (operation.left || !operation.ended) continue;
+    if (operation.left || operation.visits || !operation.ended) continue;
     if (operation.endedAt < *history_.closingFault) {
       ++before;
       servedBefore += operation.served ? 1 : 0;
--- a/tests/platform/platform_day_generator.cpp
+++ b/tests/platform/platform_day_generator.cpp
@@ -10,8 +10,14 @@
 }
 
 void PlatformDayGenerator::shape() {
-  accessNodes_ = 2 + below(3);
-  text_ = "shape zones=3 core=3 services=2 access=" + std::to_string(accessNodes_) + " sync=" + number(0, 1) + " lag=" + number(5, 60) + "ms disk=" + number(1, 5) + "ms fence=" + number(0, 1) + "\n";
+  zones_ = 1 + below(4);
+  accessNodes_ = 2 + below(7);
+  services_ = 1 + below(3);
+  bool large = below(4) == 0;
+  lastCore_ = large ? 5 : 3;
+  for (std::size_t index = 1; index <= lastCore_; ++index) cores_.push_back("core-" + std::to_string(index));
+  text_ = "shape zones=" + std::to_string(zones_) + " core=" + std::to_string(lastCore_) + " losses=" + (large ? "2" : "1") + " services=" + std::to_string(services_) + " databases=" + number(2, 4) +
+          " access=" + std::to_string(accessNodes_) + " sync=" + number(0, 1) + " lag=" + number(5, 60) + "ms disk=" + number(1, 5) + "ms fence=" + number(0, 1) + " trunks=" + number(30, 120) + " slots=" + number(4, 12) + "\n";
   text_ += "kind class=primary sessions=" + number(2, 6) + " one-id=" + number(0, 1) + "\n";
   text_ += "kind class=bounded_staleness staleness=" + number(200, 1500) + "ms sessions=3 writes=0 transactions=100 single=" + number(0, 1) + "\n";
   text_ += "kind class=in_house staleness=" + number(300, 2500) + "ms sessions=3\n";
@@ -102,15 +108,15 @@
 }
 
 void PlatformDayGenerator::ofOperators() {
-  static const char* const changes[] = {"add", "remove", "timeout", "idle", "move"};
+  static const char* const changes[] = {"add", "remove", "timeout", "idle", "move", "swap", "swap"};
   switch (below(6)) {
     case 0: return at("bad-configuration");
     case 1: return at("send-older");
     case 2: return at("press " + number(2, 6) + lasting(1000, 6000));
-    case 3: return at("shift zone-" + number(1, 3) + lasting(1000, 6000));
+    case 3: return at("shift zone-" + number(1, zones_) + lasting(1000, 6000));
     default:
       for (std::uint64_t count = 1 + below(4); count > 0; --count) {
-        at(std::string("configure ") + changes[below(5)] + (below(2) == 0 ? " second" : ""));
+        at(std::string("configure ") + changes[below(7)] + (below(2) == 0 ? " second" : ""));
         now_ += below(4) * below(1000);
       }
   }
--- a/tests/platform/platform_day_generator.hpp
+++ b/tests/platform/platform_day_generator.hpp
@@ -19,7 +19,7 @@
   std::string lasting(std::uint64_t least, std::uint64_t most) { return " for " + number(least, most) + "ms"; }
   std::string access() { return "access-" + number(1, accessNodes_); }
   std::string core() { return cores_[below(cores_.size())]; }
-  std::string service() { return number(1, 2); }
+  std::string service() { return number(1, services_); }
   std::string databases();
   void at(const std::string& event);
   void shape();
@@ -34,9 +34,11 @@
   std::mt19937_64 random_;
   std::string text_;
   std::uint64_t now_ = 11000;
+  std::uint64_t zones_ = 3;
   std::uint64_t accessNodes_ = 3;
-  std::vector<std::string> cores_{"core-1", "core-2", "core-3"};
-  std::size_t lastCore_ = 3;
+  std::uint64_t services_ = 2;
+  std::vector<std::string> cores_;
+  std::size_t lastCore_ = 0;
   // until when the core may lose no other machine
   std::uint64_t coreWholeAt_ = 0;
 };
--- a/tests/platform/platform_events.cpp
+++ b/tests/platform/platform_events.cpp
@@ -229,6 +229,22 @@
   events_["receive-nothing"] = [this](const Words& words) { return disturb(words, [](WireTroubles& troubles) { troubles.receivesNothing = true; }); };
 }
 
+// one route goes and one of another service, where there are two, comes in the same version
+std::vector<PlatformRoute> PlatformEvents::swap(PlatformConfiguration& configuration) {
+  auto& routes = configuration.routes;
+  if (routes.size() < 2) return {};
+  auto victim = routes.begin() + static_cast<std::ptrdiff_t>(world_.world().below(routes.size()));
+  auto removed = *victim;
+  routes.erase(victim);
+  auto other = std::find_if(routes.begin(), routes.end(), [&](const auto& route) { return route.targetService != removed.targetService; });
+  auto added = other == routes.end() ? removed : *other;
+  auto mark = "-" + std::to_string(++swaps_);
+  added.name += mark;
+  added.hostName += mark;
+  routes.push_back(added);
+  return {removed, added};
+}
+
 void PlatformEvents::operators() {
   events_["press"] = [this](const Words& words) {
     auto lasting = lasts(words);
@@ -257,7 +273,10 @@
     }
     if (how == "remove" && !configuration.routes.empty()) configuration.routes.pop_back();
     if (how == "move" && !configuration.routes.empty()) configuration.routes.back().targetService = world_.service(1).name();
+    auto visited = how == "swap" ? swap(configuration) : std::vector<PlatformRoute>{};
+    if (how == "add" || how == "remove") visited.push_back(last);
     world_.configure(words.size() > 2 ? 1 : 0);
+    for (const auto& route : visited) world_.visit(route);
     return true;
   };
   events_["after-ack"] = [this](const Words& words) {
--- a/tests/platform/platform_events.hpp
+++ b/tests/platform/platform_events.hpp
@@ -29,10 +29,12 @@
   void cutDatabase(const std::string& host, const Words& others, Duration lasting);
   // the event, once the configuration at this place of the history is acknowledged; its node is called acknowledger
   void afterAcknowledgement(std::size_t place, const Words& words);
+  std::vector<PlatformRoute> swap(PlatformConfiguration& configuration);
 
   PlatformWorld& world_;
   std::map<std::string, Event> events_;
   std::vector<std::string> faults_;
+  std::size_t swaps_ = 0;
 };
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/platform_script.cpp
+++ b/tests/platform/platform_script.cpp
@@ -87,6 +87,7 @@
                 : key == "core"       ? take(value, shape_.core)
                 : key == "services"   ? take(value, shape_.services)
                 : key == "databases"  ? take(value, shape_.databases)
+                : key == "losses"     ? take(value, shape_.losses)
                 : key == "sync"       ? take(value, shape_.syncReplicas)
                 : key == "slots"      ? take(value, shape_.database.slots)
                 : key == "queue"      ? take(value, shape_.database.queue)
--- a/tests/platform/platform_shape.hpp
+++ b/tests/platform/platform_shape.hpp
@@ -21,6 +21,7 @@
   Duration diskSync = 2ms;
   Duration restart = 500ms;
   std::size_t dutyRate = 50;
+  std::size_t losses = 1;
   PlatformBounds bounds;
 };
 
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -372,6 +372,18 @@
   operators_.at(operatorIndex)->replace(configuration_);
 }
 
+void PlatformWorld::visit(const PlatformRoute& route) {
+  ClientKind kind;
+  kind.hostName = route.hostName;
+  kind.routeClass = route.routeClass;
+  kind.staleness = route.staleness;
+  kind.singleOperation = world_.below(2) == 0;
+  kind.furtherTries = 0;
+  kind.names = 0;
+  kind.transactions = 0;
+  clients_->visit(kind, shape_.bounds.configApply + shape_.bounds.contact);
+}
+
 void PlatformWorld::closingFault(bool losesPower, std::size_t disksLost, Duration down) {
   history_.closingFault = world_.now();
   for (auto& [name, machine] : machines_) {
@@ -405,7 +417,7 @@
 double PlatformWorld::served(Duration from, Duration until) const {
   double served = 0, ended = 0;
   for (const auto& operation : history_.clients.operations) {
-    if (!operation.ended || operation.left || operation.beganAt < start_ + from || operation.beganAt >= start_ + until) continue;
+    if (!operation.ended || operation.left || operation.visits || operation.beganAt < start_ + from || operation.beganAt >= start_ + until) continue;
     ended += 1;
     served += operation.served ? 1 : 0;
   }
--- a/tests/platform/platform_world.hpp
+++ b/tests/platform/platform_world.hpp
@@ -67,6 +67,8 @@
   PlatformConfiguration& configuration() { return configuration_; }
   // the present configuration under a higher revision
   void configure(std::size_t operatorIndex = 0);
+  // sessions at each node for a database that a configuration adds or removes
+  void visit(const PlatformRoute& route);
   void closingFault(bool losesPower, std::size_t disksLost, Duration down);
 
  private:
--- a/tests/platform/standin_entry.cpp
+++ b/tests/platform/standin_entry.cpp
@@ -34,6 +34,13 @@
   return std::any_of(nodes_.begin(), nodes_.end(), [&](const auto& node) { return node->point.front == front && node->misses < 2; });
 }
 
+std::vector<Address> StandinEntry::readyFronts() const {
+  std::vector<Address> ready;
+  for (const auto& node : nodes_)
+    if (node->misses < 2) ready.push_back(node->point.front);
+  return ready;
+}
+
 std::vector<Address> StandinEntry::fronts(const std::string& zone, bool own) const {
   std::vector<Address> in;
   std::vector<Address> all;
--- a/tests/platform/standin_entry.hpp
+++ b/tests/platform/standin_entry.hpp
@@ -19,6 +19,7 @@
   // nothing where there is no node at all
   std::optional<Address> choose(const std::string& zone, std::uint64_t client, std::uint64_t attempt) const;
   bool ready(const Address& front) const;
+  std::vector<Address> readyFronts() const;
 
  private:
   struct Node {
--- a/tests/platform/standin_wire_clients.cpp
+++ b/tests/platform/standin_wire_clients.cpp
@@ -9,6 +9,23 @@
   for (std::size_t index = 0; index < shared->sessions; ++index) scope_.spawn(client(shared, ++clients_));
 }
 
+void StandinWireClients::visit(const ClientKind& kind, Duration lasting) {
+  auto shared = std::make_shared<const ClientKind>(kind);
+  for (auto& node : entry_.readyFronts()) scope_.spawn(visitor(shared, std::move(node), clock_.now() + lasting));
+}
+
+Task<void> StandinWireClients::visitor(std::shared_ptr<const ClientKind> kind, Address node, Instant until) {
+  ++running_;
+  StandinWireSession session(clock_, link_, world_, history_, *kind);
+  while (!stopping_ && clock_.now() < until) {
+    co_await operation(session, *kind, 0, node);
+    if (kind->singleOperation) session.close();
+    co_await session.rest(kind->pause);
+  }
+  session.close();
+  --running_;
+}
+
 Task<void> StandinWireClients::client(std::shared_ptr<const ClientKind> kind, std::uint64_t number) {
   ++running_;
   StandinWireSession session(clock_, link_, world_, history_, *kind);
@@ -66,7 +83,7 @@
   return verdict;
 }
 
-Task<void> StandinWireClients::operation(StandinWireSession& session, const ClientKind& kind, std::uint64_t number) {
+Task<void> StandinWireClients::operation(StandinWireSession& session, const ClientKind& kind, std::uint64_t number, std::optional<Address> visited) {
   auto planned = plan(kind);
   Underway underway;
   underway.operation = history_.operations.size();
@@ -74,6 +91,7 @@
   begun.hostName = kind.hostName;
   begun.zone = zone_.value_or(kind.zone);
   begun.beganAt = clock_.now();
+  begun.visits = visited.has_value();
   history_.operations.push_back(begun);
   underway.deadline = clock_.now() + kind.deadline;
   auto verdict = Verdict::again;
@@ -82,7 +100,7 @@
     underway.attempt = beginTry(kind, planned, underway.operation);
     underway.sentForGood = false;
     session.newTry();
-    auto node = entry_.choose(begun.zone, number, attempt);
+    auto node = visited ? visited : entry_.choose(begun.zone, number, attempt);
     verdict = co_await tryOnce(session, kind, planned, underway, node);
   }
   auto& noted = history_.operations[underway.operation];
