A database that said it leaves is neither used again nor chosen as primary

The rule counts from the acknowledgement and knows no return; the next database at the address has another id. Listed databases of our own interface, which carry boots, still return.

--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -257,7 +257,8 @@
 }
 
 Task<void> Duties::returns(ServiceName name) {
-  if (!state_.services().contains(name)) co_return;
+  // one that is found by its heartbeats leaves for good; the next one at its address has another name
+  if (!state_.services().contains(name) || discovered(name)) co_return;
   std::vector<DatabaseName> returned;
   for (const auto& [database, mark] : state_.services().at(name).drained) {
     const auto* sign = access_.database(name, database);
--- a/src/control/recovery_duties.cpp
+++ b/src/control/recovery_duties.cpp
@@ -176,6 +176,7 @@
     if (database == besides) continue;
     const auto* sign = access_.database(name, database);
     bool lost = discovered(name) && ((sign && clock_.now() - sign->heardAt > 3 * timings_.silence()) || suspected(name, database) || strained(name, database));
+    if (discovered(name) && drained.contains(database)) continue;
     (drained.contains(database) || lost ? others : wanted).push_back(database);
   }
   return wanted.empty() && discovered(name) ? others : wanted;
--- a/tests/platform/adapter_days_test.cpp
+++ b/tests/platform/adapter_days_test.cpp
@@ -53,3 +53,23 @@
   CHECK(engine.members().size() == 3);
   for (const auto& member : engine.members()) CHECK(member.address != world.machine("core-2").internal());
 }
+
+TEST_CASE("where only databases that leave are there, a service waits and is not given to one after the other") {
+  auto shape = usual();
+  shape.services = 1;
+  PlatformWorld world(shape, GENERATE(1, 2, 3), [](PlatformProcess& process) { return adapterProgram(process); });
+  world.runUntil(12s);
+  auto replicas = world.replicas(1);
+  REQUIRE(replicas.size() == 2);
+  replicas.front()->crash();
+  world.runUntil(19s);
+  world.release(*replicas.back());
+  world.release(*world.primary(1));
+  world.runUntil(22s);
+  auto& state = dynamic_cast<CoreProgram&>(world.process("core-1")->program()).replica().state();
+  CHECK(state.services().begin()->second.epoch <= Epoch{3});
+  replicas.front()->start();
+  world.runUntil(25s);
+  CHECK(state.services().begin()->second.promoted);
+  CHECK(state.services().begin()->second.primary.get() == replicas.front()->settings().id);
+}
