A promoted database is asked for its role every 400 ms, not after 1 s

A new primary tells its role to one core machine; where that is the dead one it waits a second before it tells another, and the holder asked STATUS only after a second.

A node that has not left the former epoch after half a second is named in the waits.

--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -30,7 +30,7 @@
   Duration strainKept = 200ms;
   Duration reliefPause = 8s;
   Duration firstPrimary = 2s;
-  Duration leadPatience = 1s;
+  Duration leadPatience = 400ms;
   Duration databaseOut = 5s;
   Duration statusPatience = 500ms;
   Duration promotePatience = 1500ms;
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -87,7 +87,9 @@
   bool silent(const Address& node) const;
   std::uint64_t followed(const ServiceName& name, const Address& node) const;
   bool everyNodeFollows(const ServiceName& name, const ServiceState& service) const;
-  bool everyNodeLeftOldEpochs(const ServiceName& name, const ServiceState& service) const;
+  bool leftOldEpochs(const ServiceName& name, const ServiceState& service, const Address& node) const;
+  // a node that may still have work under an older epoch
+  std::optional<Address> leftBehind(const ServiceName& name, const ServiceState& service) const;
   bool leasesOver(const ServiceName& name) const;
   bool suspected(const ServiceName& name, const DatabaseName& database) const;
   bool strained(const ServiceName& name, const DatabaseName& database) const;
--- a/src/control/recovery_duties.cpp
+++ b/src/control/recovery_duties.cpp
@@ -139,13 +139,17 @@
 
 bool Duties::leasesOver(const ServiceName& name) const { return clock_.now() - duties_.at(name).seenAt > timings_.lease + timings_.leaseMargin; }
 
-bool Duties::everyNodeLeftOldEpochs(const ServiceName& name, const ServiceState& service) const {
-  return std::all_of(state_.nodes().begin(), state_.nodes().end(), [&](const auto& each) {
-    const auto* known = heard(each.first);
-    if (!known || known->report.boot != each.second.boot) return false;
-    auto own = known->report.services.find(name);
-    return own != known->report.services.end() && own->second.epoch >= service.epoch;
-  });
+bool Duties::leftOldEpochs(const ServiceName& name, const ServiceState& service, const Address& node) const {
+  const auto* known = heard(node);
+  if (!known || known->report.boot != state_.nodes().at(node).boot) return false;
+  auto own = known->report.services.find(name);
+  return own != known->report.services.end() && own->second.epoch >= service.epoch;
+}
+
+std::optional<Address> Duties::leftBehind(const ServiceName& name, const ServiceState& service) const {
+  for (const auto& [address, node] : state_.nodes())
+    if (!leftOldEpochs(name, service, address)) return address;
+  return std::nullopt;
 }
 
 void Duties::noteTerm(const ServiceName& name, Epoch term) {
@@ -323,7 +327,8 @@
     co_await order(ControlMatter::promoted, packed(update));
     co_return;
   }
-  bool left = first || everyNodeLeftOldEpochs(name, service);
+  auto behind = first ? std::nullopt : leftBehind(name, service);
+  bool left = !behind;
   bool demotes = !first && service.servedBy != service.primary && !duties_[name].demotedAt && present(name, service.servedBy);
   if (demotes && (!service.planned || left || leasesOver(name)) && clock_.now() - duties_[name].demoteAskedAt > timings_.statusPatience) {
     duties_[name].demoteAskedAt = clock_.now();
@@ -336,6 +341,7 @@
   const auto& duty = duties_[name];
   bool ready = left || leasesOver(name) || (!discovered(name) && duty.demotedAt);
   bool awaitsDemote = service.planned && demotes && !duty.demotedAt && !leasesOver(name);
+  if (!ready && clock_.now() - duty.seenAt > timings_.statusPatience) wait(name, "node " + behind->get() + " has not left the former epoch");
   if (!ready || awaitsDemote || clock_.now() < duty.promoteAfter) co_return;
   if (!co_await holdsNeeded(name, service) || !pending(name, service.epoch)) co_return;
   co_await callPromotion(name, service);
@@ -424,7 +430,7 @@
 
 Task<bool> Duties::leads(ServiceName name, ServiceState service, Instant calledAt) {
   auto askedAt = calledAt;
-  while (pending(name, service.epoch) && clock_.now() - calledAt < 4 * timings_.leadPatience) {
+  while (pending(name, service.epoch) && clock_.now() - calledAt < 10 * timings_.leadPatience) {
     const auto* sign = access_.database(name, service.primary);
     bool beaten = sign && sign->heardAt > calledAt;
     if (beaten && sign->heartbeat.role == "primary") co_return true;
--- a/tests/platform/adapter_days_test.cpp
+++ b/tests/platform/adapter_days_test.cpp
@@ -73,3 +73,21 @@
   CHECK(state.services().begin()->second.promoted);
   CHECK(state.services().begin()->second.primary.get() == replicas.front()->settings().id);
 }
+
+TEST_CASE("a promotion is seen soon, also where the new primary tells it to a dead core machine first") {
+  auto shape = usual();
+  shape.services = 1;
+  PlatformWorld world(shape, GENERATE(1, 2, 3, 4, 5, 6, 7, 8), [](PlatformProcess& process) { return adapterProgram(process); });
+  world.runUntil(12s);
+  auto promotions = world.history().promotions.size();
+  world.primary(1)->crash();
+  world.losePower("core-2");
+  world.losePower("core-3");
+  world.startMachine("core-3");
+  auto called = [&] { return world.history().promotions.size() > promotions; };
+  for (int step = 0; step < 400 && !called(); ++step) world.run(10ms);
+  REQUIRE(called());
+  world.run(950ms);
+  auto& state = dynamic_cast<CoreProgram&>(world.process("core-1")->program()).replica().state();
+  CHECK(state.services().begin()->second.promoted);
+}
