A home of news cut off from the core says so, and its zone moves on with a lease

Cause, seen while looking for nodes that go back: a home that no replica answers went on passing on the lease it had left, and its followers stayed with it to the end. Then the whole zone was without a lease for 130 ms and not ready. A home that no source answered for two patiences says now that it is not current; one silent source and a held ask to the next cost less.

--- a/src/news/agent_node.hpp
+++ b/src/news/agent_node.hpp
@@ -20,6 +20,7 @@
   std::optional<Instant> leaseUntil(const Topic& topic) override { return news_.leaseUntil(topic); }
   std::vector<DatabaseSign> signs(const Topic& topic) override { return news_.signs(topic); }
   std::uint64_t position(const Topic& topic) override { return news_.position(topic); }
+  bool answered(const Topic& topic) override { return news_.answered(topic); }
   void report(NodeReport report);
   Task<DoorReply> serve(DoorRequest request) override;
   void gone(ConnectionId) override {}
--- a/src/news/news_desk.cpp
+++ b/src/news/news_desk.cpp
@@ -12,7 +12,7 @@
 bool NewsDesk::nothingNew(const FollowAsk& ask) const {
   return std::all_of(ask.have.begin(), ask.have.end(), [&](const auto& each) {
     const auto& [topic, have] = each;
-    return have != 0 && board_.mark(topic) == have && source_.leaseUntil(topic);
+    return have != 0 && board_.mark(topic) == have && source_.leaseUntil(topic) && source_.answered(topic);
   });
 }
 
@@ -27,7 +27,7 @@
   for (const auto& [topic, have] : ask->have) {
     auto& own = reply.topics[topic];
     auto until = source_.leaseUntil(topic);
-    if (!until || *until <= clock_.now() || !board_.find(topic)) continue;
+    if (!until || *until <= clock_.now() || !board_.find(topic) || !source_.answered(topic)) continue;
     board_.fill(topic, have, own);
     own.lease = *until - clock_.now();
     if (ask->signs) own.signs = source_.signs(topic);
--- a/src/news/news_follower.cpp
+++ b/src/news/news_follower.cpp
@@ -34,6 +34,12 @@
   return found == topics_.end() ? 0 : found->second.position;
 }
 
+// for longer than one silent source and a held ask to the next one cost
+bool NewsFollower::answered(const Topic& topic) {
+  auto found = topics_.find(topic);
+  return found != topics_.end() && clock_.now() - found->second.takenAt < 2 * timings_.patience;
+}
+
 Task<void> NewsFollower::keepTopics() {
   for (;;) {
     std::set<Topic> wanted{fleetTopic};
@@ -117,6 +123,7 @@
   followed.leaseUntil = std::max(followed.leaseUntil.value_or(Instant::min()), at + reply.lease);
   followed.signs = std::move(reply.signs);
   followed.signsAt = at;
+  followed.takenAt = clock_.now();
   followed.position = std::max(followed.position, reply.position);
   if (lapsed || !reply.table.empty() || !reply.changes.empty()) changed_.open();
 }
--- a/src/news/news_follower.hpp
+++ b/src/news/news_follower.hpp
@@ -18,6 +18,7 @@
     std::optional<Instant> leaseUntil;
     std::vector<DatabaseSign> signs;
     Instant signsAt{};
+    Instant takenAt{};
     std::uint64_t position = 0;
   };
 
@@ -29,6 +30,7 @@
   std::optional<Instant> leaseUntil(const Topic& topic) override;
   std::vector<DatabaseSign> signs(const Topic& topic) override;
   std::uint64_t position(const Topic& topic) override;
+  bool answered(const Topic& topic) override;
   const std::map<Topic, Followed>& topics() const { return topics_; }
 
  private:
--- a/src/news/news_source.hpp
+++ b/src/news/news_source.hpp
@@ -12,6 +12,8 @@
  public:
   virtual ~NewsSource() = default;
   virtual std::optional<Instant> leaseUntil(const Topic& topic) = 0;
+  // whether what is passed on of a topic comes from a source that still answers
+  virtual bool answered(const Topic&) { return true; }
   virtual std::vector<DatabaseSign> signs(const Topic& topic) = 0;
   // whether this is a replica of the core
   virtual bool core() const { return false; }
--- a/tests/news_test.cpp
+++ b/tests/news_test.cpp
@@ -100,6 +100,24 @@
   CHECK(following.follower.topics().at("s1").source == Address{"10.0.0.1:1"});
 }
 
+TEST_CASE("a follower that no source answers any more says so long before its lease ends") {
+  Following following;
+  following.run(1s);
+  CHECK(following.follower.answered("s1"));
+  following.network.cut("10.0.0.1", "10.1.0.1");
+  for (int step = 0; step < 50; ++step) {
+    following.run(20ms);
+    REQUIRE(following.follower.answered("s1"));
+  }
+  following.network.cut("10.0.0.2", "10.1.0.1");
+  following.run(1s);
+  CHECK(following.follower.leaseUntil("s1"));
+  CHECK_FALSE(following.follower.answered("s1"));
+  following.network.heal("10.0.0.2", "10.1.0.1");
+  following.run(1s);
+  CHECK(following.follower.answered("s1"));
+}
+
 TEST_CASE("a topic's lease counts from when its source spoke, and a held ask does not cost it") {
   Following following;
   following.run(5s);
