--- a/src/base/timings.hpp
+++ b/src/base/timings.hpp
@@ -33,7 +33,7 @@
   Duration reliefPause = 8s;
   Duration rationPause = 500ms;
   Duration firstPrimary = 2s;
-  Duration leadPatience = 1s;
+  Duration leadPatience = 400ms;
   Duration databaseOut = 5s;
   Duration statusPatience = 500ms;
   Duration promotePatience = 1500ms;
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -123,7 +123,9 @@
   std::uint64_t followed(const ServiceName& name, const Address& node) const;
   bool follows(const ServiceName& name, const ServiceState& service, const Address& node) const;
   bool everyNodeFollows(const ServiceName& name, const ServiceState& service) const;
-  bool everyNodeLeftOldEpochs(const ServiceName& name, const ServiceState& service) const;
+  bool leftOldEpochs(const ServiceName& name, const ServiceState& service, const Address& node) const;
+  // a node that may still have work under an older epoch
+  std::optional<Address> leftBehind(const ServiceName& name, const ServiceState& service) const;
   bool leasesOver(const ServiceName& name) const;
   const SeenEpoch* seenEpoch(const ServiceName& name) const;
   bool everyNodeHeard() const;
--- a/src/news/news_desk.cpp
+++ b/src/news/news_desk.cpp
@@ -19,7 +19,7 @@
 }
 
 bool NewsDesk::nothingNew(const Marks& have) const {
-  return std::all_of(have.begin(), have.end(), [&](const auto& each) { return each.second != 0 && board_.mark(each.first) == each.second; });
+  return std::all_of(have.begin(), have.end(), [&](const auto& each) { return each.second != 0 && board_.mark(each.first) == each.second && source_.answered(each.first); });
 }
 
 std::optional<Instant> NewsDesk::leasedUntil(const Marks& have) const {
@@ -74,7 +74,7 @@
   for (const auto& [topic, mark] : have) {
     auto& own = reply.topics[topic];
     auto until = source_.leaseUntil(topic);
-    if (!until || *until <= clock_.now() || !board_.find(topic)) continue;
+    if (!until || *until <= clock_.now() || !board_.find(topic) || !source_.answered(topic)) continue;
     board_.fill(topic, mark, own);
     own.lease = *until - clock_.now();
     if (ask.signs && (ask.number == 0 || ask.signsOf.contains(topic))) own.signs = source_.signs(topic);
--- a/src/news/news_follower.hpp
+++ b/src/news/news_follower.hpp
@@ -26,6 +26,7 @@
     Instant signsAt{};
     // when somebody last looked at the signs
     std::optional<Instant> signsReadAt;
+    Instant takenAt{};
     std::uint64_t position = 0;
   };
 
@@ -37,6 +38,7 @@
   std::optional<Instant> leaseUntil(const Topic& topic) override;
   std::vector<DatabaseSign> signs(const Topic& topic) override;
   std::uint64_t position(const Topic& topic) override;
+  bool answered(const Topic& topic) override;
   const std::map<Topic, Followed>& topics() const { return topics_; }
 
  private:
--- a/tests/platform/adapter_days_test.cpp
+++ b/tests/platform/adapter_days_test.cpp
@@ -53,3 +53,41 @@
   CHECK(engine.members().size() == 3);
   for (const auto& member : engine.members()) CHECK(member.address != world.machine("core-2").internal());
 }
+
+TEST_CASE("where only databases that leave are there, a service waits and is not given to one after the other") {
+  auto shape = usual();
+  shape.services = 1;
+  PlatformWorld world(shape, GENERATE(1, 2, 3), [](PlatformProcess& process) { return adapterProgram(process); });
+  world.runUntil(12s);
+  auto replicas = world.replicas(1);
+  REQUIRE(replicas.size() == 2);
+  replicas.front()->crash();
+  world.runUntil(19s);
+  world.release(*replicas.back());
+  world.release(*world.primary(1));
+  world.runUntil(22s);
+  auto& state = dynamic_cast<CoreProgram&>(world.process("core-1")->program()).replica().state();
+  CHECK(state.services().begin()->second.epoch <= Epoch{3});
+  replicas.front()->start();
+  world.runUntil(25s);
+  CHECK(state.services().begin()->second.promoted);
+  CHECK(state.services().begin()->second.primary.get() == replicas.front()->settings().id);
+}
+
+TEST_CASE("a promotion is seen soon, also where the new primary tells it to a dead core machine first") {
+  auto shape = usual();
+  shape.services = 1;
+  PlatformWorld world(shape, GENERATE(1, 2, 3, 4, 5, 6, 7, 8), [](PlatformProcess& process) { return adapterProgram(process); });
+  world.runUntil(12s);
+  auto promotions = world.history().promotions.size();
+  world.primary(1)->crash();
+  world.losePower("core-2");
+  world.losePower("core-3");
+  world.startMachine("core-3");
+  auto called = [&] { return world.history().promotions.size() > promotions; };
+  for (int step = 0; step < 400 && !called(); ++step) world.run(10ms);
+  REQUIRE(called());
+  world.run(950ms);
+  auto& state = dynamic_cast<CoreProgram&>(world.process("core-1")->program()).replica().state();
+  CHECK(state.services().begin()->second.promoted);
+}
