A new plan tells each node only what differs

Cause: the plan lay in one entry per news table, with its mark in it, so each configuration sent all routes of all services to all nodes. Now the mark, the service's part and each route are entries of their own; the table's mark still rises with each plan, which shares need.

--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
+#include "control/plan_news.hpp"
 #include "control/plan_reader.hpp"
-#include "control/service_news.hpp"
 
 namespace tamarindshift {
 
@@ -263,7 +263,7 @@
     fleetPlan.limits = plan_->limits;
     for (const auto& [name, kind] : plan_->kinds) fleetPlan.kinds[name] = kind.service;
   }
-  fleet["plan"] = packed(fleetPlan);
+  layPlan(fleet, fleetPlan);
   if (plan_)
     for (const auto& [name, service] : plan_->services) tables[name.get()] = serviceNews(name, service);
   return tables;
@@ -281,7 +281,7 @@
   ServiceNews news{plan_->mark, service, {}};
   for (const auto& [kindName, kind] : plan_->kinds)
     if (kind.service == name) news.kinds.emplace(kindName, kind);
-  table["plan"] = packed(news);
+  layPlan(table, news);
   table["primary"] = packed(PrimaryNews{state.epoch, state.primary, state.promoted, state.planned});
   if (service.discovered)
     for (const auto& [database, own] : databases(name)) table["database/" + database.get()] = packed(DatabaseNews{own.address, own.zone, own.capacity});
--- /dev/null
+++ b/src/control/plan_news.cpp
@@ -0,0 +1,62 @@
+#include "control/plan_news.hpp"
+
+#include "wire/pack.hpp"
+
+namespace tamarindshift {
+
+namespace {
+
+const std::string markKey = "plan-mark";
+const std::string limitsKey = "plan-limits";
+const std::string serviceKey = "plan-service";
+const std::string kindPrefix = "plan-kind/";
+
+template <class Value>
+std::optional<Value> valueAt(const NewsTable& table, const std::string& key) {
+  auto found = table.find(key);
+  return found == table.end() ? std::nullopt : unpacked<Value>(found->second);
+}
+
+template <class Value>
+std::map<KindName, Value> kindsIn(const NewsTable& table) {
+  std::map<KindName, Value> kinds;
+  for (auto entry = table.lower_bound(kindPrefix); entry != table.end() && entry->first.starts_with(kindPrefix); ++entry)
+    if (auto value = unpacked<Value>(entry->second)) kinds.emplace(KindName{entry->first.substr(kindPrefix.size())}, std::move(*value));
+  return kinds;
+}
+
+template <class Value>
+void layKinds(NewsTable& table, const std::map<KindName, Value>& kinds) {
+  for (const auto& [name, kind] : kinds) table[kindPrefix + name.get()] = packed(kind);
+}
+
+}  // namespace
+
+void layPlan(NewsTable& table, const FleetPlanNews& plan) {
+  table[markKey] = packed(plan.mark);
+  table[limitsKey] = packed(plan.limits);
+  layKinds(table, plan.kinds);
+}
+
+void layPlan(NewsTable& table, const ServiceNews& plan) {
+  table[markKey] = packed(plan.mark);
+  table[serviceKey] = packed(plan.service);
+  layKinds(table, plan.kinds);
+}
+
+FleetPlanNews fleetPlanIn(const NewsTable& table) {
+  using Limits = std::map<std::string, std::uint64_t>;
+  return FleetPlanNews{planMarkIn(table), kindsIn<ServiceName>(table), valueAt<Limits>(table, limitsKey).value_or(Limits{})};
+}
+
+std::optional<ServiceNews> servicePlanIn(const NewsTable& table) {
+  auto service = valueAt<PlanService>(table, serviceKey);
+  if (!service) return std::nullopt;
+  return ServiceNews{planMarkIn(table), std::move(*service), kindsIn<PlanKind>(table)};
+}
+
+PlanMark planMarkIn(const NewsTable& table) { return valueAt<PlanMark>(table, markKey).value_or(PlanMark{}); }
+
+bool isPlanKey(const std::string& key) { return key == markKey || key == limitsKey || key == serviceKey || key.starts_with(kindPrefix); }
+
+}  // namespace tamarindshift
--- a/src/control/service_news.hpp
+++ b/src/control/service_news.hpp
@@ -8,7 +8,6 @@
   PlanMark mark;
   PlanService service;
   std::map<KindName, PlanKind> kinds;
-  MSGPACK_DEFINE(mark, service, kinds)
 };
 
 struct PrimaryNews {
@@ -44,7 +43,6 @@
   PlanMark mark;
   std::map<KindName, ServiceName> kinds;
   std::map<std::string, std::uint64_t> limits;
-  MSGPACK_DEFINE(mark, kinds, limits)
 };
 
 }  // namespace tamarindshift
--- a/src/news/news_follower.cpp
+++ b/src/news/news_follower.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "control/service_news.hpp"
+#include "control/plan_news.hpp"
 
 namespace tamarindshift {
 
@@ -38,9 +38,7 @@
   for (;;) {
     std::set<Topic> wanted{fleetTopic};
     if (const auto* fleet = board_.find(fleetTopic))
-      if (auto plan = fleet->table.find("plan"); plan != fleet->table.end())
-        if (auto news = unpacked<FleetPlanNews>(plan->second))
-          for (const auto& [kind, service] : news->kinds) wanted.insert(service.get());
+      for (const auto& [kind, service] : fleetPlanIn(fleet->table).kinds) wanted.insert(service.get());
     std::erase_if(topics_, [&](const auto& each) { return !wanted.contains(each.first); });
     for (const auto& topic : wanted) topics_[topic];
     startAsks();
--- a/src/pool/guide.cpp
+++ b/src/pool/guide.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "control/plan_news.hpp"
+
 namespace tamarindshift {
 
 void Guide::refresh() {
@@ -26,8 +28,7 @@
   const auto* entry = feed_.board().find(fleetTopic);
   if (!entry || entry->mark == fleetMark_) return;
   fleetMark_ = entry->mark;
-  if (auto plan = entry->table.find("plan"); plan != entry->table.end())
-    if (auto news = unpacked<FleetPlanNews>(plan->second)) fleetPlan_ = *news;
+  fleetPlan_ = fleetPlanIn(entry->table);
   auto own = entry->table.find("node/" + node_.get());
   nodeKnown_ = own != entry->table.end();
   if (nodeKnown_)
@@ -42,10 +43,9 @@
   view.mark = entry.mark;
   static const std::string drainedPrefix = "drained/";
   static const std::string databasePrefix = "database/";
+  view.plan = servicePlanIn(entry.table);
   for (const auto& [key, value] : entry.table) {
-    if (key == "plan")
-      view.plan = unpacked<ServiceNews>(value);
-    else if (key == "primary")
+    if (key == "primary")
       view.primary = unpacked<PrimaryNews>(value).value_or(PrimaryNews{});
     else if (key.starts_with(databasePrefix))
       view.databases[DatabaseName{key.substr(databasePrefix.size())}] = unpacked<DatabaseNews>(value).value_or(DatabaseNews{});
--- a/src/scale/light_zone.cpp
+++ b/src/scale/light_zone.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "control/heartbeat_json.hpp"
-#include "control/service_news.hpp"
+#include "control/plan_news.hpp"
 #include "edge/door_replies.hpp"
 #include "real/program.hpp"
 
@@ -64,7 +64,7 @@
       report.node = address;
       report.zone = zone.addresses_.shape.zone(index);
       report.boot = boot;
-      report.mark = zone.news<FleetPlanNews>(fleetTopic, "plan").value_or(FleetPlanNews{}).mark;
+      report.mark = zone.planMark(fleetTopic);
       report.services = zone.services_;
       for (const auto& [service, own] : report.services)
         if (auto until = zone.shared_->leaseUntil(service.get())) report.lease = std::max(report.lease, *until - zone.clock_.now());
@@ -112,7 +112,8 @@
   std::map<ServiceName, ServiceReport> services;
   for (const auto& [topic, followed] : shared_->topics()) {
     if (topic == fleetTopic) continue;
-    auto plan = news<ServiceNews>(topic, "plan");
+    const auto* entry = shared_->board().find(topic);
+    auto plan = entry ? servicePlanIn(entry->table) : std::nullopt;
     if (!plan) continue;
     auto& own = services[ServiceName{topic}];
     own.followed = shared_->board().mark(topic);
@@ -148,10 +149,12 @@
 bool LightZone::follows(PlanMark mark) {
   if (!shared_) return false;
   const auto& topics = shared_->topics();
-  return std::all_of(topics.begin(), topics.end(), [&](const auto& each) {
-    if (each.first == fleetTopic) return news<FleetPlanNews>(fleetTopic, "plan").value_or(FleetPlanNews{}).mark >= mark;
-    return news<ServiceNews>(each.first, "plan").value_or(ServiceNews{}).mark >= mark;
-  });
+  return std::all_of(topics.begin(), topics.end(), [&](const auto& each) { return planMark(each.first) >= mark; });
+}
+
+PlanMark LightZone::planMark(const Topic& topic) const {
+  const auto* entry = shared_->board().find(topic);
+  return entry ? planMarkIn(entry->table) : PlanMark{};
 }
 
 bool LightZone::servedUnder(const ServiceName& service, Epoch epoch) {
--- a/src/scale/light_zone.hpp
+++ b/src/scale/light_zone.hpp
@@ -52,6 +52,7 @@
   std::map<ServiceName, ServiceReport> services() const;
   template <class News>
   std::optional<News> news(const Topic& topic, const std::string& key) const;
+  PlanMark planMark(const Topic& topic) const;
 
   Clock& clock_;
   Journal& journal_;
--- a/tests/line_door_trial.hpp
+++ b/tests/line_door_trial.hpp
@@ -24,7 +24,7 @@
     FleetPlanNews fleet;
     fleet.mark = PlanMark{1};
     fleet.kinds[KindName{"strict"}] = kind.service;
-    news.put(fleetTopic, "plan", fleet);
+    news.putPlan(fleetTopic, fleet);
     NodeNews own;
     own.boot = boot;
     news.put(fleetTopic, "node/" + node.get(), own);
@@ -32,7 +32,7 @@
     service.service.discovered = true;
     service.service.branches[kind.branch].connections = 2;
     service.kinds[KindName{"strict"}] = kind;
-    news.put("s1", "plan", service);
+    news.putPlan("s1", service);
     news.put("s1", "primary", PrimaryNews{Epoch{1}, DatabaseName{"d1"}, true, false});
     news.put("s1", "database/d1", DatabaseNews{Address{"10.2.0.1:1"}, Zone{}, 10});
     ShareNews share;
--- a/tests/news_test.cpp
+++ b/tests/news_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "control/control_state.hpp"
+#include "control/plan_news.hpp"
 #include "news/news_desk.hpp"
 #include "news/news_follower.hpp"
 #include "pool/guide.hpp"
@@ -30,18 +31,20 @@
   NewsDesk news;
 };
 
-std::string planOf(const std::set<std::string>& services) {
+NewsTable planOf(const std::set<std::string>& services) {
   FleetPlanNews news;
   news.mark = PlanMark{1};
   for (const auto& service : services) news.kinds[KindName{"k" + service}] = ServiceName{service};
-  return packed(news);
+  NewsTable table;
+  layPlan(table, news);
+  return table;
 }
 
 struct Following {
   Following()
       : world(3), network(world), first(world, network, "10.0.0.1"), second(world, network, "10.0.0.2"), clock(world), link(network, clock, Address{"10.1.0.1:1"}), desk(clock, link), journal("node", [](const std::string&) {}), follower(clock, desk, journal, [](const Topic&) { return std::vector{Address{"10.0.0.1:1"}, Address{"10.0.0.2:1"}}; }, FollowTimings{450ms, 50ms}) {
     for (auto* source : {&first, &second}) {
-      source->publish(fleetTopic, "plan", planOf({"s1", "s2"}));
+      source->board.publish(fleetTopic, ++source->at, planOf({"s1", "s2"}));
       source->publish("s1", "a", "1");
       source->publish("s2", "a", "1");
     }
@@ -118,7 +121,9 @@
   FixedFeed feed;
   Guide guide(clock, feed, Address{"10.1.0.1:1"}, 8);
   auto fleet = [&](std::uint64_t mark, std::uint64_t boot, std::uint64_t enrolledAt) {
-    feed.own.publish(fleetTopic, mark, NewsTable{{"plan", planOf({"s1"})}, {"node/10.1.0.1:1", packed(NodeNews{Zone{"z1"}, false, {}, boot, enrolledAt})}});
+    auto table = planOf({"s1"});
+    table["node/10.1.0.1:1"] = packed(NodeNews{Zone{"z1"}, false, {}, boot, enrolledAt});
+    feed.own.publish(fleetTopic, mark, std::move(table));
     guide.refresh();
   };
   ShareNews share{{{BranchName{"b"}, 4}}};
--- /dev/null
+++ b/tests/plan_news_test.cpp
@@ -0,0 +1,72 @@
+#include <catch2/catch.hpp>
+
+#include "control/control_state.hpp"
+
+using namespace tamarindshift;
+
+namespace {
+
+std::string planOf(int mark, const std::string& kinds) {
+  return R"({"mark":)" + std::to_string(mark) + R"(,"services":{
+"s1":{"discovery":"heartbeats","quota":{"connections":10,"branches":{"work":{"connections":10,"order":1}}}},
+"s2":{"discovery":"heartbeats","quota":{"connections":10,"branches":{"work":{"connections":10,"order":1}}}}},
+"kinds":{)" + kinds + "}}";
+}
+
+std::string kind(const std::string& name, const std::string& service, int statement) {
+  return "\"" + name + R"(":{"service":")" + service + R"(","branch":"work","consistency":"primary","host":")" + name + R"(-of-the-counter","prefix":"/","statement-ms":)" +
+         std::to_string(statement) + "}";
+}
+
+struct Replica {
+  Replica() : state(board) {}
+  void take(const std::string& plan) {
+    Action action;
+    action.update = packed(ControlUpdate{ControlMatter::plan, 0, packed(PlanUpdate{plan})});
+    CHECK(state.applyGreen(action, ++position) == "held");
+  }
+  std::size_t bytesSince(const Topic& topic, std::uint64_t mark) const {
+    TopicReply reply;
+    board.fill(topic, mark, reply);
+    CHECK(reply.fate == FollowFate::changes);
+    std::size_t bytes = 0;
+    for (const auto& change : reply.changes) bytes += change.value.size();
+    return bytes;
+  }
+  NewsBoard board;
+  ControlState state;
+  std::uint64_t position = 0;
+};
+
+}  // namespace
+
+TEST_CASE("plan news: a new plan tells a service that it leaves as it was little more than its mark") {
+  Replica replica;
+  auto held = kind("k2", "s2", 800) + "," + kind("k3", "s2", 900);
+  replica.take(planOf(1, kind("k1", "s1", 800) + "," + held));
+  auto before = replica.position;
+  replica.take(planOf(2, kind("k1", "s1", 700) + "," + held));
+  CHECK(replica.bytesSince(fleetTopic, before) <= 8);
+  CHECK(replica.bytesSince("s2", before) <= 8);
+  CHECK(replica.bytesSince("s1", before) > 8);
+  CHECK(replica.board.mark("s2") == replica.position);
+}
+
+TEST_CASE("plan news: followers that get the changes hold what those that start anew get") {
+  Replica replica;
+  NewsBoard follower;
+  auto follow = [&](NewsBoard& board, const Topic& topic) {
+    TopicReply reply;
+    replica.board.fill(topic, board.mark(topic), reply);
+    CHECK(board.apply(topic, reply));
+    return board.find(topic)->table;
+  };
+  int mark = 0;
+  for (const auto& kinds : {kind("k1", "s1", 800) + "," + kind("k2", "s2", 800), kind("k1", "s1", 800), kind("k1", "s2", 800), kind("k4", "s1", 1) + "," + kind("k1", "s2", 5)}) {
+    replica.take(planOf(++mark, kinds));
+    for (const auto& topic : {fleetTopic, Topic{"s1"}, Topic{"s2"}}) {
+      NewsBoard fresh;
+      CHECK(follow(follower, topic) == follow(fresh, topic));
+    }
+  }
+}
--- a/tests/pooler_trial.cpp
+++ b/tests/pooler_trial.cpp
@@ -197,7 +197,7 @@
   plan.mark = PlanMark{++planMark_};
   for (const auto& [name, kind] : kinds) plan.kinds[name] = kind.service;
   plan.limits["idle-transaction-ms"] = 3000;
-  news.put(fleetTopic, "plan", plan);
+  news.putPlan(fleetTopic, plan);
   NodeNews own;
   own.zone = settings.zone;
   own.boot = boot;
@@ -212,7 +212,7 @@
   service.service.branches[branch].connections = 100;
   for (const auto& [kindName, kind] : kinds)
     if (kind.service == ServiceName{name}) service.kinds[kindName] = kind;
-  news.put(name, "plan", service);
+  news.putPlan(name, service);
 }
 
 void PoolerTrial::primary(std::uint64_t epoch, const std::string& name, bool promoted, bool planned, const std::string& service) {
--- a/tests/scripted_news.hpp
+++ b/tests/scripted_news.hpp
@@ -2,7 +2,7 @@
 
 #include <set>
 
-#include "control/service_news.hpp"
+#include "control/plan_news.hpp"
 #include "news/news_feed.hpp"
 
 namespace tamarindshift {
@@ -26,6 +26,12 @@
     tables_[topic][key] = packed(value);
     publish(topic);
   }
+  template <class Plan>
+  void putPlan(const Topic& topic, const Plan& plan) {
+    std::erase_if(tables_[topic], [](const auto& each) { return isPlanKey(each.first); });
+    layPlan(tables_[topic], plan);
+    publish(topic);
+  }
   void remove(const Topic& topic, const std::string& key) {
     tables_[topic].erase(key);
     publish(topic);
