A node is told its own shares alone, homes all

Cause: each move of a service's shares, and each start of a node, sent the shares of all 76 nodes to all nodes, through two homes a zone at 2 Mbit/s. That is most of what a home sends after a loss of power, while its followers wait for a lease. Now an ask names the node whose entries are wanted; a reply leaves out the others' and still tells the table's mark, so that each node follows each move as before (shares are granted only once all follow). Who holds a part passes it on to that node alone (an agent to its proxy); one that comes to be a home asks for the whole. Weighed: a topic for each node (a lease and an ask for each).

--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -286,7 +286,7 @@
   if (service.discovered)
     for (const auto& [database, own] : databases(name)) table["database/" + database.get()] = packed(DatabaseNews{own.address, own.zone, own.capacity});
   for (const auto& [database, mark] : state.drained) table["drained/" + database.get()] = packed(mark);
-  for (const auto& [node, branches] : state.grants) table["share/" + node.get()] = packed(ShareNews{branches});
+  for (const auto& [node, branches] : state.grants) table[sharePrefix + node.get()] = packed(ShareNews{branches});
   return table;
 }
 
--- a/src/news/agent_node.cpp
+++ b/src/news/agent_node.cpp
@@ -11,7 +11,7 @@
 namespace tamarindshift {
 
 AgentNode::AgentNode(Clock& clock, PeerLink& link, Journal& journal, AgentSettings settings)
-    : clock_(clock), journal_(journal), settings_(std::move(settings)), replicas_(settings_.seeds), desk_(clock, link), news_(clock, desk_, journal, [this](const Topic& topic) { return sources(topic); }, FollowTimings{settings_.timings.newsPatience, 50ms, 5s, settings_.signs}), newsDesk_(clock, desk_, news_.board(), news_, settings_.timings.newsWait) {
+    : clock_(clock), journal_(journal), settings_(std::move(settings)), replicas_(settings_.seeds), desk_(clock, link), news_(clock, desk_, journal, [this](const Topic& topic) { return sources(topic); }, FollowTimings{settings_.timings.newsPatience, 50ms, 5s, settings_.signs}, [this] { return isHome() ? std::nullopt : std::optional{settings_.address}; }), newsDesk_(clock, desk_, news_.board(), news_, settings_.timings.newsWait) {
   desk_.serve("report", [this](Address, std::string body) -> Task<std::optional<std::string>> {
     if (auto report = unpacked<NodeReport>(body)) this->report(std::move(*report));
     co_return std::nullopt;
@@ -51,6 +51,11 @@
   return zoneAgents_;
 }
 
+bool AgentNode::isHome() const {
+  const auto& agents = zoneAgents();
+  return std::find(agents.begin(), agents.end(), settings_.address) - agents.begin() < static_cast<std::ptrdiff_t>(std::min(homesInZone, agents.size()));
+}
+
 std::vector<Address> AgentNode::sources(const Topic& topic) const {
   const auto& agents = zoneAgents();
   std::vector<Address> sources;
--- a/src/news/agent_node.hpp
+++ b/src/news/agent_node.hpp
@@ -31,6 +31,7 @@
  private:
   static constexpr std::size_t homesInZone = 2;
   const std::vector<Address>& zoneAgents() const;
+  bool isHome() const;
   Task<void> peers();
   Task<DoorReply> askReplicas(std::string subject, std::string body);
   DoorReply status() const;
--- a/src/news/news_board.cpp
+++ b/src/news/news_board.cpp
@@ -2,6 +2,14 @@
 
 namespace tamarindshift {
 
+namespace {
+
+bool concerns(const std::string& key, const std::optional<Address>& own) {
+  return !own || !key.starts_with(sharePrefix) || key.compare(sharePrefix.size(), std::string::npos, own->get()) == 0;
+}
+
+}  // namespace
+
 NewsBoard::Entry& NewsBoard::entry(const Topic& topic) {
   auto& entry = entries_[topic];
   if (!entry) entry = std::make_unique<Entry>();
@@ -18,6 +26,11 @@
   return entry ? entry->mark : 0;
 }
 
+std::uint64_t NewsBoard::completeMark(const Topic& topic, const std::optional<Address>& own) const {
+  const auto* entry = find(topic);
+  return entry && (!entry->own || entry->own == own) ? entry->mark : 0;
+}
+
 void NewsBoard::change(Entry& entry, NewsChange change) {
   entry.mark = change.mark;
   if (change.removed)
@@ -54,40 +67,43 @@
   changed_.open();
 }
 
-bool NewsBoard::apply(const Topic& topic, const TopicReply& reply) {
+bool NewsBoard::apply(const Topic& topic, const TopicReply& reply, const std::optional<Address>& own) {
   auto& entry = this->entry(topic);
   if (reply.fate == FollowFate::notCurrent || reply.mark < entry.mark) return false;
   if (reply.fate == FollowFate::snapshot) {
-    if (reply.mark == entry.mark) return true;
+    if (reply.mark == entry.mark && (!entry.own || entry.own == own)) return true;
+    entry.own = own;
     restore(topic, reply.mark, reply.table);
     return true;
   }
-  bool changed = false;
+  bool changed = reply.mark > entry.mark;
+  if (changed) entry.own = own;
   auto held = entry.mark;
   for (const auto& each : reply.changes) {
     if (each.mark <= held) continue;
     change(entry, each);
-    changed = true;
   }
+  entry.mark = reply.mark;
   if (changed) changed_.open();
   return true;
 }
 
-void NewsBoard::fill(const Topic& topic, std::uint64_t have, TopicReply& reply) const {
+void NewsBoard::fill(const Topic& topic, std::uint64_t have, TopicReply& reply, const std::optional<Address>& own) const {
   const auto* entry = find(topic);
-  if (!entry || entry->mark < have) {
+  if (!entry || entry->mark < have || (entry->own && entry->own != own)) {
     reply.fate = FollowFate::notCurrent;
     return;
   }
   reply.mark = entry->mark;
   if (have < entry->changesSince || have == 0) {
     reply.fate = FollowFate::snapshot;
-    reply.table = entry->table;
+    for (const auto& [key, value] : entry->table)
+      if (concerns(key, own)) reply.table.emplace(key, value);
     return;
   }
   reply.fate = FollowFate::changes;
   for (const auto& each : entry->changes)
-    if (each.mark > have) reply.changes.push_back(each);
+    if (each.mark > have && concerns(each.key, own)) reply.changes.push_back(each);
 }
 
 }  // namespace tamarindshift
--- a/src/news/news_board.hpp
+++ b/src/news/news_board.hpp
@@ -13,6 +13,8 @@
   struct Entry {
     std::uint64_t mark = 0;
     std::uint64_t changesSince = 0;
+    // the node whose own entries are all that is held of those that concern one node
+    std::optional<Address> own;
     NewsTable table;
     std::deque<NewsChange> changes;
   };
@@ -20,12 +22,15 @@
   void publish(const Topic& topic, std::uint64_t mark, NewsTable table);
   // takes a table as it stood at `mark`, without the changes that led there
   void restore(const Topic& topic, std::uint64_t mark, NewsTable table);
-  bool apply(const Topic& topic, const TopicReply& reply);
-  void fill(const Topic& topic, std::uint64_t have, TopicReply& reply) const;
+  // `own`: the node whose own entries were asked for, as in FollowAsk
+  bool apply(const Topic& topic, const TopicReply& reply, const std::optional<Address>& own = std::nullopt);
+  void fill(const Topic& topic, std::uint64_t have, TopicReply& reply, const std::optional<Address>& own = std::nullopt) const;
   const Entry* find(const Topic& topic) const;
   Entry& entry(const Topic& topic);
   Gate& changed() { return changed_; }
   std::uint64_t mark(const Topic& topic) const;
+  // the mark that the table is complete up to for who asks for the entries of `own`, or for all; 0 if it is not
+  std::uint64_t completeMark(const Topic& topic, const std::optional<Address>& own) const;
   const std::map<Topic, std::unique_ptr<Entry>>& entries() const { return entries_; }
 
  private:
--- a/src/news/news_desk.cpp
+++ b/src/news/news_desk.cpp
@@ -28,7 +28,7 @@
     auto& own = reply.topics[topic];
     auto until = source_.leaseUntil(topic);
     if (!until || *until <= clock_.now() || !board_.find(topic)) continue;
-    board_.fill(topic, have, own);
+    board_.fill(topic, have, own, ask->own);
     own.lease = *until - clock_.now();
     if (ask->signs) own.signs = source_.signs(topic);
     own.position = source_.position(topic);
--- a/src/news/news_follower.cpp
+++ b/src/news/news_follower.cpp
@@ -6,8 +6,8 @@
 
 namespace tamarindshift {
 
-NewsFollower::NewsFollower(Clock& clock, Desk& desk, Journal& journal, Sources sources, FollowTimings timings)
-    : clock_(clock), desk_(desk), journal_(journal), sources_(std::move(sources)), timings_(timings) {
+NewsFollower::NewsFollower(Clock& clock, Desk& desk, Journal& journal, Sources sources, FollowTimings timings, Own own)
+    : clock_(clock), desk_(desk), journal_(journal), sources_(std::move(sources)), own_(std::move(own)), timings_(timings) {
   topics_[fleetTopic];
   scope_.spawn(keepTopics());
 }
@@ -73,10 +73,11 @@
   while (!superseded(source, turn)) {
     FollowAsk ask;
     ask.signs = timings_.signs;
+    ask.own = own_();
     for (auto& [topic, followed] : topics_)
       if (currentSource(topic, followed) == source) {
         followed.asking = source;
-        ask.have[topic] = board_.mark(topic);
+        ask.have[topic] = board_.completeMark(topic, ask.own);
       }
     if (ask.have.empty()) {
       turns_.erase(source);
@@ -91,7 +92,9 @@
     for (const auto& [topic, have] : ask.have) {
       auto own = reply ? reply->topics.find(topic) : decltype(reply->topics.end()){};
       if (!topics_.contains(topic)) continue;
-      if (reply && own != reply->topics.end() && board_.apply(topic, own->second)) {
+      auto before = board_.mark(topic);
+      if (reply && own != reply->topics.end() && board_.apply(topic, own->second, ask.own)) {
+        if (board_.mark(topic) != before) changed_.open();
         take(topic, source, asked + std::min(reply->held, clock_.now() - asked), std::move(own->second));
         continue;
       }
--- a/src/news/news_follower.hpp
+++ b/src/news/news_follower.hpp
@@ -21,7 +21,9 @@
     std::uint64_t position = 0;
   };
 
-  NewsFollower(Clock& clock, Desk& desk, Journal& journal, Sources sources, FollowTimings timings);
+  // the node whose own entries are all that is wanted of those that concern one node; nothing if all are
+  using Own = std::function<std::optional<Address>()>;
+  NewsFollower(Clock& clock, Desk& desk, Journal& journal, Sources sources, FollowTimings timings, Own own = [] { return std::nullopt; });
   const NewsBoard& board() const override { return board_; }
   NewsBoard& board() { return board_; }
   Gate& changed() override { return changed_; }
@@ -44,6 +46,7 @@
   Desk& desk_;
   Journal& journal_;
   Sources sources_;
+  Own own_;
   FollowTimings timings_;
   NewsBoard board_;
   std::map<Topic, Followed> topics_;
--- a/src/news/news_messages.hpp
+++ b/src/news/news_messages.hpp
@@ -3,6 +3,7 @@
 #include <optional>
 #include <vector>
 
+#include "base/address.hpp"
 #include "news/news_table.hpp"
 #include "wire/pack.hpp"
 
@@ -30,7 +31,9 @@
 struct FollowAsk {
   std::map<Topic, std::uint64_t> have;
   bool signs = true;
-  MSGPACK_DEFINE(have, signs)
+  // the node whose own entries are all that is wanted of those that concern one node
+  std::optional<Address> own;
+  MSGPACK_DEFINE(have, signs, own)
 };
 
 enum class FollowFate : std::uint8_t { changes = 0, snapshot = 1, notCurrent = 2 };
--- a/src/news/news_table.hpp
+++ b/src/news/news_table.hpp
@@ -10,4 +10,7 @@
 
 inline const Topic fleetTopic = "fleet";
 
+// entries under this prefix concern the node that is named behind it
+inline const std::string sharePrefix = "share/";
+
 }  // namespace tamarindshift
--- a/src/pool/guide.cpp
+++ b/src/pool/guide.cpp
@@ -53,7 +53,7 @@
       DatabaseName database{key.substr(drainedPrefix.size())};
       auto before = drainedBefore.find(database);
       view.drained[database] = before == drainedBefore.end() ? clock_.now() : before->second;
-    } else if (key == "share/" + node_.get())
+    } else if (key == sharePrefix + node_.get())
       view.granted = unpacked<ShareNews>(value).value_or(ShareNews{});
   }
   if (view.plan && !view.plan->service.discovered)
