--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
+#include "control/plan_news.hpp"
 #include "control/plan_reader.hpp"
-#include "control/service_news.hpp"
 
 namespace tamarindshift {
 
@@ -299,7 +299,7 @@
     fleetPlan.limits = plan_->limits;
     for (const auto& [name, kind] : plan_->kinds) fleetPlan.kinds[name] = kind.service;
   }
-  fleet["plan"] = packed(fleetPlan);
+  layPlan(fleet, fleetPlan);
   return fleet;
 }
 
@@ -322,13 +322,13 @@
   ServiceNews news{plan_->mark, service, {}};
   for (const auto& [kindName, kind] : plan_->kinds)
     if (kind.service == name) news.kinds.emplace(kindName, kind);
-  table["plan"] = packed(news);
+  layPlan(table, news);
   table["primary"] = packed(PrimaryNews{state.epoch, state.primary, state.promoted, state.planned});
   if (service.discovered)
     for (const auto& [database, own] : databases(name)) table["database/" + database.get()] = packed(DatabaseNews{own.address, own.zone, own.capacity});
   for (const auto& [database, ration] : state.rations) table["ration/" + database.get()] = packed(ration);
   for (const auto& [database, mark] : state.drained) table["drained/" + database.get()] = packed(mark);
-  for (const auto& [node, branches] : state.grants) table["share/" + node.get()] = packed(ShareNews{branches});
+  for (const auto& [node, branches] : state.grants) table[sharePrefix + node.get()] = packed(ShareNews{branches});
   return table;
 }
 
--- a/src/news/agent_node.hpp
+++ b/src/news/agent_node.hpp
@@ -36,6 +36,7 @@
 
  private:
   const ZoneHomes& homes() const;
+  bool isHome() const { return homes().home(settings_.address); }
   Task<void> peers();
   Task<DoorReply> askReplicas(std::string subject, std::string body);
 
--- a/src/news/news_desk.cpp
+++ b/src/news/news_desk.cpp
@@ -9,7 +9,7 @@
 // leases of topics that are told as one differ by no more than this
 constexpr Duration sameLease = 200ms;
 
-bool quiet(const TopicReply& reply) { return reply.fate == FollowFate::changes && reply.changes.empty() && reply.signs.empty(); }
+bool quiet(const TopicReply& reply, std::uint64_t have) { return reply.fate == FollowFate::changes && reply.mark == have && reply.changes.empty() && reply.signs.empty(); }
 
 }  // namespace
 
@@ -75,24 +75,24 @@
     auto& own = reply.topics[topic];
     auto until = source_.leaseUntil(topic);
     if (!until || *until <= clock_.now() || !board_.find(topic) || !source_.answered(topic)) continue;
-    board_.fill(topic, mark, own);
+    board_.fill(topic, mark, own, ask.own);
     own.lease = *until - clock_.now();
     if (ask.signs && (ask.number == 0 || ask.signsOf.contains(topic))) own.signs = source_.signs(topic);
     own.position = source_.position(topic);
   }
-  if (ask.number != 0) leaveOutQuiet(reply);
+  if (ask.number != 0) leaveOutQuiet(reply, have);
   return reply;
 }
 
-void NewsDesk::leaveOutQuiet(FollowReply& reply) {
+void NewsDesk::leaveOutQuiet(FollowReply& reply, const Marks& have) {
   Duration longest{};
   for (const auto& [topic, own] : reply.topics)
-    if (quiet(own)) longest = std::max(longest, own.lease);
+    if (quiet(own, have.at(topic))) longest = std::max(longest, own.lease);
   reply.lease = longest;
   std::optional<std::uint64_t> position;
   std::erase_if(reply.topics, [&](const auto& each) {
     const auto& own = each.second;
-    if (!quiet(own) || own.lease + sameLease < longest) return false;
+    if (!quiet(own, have.at(each.first)) || own.lease + sameLease < longest) return false;
     reply.lease = std::min(reply.lease, own.lease);
     position = std::min(position.value_or(own.position), own.position);
     return true;
--- a/src/news/news_desk.hpp
+++ b/src/news/news_desk.hpp
@@ -25,7 +25,7 @@
   bool nothingNew(const Marks& have) const;
   std::optional<Instant> leasedUntil(const Marks& have) const;
   FollowReply reply(const FollowAsk& ask, const Marks& have) const;
-  static void leaveOutQuiet(FollowReply& reply);
+  static void leaveOutQuiet(FollowReply& reply, const Marks& have);
   Clock& clock_;
   NewsBoard& board_;
   NewsSource& source_;
--- a/src/news/news_follower.cpp
+++ b/src/news/news_follower.cpp
@@ -3,12 +3,12 @@
 #include <algorithm>
 #include <iterator>
 
-#include "control/service_news.hpp"
+#include "control/plan_news.hpp"
 
 namespace tamarindshift {
 
-NewsFollower::NewsFollower(Clock& clock, Desk& desk, Journal& journal, Sources sources, FollowTimings timings)
-    : clock_(clock), desk_(desk), journal_(journal), sources_(std::move(sources)), timings_(timings), lastAsk_(static_cast<std::uint64_t>(clock.now().time_since_epoch().count())) {
+NewsFollower::NewsFollower(Clock& clock, Desk& desk, Journal& journal, Sources sources, FollowTimings timings, Own own)
+    : clock_(clock), desk_(desk), journal_(journal), sources_(std::move(sources)), own_(std::move(own)), timings_(timings), lastAsk_(static_cast<std::uint64_t>(clock.now().time_since_epoch().count())) {
   topics_[fleetTopic];
   scope_.spawn(keepTopics());
 }
@@ -46,9 +46,7 @@
   for (;;) {
     std::set<Topic> wanted{fleetTopic};
     if (const auto* fleet = board_.find(fleetTopic))
-      if (auto plan = fleet->table.find("plan"); plan != fleet->table.end())
-        if (auto news = unpacked<FleetPlanNews>(plan->second))
-          for (const auto& [kind, service] : news->kinds) wanted.insert(service.get());
+      for (const auto& [kind, service] : fleetPlanIn(fleet->table).kinds) wanted.insert(service.get());
     std::erase_if(topics_, [&](const auto& each) { return !wanted.contains(each.first); });
     for (const auto& topic : wanted) topics_[topic];
     startAsks();
@@ -112,18 +110,19 @@
   }
 }
 
-NewsFollower::Marks NewsFollower::marksFor(const Address& source) {
+NewsFollower::Marks NewsFollower::marksFor(const Address& source, const std::optional<Address>& own) {
   Marks have;
   for (auto& [topic, followed] : topics_)
     if (currentSource(topic, followed) == source) {
       followed.asking = source;
-      have[topic] = board_.mark(topic);
+      have[topic] = board_.completeMark(topic, own);
     }
   return have;
 }
 
-FollowAsk NewsFollower::makeAsk(const Address& source, const Marks& have) {
+FollowAsk NewsFollower::makeAsk(const Address& source, const Marks& have, std::optional<Address> own) {
   FollowAsk ask;
+  ask.own = std::move(own);
   ask.signs = timings_.signs;
   ask.number = ++lastAsk_;
   auto shortest = Instant::max();
@@ -135,7 +134,7 @@
   ask.lease = shortest - clock_.now();
   auto told = told_.find(source);
   auto sameTopics = [&] { return std::equal(have.begin(), have.end(), told->second.have.begin(), told->second.have.end(), [](const auto& left, const auto& right) { return left.first == right.first; }); };
-  if (told == told_.end() || !sameTopics()) {
+  if (told == told_.end() || told->second.own != ask.own || !sameTopics()) {
     ask.have = have;
     return ask;
   }
@@ -146,12 +145,13 @@
 
 Task<void> NewsFollower::follow(Address source, std::uint64_t turn) {
   while (!superseded(source, turn)) {
-    auto have = marksFor(source);
+    auto own = own_();
+    auto have = marksFor(source, own);
     if (have.empty()) {
       turns_.erase(source);
       co_return;
     }
-    auto ask = makeAsk(source, have);
+    auto ask = makeAsk(source, have, std::move(own));
     auto asked = clock_.now();
     journal_.count("news.asks");
     auto bytes = co_await desk_.ask(source, "follow", packed(ask), asked + timings_.patience);
@@ -167,7 +167,9 @@
       if (reply) {
         auto at = asked + std::min(reply->held, clock_.now() - asked);
         auto own = reply->topics.find(topic);
-        if (own != reply->topics.end() ? board_.apply(topic, own->second) : remembers) {
+        auto before = board_.mark(topic);
+        if (own != reply->topics.end() ? board_.apply(topic, own->second, ask.own) : remembers) {
+          if (board_.mark(topic) != before) changed_.open();
           take(topic, source, at, own != reply->topics.end() ? std::move(own->second) : TopicReply{FollowFate::changes, mark, {}, {}, reply->lease, {}, reply->position});
           continue;
         }
@@ -175,7 +177,7 @@
       fail(topic, source);
       failed = true;
     }
-    if (remembers) told_[source] = Told{ask.number, std::move(have)};
+    if (remembers) told_[source] = Told{ask.number, std::move(have), ask.own};
     if (failed) journal_.count("news.attempts_failed");
     failures_ = failed ? std::min(failures_ + 1, 3u) : 0;
     co_await sleep(clock_, failed ? timings_.pause * failures_ : Duration{5ms});
--- a/src/news/news_follower.hpp
+++ b/src/news/news_follower.hpp
@@ -30,7 +30,9 @@
     std::uint64_t position = 0;
   };
 
-  NewsFollower(Clock& clock, Desk& desk, Journal& journal, Sources sources, FollowTimings timings);
+  // the node whose own entries are all that is wanted of those that concern one node; nothing if all are
+  using Own = std::function<std::optional<Address>()>;
+  NewsFollower(Clock& clock, Desk& desk, Journal& journal, Sources sources, FollowTimings timings, Own own = [] { return std::nullopt; });
   const NewsBoard& board() const override { return board_; }
   NewsBoard& board() { return board_; }
   Gate& changed() override { return changed_; }
@@ -44,8 +46,8 @@
  private:
   Task<void> keepTopics();
   Task<void> follow(Address source, std::uint64_t turn);
-  Marks marksFor(const Address& source);
-  FollowAsk makeAsk(const Address& source, const Marks& have);
+  Marks marksFor(const Address& source, const std::optional<Address>& own);
+  FollowAsk makeAsk(const Address& source, const Marks& have, std::optional<Address> own);
   void startAsks();
   void take(const Topic& topic, const Address& source, Instant at, TopicReply reply);
   void fail(const Topic& topic, const Address& source);
@@ -53,6 +55,7 @@
   struct Told {
     std::uint64_t number = 0;
     Marks have;
+    std::optional<Address> own;
   };
   struct Standing {
     Instant answeredAt{};
@@ -69,6 +72,7 @@
   Desk& desk_;
   Journal& journal_;
   Sources sources_;
+  Own own_;
   FollowTimings timings_;
   NewsBoard board_;
   std::map<Topic, Followed> topics_;
--- a/src/news/news_messages.hpp
+++ b/src/news/news_messages.hpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <vector>
 
+#include "base/address.hpp"
 #include "news/news_table.hpp"
 #include "wire/pack.hpp"
 
@@ -39,7 +40,9 @@
   std::set<Topic> signsOf;
   // what is left of the shortest lease of the topics, below 0 if that is not told
   Duration lease{-1};
-  MSGPACK_DEFINE(have, signs, number, after, signsOf, lease)
+  // the node whose own entries are all that is wanted of those that concern one node
+  std::optional<Address> own;
+  MSGPACK_DEFINE(have, signs, number, after, signsOf, lease, own)
 };
 
 enum class FollowFate : std::uint8_t { changes = 0, snapshot = 1, notCurrent = 2 };
--- a/tests/front_door_limits_test.cpp
+++ b/tests/front_door_limits_test.cpp
@@ -15,7 +15,7 @@
     plan.mark = PlanMark{100};
     for (const auto& [name, kind] : kinds) plan.kinds[name] = kind.service;
     plan.limits = {{"idle-transaction-ms", 3000}, {"idle-session-ms", 5000}, {"message-bytes", 200}};
-    news.put(fleetTopic, "plan", plan);
+    news.putPlan(fleetTopic, plan);
     run(200ms);
   }
   std::shared_ptr<ScriptedLine> session() {
--- a/tests/news_desk_test.cpp
+++ b/tests/news_desk_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "control/service_news.hpp"
+#include "control/plan_news.hpp"
 #include "news/news_desk.hpp"
 #include "news/news_follower.hpp"
 #include "scale/metered_link.hpp"
@@ -15,11 +15,13 @@
 constexpr std::size_t services = 40;
 const Address sourceAt{"10.0.0.1:1"};
 
-std::string planNews() {
+NewsTable planNews() {
   FleetPlanNews news;
   news.mark = PlanMark{1};
   for (std::size_t number = 1; number <= services; ++number) news.kinds[KindName{"k" + std::to_string(number)}] = ServiceName{"s" + std::to_string(number)};
-  return packed(news);
+  NewsTable table;
+  layPlan(table, news);
+  return table;
 }
 
 // a source whose leases last for `lease`, and which may start again without its memory
@@ -61,7 +63,8 @@
 struct Following {
   explicit Following(std::uint64_t seed = 1)
       : world(seed), network(world), source(world, network), clock(world), link(network, clock, Address{"10.1.0.1:1"}), counted(link, traffic, [](const Address&) { return "source"; }), desk(clock, counted), journal("node", [](const std::string&) {}), follower(clock, desk, journal, [](const Topic&) { return std::vector{sourceAt}; }, FollowTimings{350ms, 50ms}) {
-    source.publish(fleetTopic, "plan", planNews());
+    source.tables[fleetTopic] = planNews();
+    source.board.publish(fleetTopic, ++source.at, source.tables[fleetTopic]);
     for (const auto& topic : topics()) source.publish(topic, "a", "1");
   }
   static std::vector<Topic> topics() {
