A node told that a database is crowded gives half of its connections back

Cause: after all machines lost power, databases hold the dead connections for some seconds.

Mended: a refused opening for too many connections halves what the node keeps at that database, down to two, and gives one back each 250 ms; a node without any connection there tries again after 200 ms at most.

Ruled out: a bound on connections from the start of a process (a node that was only restarted would wait for nothing). Three tests on simulated time, the first seen to fail before.

--- a/src/pooler/back_end_pool.cpp
+++ b/src/pooler/back_end_pool.cpp
@@ -1,6 +1,7 @@
 #include "pooler/back_end_pool.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace tamarindshift {
 
@@ -65,7 +66,7 @@
 bool BackEndPool::mayOpen(const DatabaseName& database, std::uint32_t most) {
   auto& shelf = shelves_[database];
   auto atOnce = shelf.openPause > Duration::zero() || shelf.suspect ? 1 : mostOpening;
-  return shelf.total() < most && shelf.opening < atOnce && clock_.now() >= shelf.openAfter;
+  return shelf.total() < std::min(most, bound(shelf)) && shelf.opening < atOnce && clock_.now() >= shelf.openAfter;
 }
 
 void BackEndPool::open(DatabaseTarget target, Duration patience) {
@@ -81,8 +82,10 @@
   --shelf.opening;
   if (!opened.connection) {
     journal_.count("pool.opens_failed");
-    shelf.openPause = std::clamp(2 * shelf.openPause, leastOpenPause, mostOpenPause);
+    bool none = opened.answered && shelf.idle.empty() && shelf.busy.empty();
+    shelf.openPause = std::clamp(2 * shelf.openPause, leastOpenPause, none ? mostPauseWithNone : mostOpenPause);
     shelf.openAfter = clock_.now() + shelf.openPause;
+    if (opened.fault == StatementFault::overloaded) crowded(target.database);
     if (opened.answered)
       shelf.heardAt = clock_.now();
     else
@@ -101,13 +104,31 @@
   changed_();
 }
 
+void BackEndPool::crowded(const DatabaseName& database) {
+  auto& shelf = shelves_[database];
+  if (shelf.crowdedAt && clock_.now() - *shelf.crowdedAt < crowdedStep) return;
+  auto held = static_cast<std::uint32_t>(shelf.idle.size() + shelf.busy.size());
+  shelf.crowdedMost = std::max(leastKept, held / 2);
+  shelf.crowdedAt = clock_.now();
+  journal_.count("pool.crowded");
+  trim(database, shelf.crowdedMost);
+}
+
+std::uint32_t BackEndPool::bound(const Shelf& shelf) const {
+  if (!shelf.crowdedAt) return std::numeric_limits<std::uint32_t>::max();
+  return shelf.crowdedMost + static_cast<std::uint32_t>((clock_.now() - *shelf.crowdedAt) / crowdedStep);
+}
+
 void BackEndPool::release(const std::shared_ptr<PooledBackEnd>& connection) {
   if (connection->cut || !connection->link->usable()) return drop(connection);
   auto& shelf = shelves_[connection->target.database];
   if (shelf.busy.erase(connection) == 0) return;
   connection->usedAt = clock_.now();
   connection->asPrimary = false;
-  shelf.idle.push_front(connection);
+  if (shelf.total() < bound(shelf))
+    shelf.idle.push_front(connection);
+  else
+    connection->link->close();
   changed_();
 }
 
--- a/src/pooler/back_end_pool.hpp
+++ b/src/pooler/back_end_pool.hpp
@@ -18,6 +18,9 @@
     std::uint32_t opening = 0;
     Instant openAfter{};
     Duration openPause{};
+    // what is kept at most since the database said that it holds too many connections
+    std::uint32_t crowdedMost = 0;
+    std::optional<Instant> crowdedAt;
     Instant heardAt{};
     bool suspect = false;
     Instant trialAt{};
@@ -65,9 +68,15 @@
 
  private:
   Task<void> opening(DatabaseTarget target, Duration patience);
+  // others may have none: half of the connections are given back, and won again one by one
+  void crowded(const DatabaseName& database);
+  std::uint32_t bound(const Shelf& shelf) const;
   static constexpr std::uint32_t mostOpening = 4;
   static constexpr Duration leastOpenPause = 50ms;
   static constexpr Duration mostOpenPause = 1s;
+  static constexpr Duration mostPauseWithNone = 200ms;
+  static constexpr std::uint32_t leastKept = 2;
+  static constexpr Duration crowdedStep = 250ms;
 
   Clock& clock_;
   BackEnds& backEnds_;
--- /dev/null
+++ b/tests/pooler_crowded_test.cpp
@@ -0,0 +1,76 @@
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+#include "tests/pooler_trial.hpp"
+
+using namespace tamarindshift;
+
+namespace {
+
+struct CrowdedTrial : PoolerTrial {
+  explicit CrowdedTrial(std::uint64_t seed) : PoolerTrial(choice(seed)) { backEnds.at("d1").work = 20ms; }
+  static Choice choice(std::uint64_t seed) {
+    Choice choice;
+    choice.seed = seed;
+    choice.share = 12;
+    return choice;
+  }
+  std::size_t clients = 0;
+  void press(std::size_t count, Duration duration) {
+    std::vector<std::unique_ptr<TrialClient>> crowd;
+    std::vector<std::shared_ptr<Asked>> asked(count);
+    for (std::size_t number = 0; number < count; ++number) crowd.push_back(client("c" + std::to_string(++clients)));
+    auto until = world.now() + duration;
+    while (world.now() < until) {
+      for (std::size_t index = 0; index < count; ++index)
+        if (!asked[index] || asked[index]->reply) asked[index] = crowd[index]->start("WRITE a " + std::to_string(index));
+      run(1ms);
+    }
+    REQUIRE(runUntil(1s, [&] { return std::all_of(asked.begin(), asked.end(), [](const auto& each) { return each->reply.has_value(); }); }));
+  }
+};
+
+}  // namespace
+
+TEST_CASE("pooler crowded: a node told that a database holds too many connections gives half of its own back", "[pooler][crowded]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CrowdedTrial trial(seed);
+    auto& database = trial.backEnds.at("d1");
+    trial.press(8, 200ms);
+    CHECK(database.connections == 8);
+    database.opening = ScriptedOpening::overloaded;
+    trial.press(12, 60ms);
+    trial.run(50ms);
+    CHECK(database.connections == 4);
+    CHECK(trial.violations.empty());
+  }
+}
+
+TEST_CASE("pooler crowded: what was given back is won again one by one", "[pooler][crowded]") {
+  CrowdedTrial trial(1);
+  auto& database = trial.backEnds.at("d1");
+  trial.press(8, 200ms);
+  database.opening = ScriptedOpening::overloaded;
+  trial.press(12, 60ms);
+  database.opening = ScriptedOpening::accepted;
+  trial.press(12, 500ms);
+  CHECK(database.connections > 4);
+  CHECK(database.connections < 8);
+  trial.press(12, 2s);
+  CHECK(database.connections >= 9);
+  CHECK(trial.violations.empty());
+}
+
+TEST_CASE("pooler crowded: a node with no connection at all tries again soon", "[pooler][crowded]") {
+  CrowdedTrial trial(1);
+  auto& database = trial.backEnds.at("d1");
+  database.opening = ScriptedOpening::overloaded;
+  trial.press(2, 2s);
+  CHECK(database.openings >= 8);
+  CHECK(database.openings <= 24);
+  database.opening = ScriptedOpening::accepted;
+  auto alice = trial.client("alice");
+  auto asked = alice->start("WRITE a 1");
+  CHECK(trial.runUntil(300ms, [&] { return asked->reply.has_value(); }));
+}
