--- a/tests/news_desk_test.cpp
+++ b/tests/news_desk_test.cpp
@@ -189,3 +189,29 @@
     }
   }
 }
+
+TEST_CASE("who asks for the shares of one node learns the mark of changes that concern others, and goes on waiting") {
+  Following following;
+  const Address node{"10.1.0.2:1"};
+  SimulatedClock clock(following.world);
+  SimulatedLink link(following.network, clock, node);
+  Desk desk(clock, link);
+  SimulatedJournal journal("node", [](const std::string&) {});
+  NewsFollower follower(clock, desk, journal, [](const Topic&) { return std::vector{sourceAt}; }, FollowTimings{350ms, 50ms}, [node] { return std::optional{node}; });
+  following.run(2s);
+  REQUIRE(follower.board().mark("s1") == following.source.board.mark("s1"));
+  auto asked = [&] { return journal.counters().at("news.asks"); };
+  auto before = asked();
+  following.run(5s);
+  auto quiet = asked() - before;
+  following.source.publish("s1", "share/10.1.0.9:1", "4");
+  following.run(1s);
+  CHECK(follower.board().mark("s1") == following.source.board.mark("s1"));
+  CHECK_FALSE(follower.board().find("s1")->table.contains("share/10.1.0.9:1"));
+  before = asked();
+  following.run(5s);
+  CHECK(asked() - before <= quiet + 2);
+  following.source.publish("s1", "share/10.1.0.2:1", "7");
+  following.run(300ms);
+  CHECK(follower.board().find("s1")->table.at("share/10.1.0.2:1") == "7");
+}
