What the joined parts showed: parted logs, empty shares that waited, a round of three sources

The checker now takes the term of the last kept entry too, and has a case for each side; the follower's test waits a round over its three sources.

--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -181,7 +181,7 @@
   for (const auto& [node, branches] : service.grants) {
     if (target.contains(node)) continue;
     const auto* known = heard(node);
-    if (!state_.nodes().contains(node) || !known || clock_.now() - known->heardAt > timings_.nodeGone) return false;
+    if (branches.empty() || !state_.nodes().contains(node) || !known || clock_.now() - known->heardAt > timings_.nodeGone) return false;
     for (const auto& [branch, amount] : branches) away[branch] += amount;
   }
   const auto& branches = state_.plan()->services.at(name).branches;
--- a/tests/news_test.cpp
+++ b/tests/news_test.cpp
@@ -138,7 +138,7 @@
   CHECK(following.follower.leaseUntil("s1"));
   CHECK_FALSE(following.follower.answered("s1"));
   following.network.heal("10.0.0.2", "10.1.0.1");
-  following.run(1s);
+  following.run(3 * (450ms + 150ms));
   CHECK(following.follower.answered("s1"));
 }
 
--- a/tests/front_door_limits_test.cpp
+++ b/tests/platform/front_door_limits_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "../platform/front_door.hpp"
+#include "platform/front_door.hpp"
 #include "tests/pooler_trial.hpp"
 #include "tests/scripted_line.hpp"
 
--- a/tests/platform/rule_checks_test.cpp
+++ b/tests/platform/rule_checks_test.cpp
@@ -365,6 +365,22 @@
     read(made, "shop", 12s, WirePosition{1, 0});
     CHECK(broken(made) == "");
   }
+  SECTION("a commit of a term that the next leader never received is cut back, however long its own log is") {
+    made.history.services.syncReplicas["orders"] = false;
+    made.history.services.terms.push_back(TermStart{"orders", "b", 2, 1, HistoryMaker::at(11s), 1});
+    singleWrite(made, "shop", 12s, 2, 2, 1);
+    made.history.services.terms.push_back(TermStart{"orders", "a", 3, 5, HistoryMaker::at(13s), 1});
+    read(made, "shop", 14s, WirePosition{1, 5});
+    CHECK(broken(made) == "");
+  }
+  SECTION("a commit of a term that the next leader had received is not") {
+    made.history.services.syncReplicas["orders"] = false;
+    made.history.services.terms.push_back(TermStart{"orders", "b", 2, 1, HistoryMaker::at(11s), 1});
+    singleWrite(made, "shop", 12s, 2, 2, 1);
+    made.history.services.terms.push_back(TermStart{"orders", "a", 3, 5, HistoryMaker::at(13s), 2});
+    read(made, "shop", 14s, WirePosition{1, 5});
+    CHECK(broken(made) == "STALE");
+  }
   SECTION("the log of an old term lacks the commits of the next") {
     made.history.services.terms.push_back(TermStart{"orders", "b", 2, 1, HistoryMaker::at(11s)});
     singleWrite(made, "shop", 12s, 2, 2, 1);
--- a/tests/platform/standin_wire_service.cpp
+++ b/tests/platform/standin_wire_service.cpp
@@ -31,7 +31,7 @@
   if (!database) return false;
   if (id == leader_ && database->leads()) return true;
   leader_ = id;
-  history_.terms.push_back(TermStart{name_, id, ++term_, database->received(), lines_.world().now()});
+  history_.terms.push_back(TermStart{name_, id, ++term_, database->received(), lines_.world().now(), database->log().end(database->received()).term});
   database->lead(term_);
   return true;
 }
