--- a/src/base/address.hpp
+++ b/src/base/address.hpp
@@ -19,6 +19,9 @@
 
 std::optional<HostAndPort> splitAddress(const Address& address);
 
+/// The host of an address as it is written, which names the machine.
+inline std::string hostOf(const Address& address) { return address.get().substr(0, address.get().rfind(':')); }
+
 using Detours = std::map<Address, Address>;
 
 inline const Address& detoured(const Detours& detours, const Address& address) {
--- a/src/base/peer_link.hpp
+++ b/src/base/peer_link.hpp
@@ -16,6 +16,8 @@
   virtual ~PeerLink() = default;
   virtual const Address& own() const = 0;
   virtual void pass(const Address& peer, Envelope envelope) = 0;
+  /// Bytes of a message from `peer` that have come while its end is still on its way; 0 if there is none.
+  virtual std::size_t arriving(const Address&) const { return 0; }
   void on(Matter matter, Arrival arrival) { arrivals_[matter] = std::move(arrival); }
 
  protected:
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -61,14 +61,24 @@
   return reply;
 }
 
-std::string ControlState::applyPlan(const PlanUpdate& update) {
-  if (plan_ && update.text == planText_) return "held";
+std::string ControlState::applyPlan(const PlanUpdate& update) { return text(judgePlan(update)); }
+
+PlanVerdict ControlState::judgePlan(const PlanUpdate& update) {
   PlanReader reader;
   auto plan = reader.read(update.text);
-  if (!plan) return "broken";
-  if (plan_ && plan->mark <= plan_->mark) return "older";
+  if (!plan) return PlanVerdict::broken;
+  auto digest = contentDigest(update.text);
+  if (auto known = versions_.judge(plan->mark, digest)) return *known;
+  bool overtaken = plan_ && plan->mark <= plan_->mark;
+  versions_.note(plan->mark, std::move(digest), !overtaken);
+  if (overtaken) return PlanVerdict::overtaken;
   plan_ = std::move(plan);
   planText_ = update.text;
+  followPlan();
+  return PlanVerdict::held;
+}
+
+void ControlState::followPlan() {
   retire(*plan_);
   touchAll();
   for (const auto& [name, service] : plan_->services) {
@@ -94,7 +104,6 @@
     }
     for (auto& [node, branches] : state.grants) fit(branches);
   }
-  return "held";
 }
 
 void ControlState::retire(const Plan& plan) {
@@ -116,10 +125,19 @@
     if (auto back = retired_.extract(name)) services_.insert(std::move(back));
 }
 
+std::optional<ServiceName> ControlState::serviceOf(const DatabaseName& database) const {
+  for (const auto& [service, databases] : enrolled_)
+    if (databases.contains(database)) return service;
+  return std::nullopt;
+}
+
 std::string ControlState::applyDatabase(const DatabaseUpdate& update, bool drained) {
-  if (!databases(update.service).contains(update.database)) return "no such database";
-  auto& state = services_.contains(update.service) ? services_.at(update.service) : retired_[update.service];
-  touch(update.service);
+  bool leavesForGood = drained && update.gone && !listed(update.service);
+  if (leavesForGood) departed_.note(update.database, position_);
+  auto service = update.service.get().empty() ? serviceOf(update.database).value_or(update.service) : update.service;
+  if (!databases(service).contains(update.database)) return leavesForGood ? "held" : "no such database";
+  auto& state = services_.contains(service) ? services_.at(service) : retired_[service];
+  touch(service);
   if (!drained) {
     state.drained.erase(update.database);
     return "held";
@@ -182,6 +200,7 @@
 
 std::string ControlState::applyEnrolment(const EnrolmentUpdate& update) {
   if (listed(update.service)) return "the service's databases are listed";
+  if (departed_.contains(update.database)) return "it left for good";
   std::vector<std::pair<ServiceName, DatabaseName>> former;
   for (const auto& [service, databases] : enrolled_)
     for (const auto& [name, database] : databases)
@@ -342,13 +361,15 @@
   std::map<ServiceName, EnrolledDatabases> enrolled;
   // where in the green order each topic changed last; the same at all replicas
   std::map<Topic, std::uint64_t> marks;
-  MSGPACK_DEFINE(planText, services, nodes, dutyEpoch, position, retired, enrolled, marks)
+  VersionLedger versions;
+  DepartedDatabases departed;
+  MSGPACK_DEFINE(planText, services, nodes, dutyEpoch, position, retired, enrolled, marks, versions, departed)
 };
 
 std::string ControlState::snapshot() const {
   std::map<Topic, std::uint64_t> marks;
   for (const auto& [topic, entry] : board_.entries()) marks[topic] = entry->mark;
-  return packed(ControlSnapshot{planText_, services_, nodes_, dutyEpoch_, position_, retired_, enrolled_, std::move(marks)});
+  return packed(ControlSnapshot{planText_, services_, nodes_, dutyEpoch_, position_, retired_, enrolled_, std::move(marks), versions_, departed_});
 }
 
 bool ControlState::restore(const std::string& snapshot) {
@@ -366,6 +387,10 @@
   retired_ = restored->retired;
   enrolled_ = restored->enrolled;
   nodes_ = restored->nodes;
+  versions_ = restored->versions;
+  departed_ = restored->departed;
+  // a snapshot of an earlier program has no ledger; the configuration in force is known at least
+  if (plan_ && versions_.size() == 0) versions_.note(plan_->mark, contentDigest(planText_), true);
   dutyEpoch_ = restored->dutyEpoch;
   position_ = restored->position;
   if (restored->marks.empty() && !plan_ && nodes_.empty()) return true;
--- a/src/control/control_state.hpp
+++ b/src/control/control_state.hpp
@@ -4,7 +4,9 @@
 
 #include "base/journal.hpp"
 #include "control/control_update.hpp"
+#include "control/departed_databases.hpp"
 #include "control/enrolled_database.hpp"
+#include "control/version_ledger.hpp"
 #include "engine/application.hpp"
 #include "news/news_board.hpp"
 
@@ -62,13 +64,20 @@
   const std::map<ServiceName, EnrolledDatabases>& enrolled() const { return enrolled_; }
   const EnrolledDatabase* enrolled(const ServiceName& service, const DatabaseName& database) const;
   EnrolledDatabases databases(const ServiceName& service) const;
+  /// The service that a database found by its heartbeats belongs to.
+  std::optional<ServiceName> serviceOf(const DatabaseName& database) const;
   const PlanService* planned(const ServiceName& service) const;
   bool listed(const ServiceName& service) const;
   const DrainMark* drained(const ServiceName& service, const DatabaseName& database) const;
   std::uint64_t position() const { return position_; }
+  /// Whether a database with this id said Detach; it is never enrolled again.
+  bool departed(const DatabaseName& database) const { return departed_.contains(database); }
+  const VersionLedger& versions() const { return versions_; }
 
  private:
   std::string applyPlan(const PlanUpdate& update);
+  PlanVerdict judgePlan(const PlanUpdate& update);
+  void followPlan();
   std::string applyDatabase(const DatabaseUpdate& update, bool drained);
   std::string applyEnrolment(const EnrolmentUpdate& update);
   std::string removeDatabase(const DatabaseUpdate& update);
@@ -95,6 +104,8 @@
   std::map<ServiceName, ServiceState> retired_;
   std::map<ServiceName, EnrolledDatabases> enrolled_;
   std::map<Address, NodeState> nodes_;
+  VersionLedger versions_;
+  DepartedDatabases departed_;
   std::uint64_t dutyEpoch_ = 0;
   std::uint64_t position_ = 0;
   // topics whose tables an action may have changed
--- a/src/control/control_update.hpp
+++ b/src/control/control_update.hpp
@@ -32,6 +32,7 @@
   MSGPACK_DEFINE(text)
 };
 
+/// A drain or removal of a database. An empty service stands for whichever service the database is enrolled with.
 struct DatabaseUpdate {
   ServiceName service;
   DatabaseName database;
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -8,7 +8,7 @@
 
 Duties::Duties(Clock& clock, Journal& journal, const Timings& timings, ReplicationEngine& engine, const ControlState& state,
                AccessTables& access, DatabaseControl& databases, ServerId own, std::size_t losses, bool rationing)
-    : clock_(clock), journal_(journal), timings_(timings), engine_(engine), state_(state), access_(access), databases_(databases), own_(std::move(own)), losses_(losses), rationing_(rationing) {
+    : clock_(clock), journal_(journal), timings_(timings), engine_(engine), state_(state), access_(access), databases_(databases), own_(std::move(own)), members_(clock, journal, engine, losses, timings.memberAway), rationing_(rationing) {
   scope_.spawn(run());
   scope_.spawn(wakeOnGreen());
 }
@@ -51,7 +51,7 @@
 
 void Duties::pass() {
   access_.forgetNodesBefore(clock_.now() - 10 * timings_.nodeSilence);
-  members();
+  members_.review();
   if (!nodesBusy_) scope_.spawn(nodes());
   if (!enrolmentsBusy_) scope_.spawn(enrolments());
   noteLiving();
@@ -65,6 +65,7 @@
     const auto& service = state_.services().at(name);
     auto& duty = duties_[name];
     auto now = clock_.now();
+    if (std::exchange(duty.sharesSeen, service.sharesAt) != service.sharesAt) duty.sharesSeenAt = now;
     if (duty.seenAt == Instant{} || duty.epoch != service.epoch) {
       if (duty.takenAt == Instant{}) duty.takenAt = now;
       duty.epoch = service.epoch;
@@ -89,22 +90,6 @@
   duties_[name].busy = false;
 }
 
-// a member that is away goes once those present can bear the losses promised without it: it was replaced
-void Duties::members() {
-  const auto& present = engine_.conf().set;
-  auto members = engine_.members();
-  std::erase_if(awaySince_, [&](const auto& each) { return present.contains(each.first) || !members.contains(each.first); });
-  if (losses_ == 0 || present.size() < 2 * losses_ + 1) return awaySince_.clear();
-  for (const auto& server : members) {
-    if (present.contains(server)) continue;
-    auto [away, fresh] = awaySince_.try_emplace(server, clock_.now());
-    if (fresh || clock_.now() - away->second < timings_.memberAway) continue;
-    away->second = clock_.now();
-    journal_.line("member " + text(server) + " was replaced and is let go");
-    engine_.requestLeave(server);
-  }
-}
-
 const AccessTables::Node* Duties::heard(const Address& node) const {
   auto found = access_.nodes().find(node);
   return found == access_.nodes().end() ? nullptr : &found->second;
@@ -130,8 +115,15 @@
   return found != seen.end() && clock_.now() - found->second.second > timings_.shareHold();
 }
 
+// a node that holds nothing has nothing to release; it is waited for only so that all that start together get shares
+bool Duties::newcomersWaitedFor(const ServiceName& name) const {
+  auto duty = duties_.find(name);
+  return duty != duties_.end() && clock_.now() - duty->second.sharesSeenAt > timings_.nodeSilence;
+}
+
 bool Duties::follows(const ServiceName& name, const ServiceState& service, const Address& node) const {
   if (followed(name, node) >= service.sharesAt) return true;
+  if (!service.holds(node) && newcomersWaitedFor(name)) return true;
   if (!silent(node)) return false;
   auto reserved = service.reserved.find(node);
   if (reserved == service.reserved.end()) return !service.holds(node);
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -5,6 +5,7 @@
 #include "control/access_tables.hpp"
 #include "control/control_state.hpp"
 #include "control/database_control.hpp"
+#include "control/member_replacement.hpp"
 #include "control/ration_cut.hpp"
 #include "engine/replication_engine.hpp"
 
@@ -44,6 +45,9 @@
     Instant sharesMovedAt{};
     Instant sharesAfter{};
     std::size_t sharesFor = 0;
+    // the last move of shares that was seen here, and since when
+    std::uint64_t sharesSeen = 0;
+    Instant sharesSeenAt{};
     // what the shares were last cut from, if they were found to be as they should
     std::optional<SharesInputs> sharesFit;
     std::map<Address, std::pair<std::uint64_t, Instant>> reservedSeenAt;
@@ -111,7 +115,6 @@
   bool canWait(const ServiceName& name, const ServiceState& service, const Grants& target) const;
   void noteLiving();
   Task<void> nodes();
-  void members();
   Task<void> enrolments();
   Task<void> departures(ServiceName name);
   Task<void> returns(ServiceName name);
@@ -121,6 +124,7 @@
   bool reporting(const AccessTables::Node& node) const { return clock_.now() - node.heardAt <= timings_.nodeSilence; }
   bool silent(const Address& node) const;
   std::uint64_t followed(const ServiceName& name, const Address& node) const;
+  bool newcomersWaitedFor(const ServiceName& name) const;
   bool follows(const ServiceName& name, const ServiceState& service, const Address& node) const;
   bool everyNodeFollows(const ServiceName& name, const ServiceState& service) const;
   bool leftOldEpochs(const ServiceName& name, const ServiceState& service, const Address& node) const;
@@ -155,9 +159,8 @@
   AccessTables& access_;
   DatabaseControl& databases_;
   ServerId own_;
-  std::size_t losses_;
+  MemberReplacement members_;
   bool rationing_;
-  std::map<ServerId, Instant> awaySince_;
   std::map<ServiceName, SeenEpoch> seenEpochs_;
   std::map<ServiceName, ServiceDuty> duties_;
   std::map<ServiceName, std::string> waits_;
--- a/src/control/operator_door.cpp
+++ b/src/control/operator_door.cpp
@@ -26,7 +26,7 @@
       replica_.journal().count("heartbeats.malformed");
       co_return refusal(400, "not a heartbeat");
     }
-    if (path == "/detach") co_return co_await replica_.detach(*heartbeat);
+    if (path == "/detach") co_return co_await replica_.detach(std::move(*heartbeat));
     co_return co_await replica_.heartbeat(*heartbeat);
   }
   if (path.starts_with("/members/")) {
--- a/src/control/replica_node.cpp
+++ b/src/control/replica_node.cpp
@@ -5,22 +5,38 @@
 #include <nlohmann/json.hpp>
 
 #include "control/plan_reader.hpp"
+#include "control/plan_result.hpp"
 #include "edge/door_replies.hpp"
 
 namespace tamarindshift {
 
 ReplicaNode::ReplicaNode(Clock& clock, PeerLink& link, StableStore& store, DatabaseControl& databases, Journal& journal,
                          ReplicaSettings settings, std::uint64_t incarnation)
-    : clock_(clock), databases_(databases), journal_(journal), settings_(std::move(settings)), state_(board_), desk_(clock, link), core_(clock, link, store, state_, journal, CoreSettings{settings_.address, settings_.seeds, settings_.timings.group, settings_.bounds, settings_.mayFound}, incarnation) {}
+    : clock_(clock), databases_(databases), journal_(journal), settings_(std::move(settings)), state_(board_), desk_(clock, link, incarnation), core_(clock, link, store, state_, journal, CoreSettings{settings_.address, settings_.seeds, settings_.timings.group, settings_.bounds, settings_.mayFound}, incarnation) {}
 
 std::optional<std::string> ReplicaNode::start() {
   if (auto fault = core_.start()) return fault;
   duties_ = std::make_unique<Duties>(clock_, journal_, settings_.timings, engine(), state_, access_, databases_, core_.own(), settings_.losses, settings_.rations);
   news_ = std::make_unique<NewsDesk>(clock_, desk_, board_, *this, settings_.timings.newsWait);
   serveDesk();
+  scope_.spawn(watchDisk());
   return std::nullopt;
 }
 
+Task<void> ReplicaNode::watchDisk() {
+  bool refused = false;
+  for (;;) {
+    auto fault = engine().diskFault();
+    if (fault && !refused) {
+      journal_.count("store.refusals");
+      journal_.line("the disk refuses writes, this member leaves the group until it takes them: " + *fault);
+    }
+    if (!fault && refused) journal_.line("the disk takes writes again");
+    refused = fault.has_value();
+    co_await sleep(clock_, settings_.timings.group.heartbeat);
+  }
+}
+
 void ReplicaNode::serveDesk() {
   desk_.serve("report", [this](Address from, std::string body) -> Task<std::optional<std::string>> {
     auto report = unpacked<NodeReport>(body);
@@ -92,12 +108,26 @@
   if (drainingSince_) return;
   drainingSince_ = clock_.now();
   journal_.line("leaves");
+  scope_.spawn(handOver());
+}
+
+// in this order: the orders under way end, others hold all that was acknowledged here, the group goes on without
+// a member that it can spare, the others take over leadership and sequencing without waiting for a suspicion
+Task<void> ReplicaNode::handOver() {
+  auto deadline = *drainingSince_ + settings_.timings.orderPatience;
+  auto pause = settings_.timings.group.heartbeat / 4;
+  const auto& own = core_.own();
+  while (clock_.now() < deadline && (ordering_ > 0 || !MemberReplacement::othersHoldAll(engine(), own, settings_.losses))) co_await sleep(clock_, pause);
+  if (MemberReplacement::spare(engine(), own, settings_.losses)) engine().requestLeave(own);
+  while (clock_.now() < deadline && MemberReplacement::spare(engine(), own, settings_.losses)) co_await sleep(clock_, pause);
+  core_.retire();
+  handedOverAt_ = clock_.now();
 }
 
 bool ReplicaNode::stopped() const {
   if (!drainingSince_) return false;
-  auto since = clock_.now() - *drainingSince_;
-  return since > settings_.timings.orderPatience || (ordering_ == 0 && since > 2 * settings_.timings.duty);
+  // the others need a moment to hear of it
+  return handedOverAt_ && clock_.now() - *handedOverAt_ >= 2 * settings_.timings.group.heartbeat;
 }
 
 Task<OrderOutcome> ReplicaNode::order(ControlMatter matter, std::string body) {
@@ -108,52 +138,63 @@
   co_return outcome;
 }
 
-Task<DoorReply> ReplicaNode::replacePlan(std::string text) {
+Task<PlanResult> ReplicaNode::orderPlan(std::string text) {
   PlanReader reader;
+  PlanResult result;
   auto plan = reader.read(text);
   if (!plan) {
     journal_.count("operator.plans_broken");
-    nlohmann::json faults = nlohmann::json::array();
-    for (const auto& fault : reader.faults()) faults.push_back({{"path", fault.path}, {"reason", fault.reason}});
-    co_return DoorReply{400, nlohmann::json{{"reason", "broken plan"}, {"faults", faults}}.dump(), std::nullopt};
+    result.fate = PlanFate::broken;
+    result.faults = reader.faults();
+    co_return result;
   }
-  auto comeBack = settings_.timings.comeBack;
-  if (engine().state() == EngineState::nonPrim || !engine().member())
-    co_return refusal(503, "no primary component", "nothing was taken", comeBack);
-  if (draining()) co_return refusal(503, "this node is leaving", "nothing was taken", comeBack);
-  auto heldMark = [this] { return state_.plan() ? state_.plan()->mark.get() : 0; };
-  auto held = [&](int status, const std::string& reason) {
-    return DoorReply{status, nlohmann::json{{"reason", reason}, {"mark", heldMark()}}.dump(), std::nullopt};
-  };
-  PlanUpdate update{text};
+  result.version = plan->mark;
+  if (cannotOrder()) co_return result;
+  PlanUpdate update{std::move(text)};
   auto outcome = co_await order(ControlMatter::plan, packed(update));
-  if (outcome.fate == OrderFate::refused) co_return refusal(503, "not taken", "nothing was taken", comeBack);
+  if (state_.plan()) result.held = state_.plan()->mark;
+  result.position = outcome.position;
+  if (outcome.fate == OrderFate::refused) co_return result;
   if (outcome.fate == OrderFate::unknown) {
     journal_.count("operator.plans_unknown");
-    co_return refusal(504, "outcome unknown", "ask for the plan held, or send the same plan again", comeBack);
-  }
-  if (outcome.reply == "held") {
-    journal_.count("operator.plans_held");
-    co_return DoorReply{200, nlohmann::json{{"mark", plan->mark.get()}, {"position", outcome.position}}.dump(), std::nullopt};
+    result.fate = PlanFate::unknown;
+    co_return result;
   }
-  co_return held(409, outcome.reply == "older" ? "an older mark, or the same mark with other content" : outcome.reply);
+  result.fate = PlanFate::judged;
+  result.verdict = planVerdict(outcome.reply);
+  if (result.verdict == PlanVerdict::held) journal_.count("operator.plans_held");
+  if (result.verdict == PlanVerdict::conflict) journal_.count("operator.plans_conflicting");
+  co_return result;
+}
+
+Task<DoorReply> ReplicaNode::replacePlan(std::string text) {
+  auto result = co_await orderPlan(std::move(text));
+  co_return planReply(result, settings_.timings.comeBack);
 }
 
 std::optional<DoorReply> ReplicaNode::cannotOrder() const {
   auto comeBack = settings_.timings.comeBack;
+  if (auto fault = engine().diskFault()) return refusal(503, "the disk of this member refuses writes", *fault, comeBack);
   if (engine().state() == EngineState::nonPrim || !engine().member()) return refusal(503, "no primary component", {}, comeBack);
   if (draining()) return refusal(503, "this node is leaving", {}, comeBack);
   return std::nullopt;
 }
 
+// the same call may come here once more after another member relayed it: what counts is the newest one known
+bool ReplicaNode::saysLeaving(const DatabaseHeartbeat& heartbeat) const {
+  const auto* newest = access_.database(heartbeat.service, heartbeat.database);
+  return newest ? newest->heartbeat.leaving : heartbeat.leaving;
+}
+
 Task<DoorReply> ReplicaNode::heartbeat(DatabaseHeartbeat heartbeat) {
   auto comeBack = settings_.timings.comeBack;
-  bool late = access_.older(heartbeat, clock_.now(), settings_.timings.silence());
-  if (!noteHeartbeat(heartbeat, true)) co_return refusal(404, "no such database in the plan held here");
-  if (late || state_.listed(heartbeat.service)) co_return DoorReply{200, "{}", std::nullopt};
   const auto* enrolled = state_.enrolled(heartbeat.service, heartbeat.database);
-  bool fits = enrolled && (heartbeat.address.get().empty() || enrolled->address == heartbeat.address);
-  bool drains = heartbeat.leaving && !state_.drained(heartbeat.service, heartbeat.database);
+  bool departed = !enrolled && state_.departed(heartbeat.database);
+  bool late = access_.older(heartbeat, clock_.now(), settings_.timings.silence());
+  if (!departed && !noteHeartbeat(heartbeat, true)) co_return refusal(404, "no such database in the plan held here");
+  bool listed = state_.listed(heartbeat.service);
+  bool fits = departed || late || listed || (enrolled && (heartbeat.address.get().empty() || enrolled->address == heartbeat.address));
+  bool drains = !departed && !listed && saysLeaving(heartbeat) && !state_.drained(heartbeat.service, heartbeat.database);
   if (!fits || drains) {
     if (auto refusal = cannotOrder()) co_return *refusal;
   } else if (!leaseUntil(fleetTopic)) {
@@ -174,7 +215,7 @@
   auto outcome = co_await order(ControlMatter::enrolDatabase, packed(update));
   std::optional<DoorReply> refused;
   if (outcome.fate != OrderFate::green) refused = refusal(503, "not taken in time", "send it again", settings_.timings.comeBack);
-  else if (outcome.reply != "held") refused = refusal(404, outcome.reply);
+  else if (outcome.reply != "held" && !state_.departed(heartbeat.database)) refused = refusal(404, outcome.reply);
   co_return refused;
 }
 
@@ -192,6 +233,21 @@
   co_return DoorReply{200, nlohmann::json{{"position", outcome.position}}.dump(), std::nullopt};
 }
 
+Task<DoorReply> ReplicaNode::detach(DatabaseName database) {
+  if (auto service = state_.serviceOf(database)) {
+    DatabaseHeartbeat heartbeat;
+    heartbeat.service = *service;
+    heartbeat.database = database;
+    heartbeat.leaving = true;
+    noteHeartbeat(heartbeat, true);
+  }
+  if (auto refusal = cannotOrder()) co_return *refusal;
+  DatabaseUpdate update{{}, std::move(database), 0, 0, true};
+  auto outcome = co_await order(ControlMatter::drainDatabase, packed(update));
+  if (outcome.fate != OrderFate::green) co_return refusal(503, "not taken in time", "send it again", settings_.timings.comeBack);
+  co_return DoorReply{200, "{}", std::nullopt};
+}
+
 Task<DoorReply> ReplicaNode::removeMember(Address address) {
   for (const auto& server : engine().members())
     if (server.address == address) {
--- a/src/control/replica_node.hpp
+++ b/src/control/replica_node.hpp
@@ -2,6 +2,7 @@
 
 #include "base/desk.hpp"
 #include "control/duties.hpp"
+#include "control/plan_result.hpp"
 #include "control/replica_settings.hpp"
 #include "edge/door.hpp"
 #include "engine/core.hpp"
@@ -26,9 +27,17 @@
   const NewsBoard& board() const { return board_; }
   Journal& journal() { return journal_; }
 
+  /// Orders a configuration and tells what became of it. Every verdict comes from the log, never from what this
+  /// member holds by itself, so a member that is cut off confirms and refuses nothing.
+  Task<PlanResult> orderPlan(std::string text);
+  /// The same as an HTTP reply of our own API.
   Task<DoorReply> replacePlan(std::string text);
   Task<DoorReply> heartbeat(DatabaseHeartbeat heartbeat);
   Task<DoorReply> detach(DatabaseHeartbeat heartbeat);
+  /// Detach of a database found by its heartbeats, by its id alone. Acknowledged once the log has it, also if this
+  /// member does not know the id: another member may, and a heartbeat of it may still be on its way.
+  Task<DoorReply> detach(DatabaseName database);
+  /// Begins to leave: takes no more orders, then hands over (see `handOver`). `stopped` says when the process may end.
   void drain();
   bool draining() const { return drainingSince_.has_value(); }
   bool stopped() const;
@@ -43,11 +52,14 @@
  private:
   bool noteHeartbeat(const DatabaseHeartbeat& heartbeat, bool relay);
   bool known(const DatabaseHeartbeat& heartbeat) const;
+  bool saysLeaving(const DatabaseHeartbeat& heartbeat) const;
   Task<std::optional<DoorReply>> enrol(DatabaseHeartbeat heartbeat);
   std::optional<DoorReply> cannotOrder() const;
   void serveHeartbeats(const std::string& subject, Task<DoorReply> (ReplicaNode::*taken)(DatabaseHeartbeat));
   Task<OrderOutcome> order(ControlMatter matter, std::string body);
   void serveDesk();
+  Task<void> handOver();
+  Task<void> watchDisk();
 
   Clock& clock_;
   DatabaseControl& databases_;
@@ -62,6 +74,7 @@
   std::unique_ptr<NewsDesk> news_;
   std::size_t ordering_ = 0;
   std::optional<Instant> drainingSince_;
+  std::optional<Instant> handedOverAt_;
   TaskScope scope_;
 };
 
--- a/src/control/replica_status.cpp
+++ b/src/control/replica_status.cpp
@@ -21,6 +21,7 @@
   json["engine"] = {{"state", text(engine.state())},          {"green", engine.greenLine()},        {"white", engine.whiteLine()},
                     {"red", engine.redCount()},                {"yellow", engine.yellowCount()},     {"ongoing", engine.ongoingCount()},
                     {"vulnerable", engine.vulnerable().valid}, {"on_duty", replica.duties().onDuty()}};
+  if (auto fault = engine.diskFault()) json["disk_fault"] = *fault;
   if (engine.state() == EngineState::regPrim && !engine.conf().set.empty()) json["duty_holder"] = engine.conf().set.begin()->address.get();
   Json primary = Json::array();
   for (const auto& server : engine.primComponent().servers) primary.push_back(text(server));
--- a/src/engine/core.hpp
+++ b/src/engine/core.hpp
@@ -23,6 +23,8 @@
        std::uint64_t incarnation);
 
   std::optional<std::string> start();
+  /// Tells the other members that this one leaves now and steps out of the view, for good as far as this process goes.
+  void retire() { group_->retire(); }
   bool dismissed() const { return dismissed_ || engine_->dismissed(); }
   const ReplicationEngine& engine() const { return *engine_; }
   ReplicationEngine& engine() { return *engine_; }
--- a/src/engine/replication_engine.cpp
+++ b/src/engine/replication_engine.cpp
@@ -20,6 +20,11 @@
   return line;
 }
 
+std::optional<std::string> ReplicationEngine::diskFault() const {
+  if (!store_.refusing()) return std::nullopt;
+  return store_.lastReason();
+}
+
 std::optional<Instant> ReplicationEngine::provedAt() const {
   if (state_ != EngineState::regPrim) return std::nullopt;
   return group_.provedAt();
@@ -96,7 +101,7 @@
 }
 
 void ReplicationEngine::request(Action action, std::shared_ptr<Waiting> waiting) {
-  bool refused = !started_ || (state_ == EngineState::nonPrim && red_.size() + ongoingQueue_.size() >= bounds_.red) ||
+  bool refused = !started_ || store_.refusing() || (state_ == EngineState::nonPrim && red_.size() + ongoingQueue_.size() >= bounds_.red) ||
                  buffered_.size() >= bounds_.buffered;
   if (refused) {
     journal_.count("engine.requests_refused");
--- a/src/engine/replication_engine.hpp
+++ b/src/engine/replication_engine.hpp
@@ -65,6 +65,9 @@
   void received(const std::vector<Delivery>& deliveries, std::function<void()> stable) override;
   bool hasLeft(const ServerId& server) const override { return left_.contains(server); }
   bool wantsExchange() const override;
+  bool suspended() const override { return store_.refusing(); }
+  /// Why the disk refuses writes; nothing is ordered or acknowledged here while it does.
+  std::optional<std::string> diskFault() const;
   Coverage coverage(const std::set<ServerId>& servers) const override;
 
  private:
--- a/src/group/group_listener.hpp
+++ b/src/group/group_listener.hpp
@@ -19,6 +19,8 @@
   virtual void received(const std::vector<Delivery>& deliveries, std::function<void()> stable) = 0;
   virtual bool hasLeft(const ServerId& server) const = 0;
   virtual bool wantsExchange() const = 0;
+  /// True while this member cannot store anything: it leaves its view, stays alone and is silent until it can again.
+  virtual bool suspended() const { return false; }
   virtual Coverage coverage(const std::set<ServerId>&) const { return Coverage::majority; }
 };
 
--- a/src/group/group_messages.hpp
+++ b/src/group/group_messages.hpp
@@ -21,7 +21,9 @@
   std::map<Member, Duration> heard;
   std::set<Address> known;
   std::set<ServerId> foundation;
-  MSGPACK_DEFINE(from, joined, view, flushing, highestCounter, received, stable, safe, sentAt, heard, known, foundation)
+  // the process ends: it is to be left out of views at once
+  bool retiring = false;
+  MSGPACK_DEFINE(from, joined, view, flushing, highestCounter, received, stable, safe, sentAt, heard, known, foundation, retiring)
 };
 
 struct GroupSubmit {
--- a/src/group/sequenced_group.cpp
+++ b/src/group/sequenced_group.cpp
@@ -61,6 +61,14 @@
     if (address != own_.server.address) known_.insert(address);
 }
 
+void SequencedGroup::retire() {
+  retiring_ = true;
+  queue_.put([this] {
+    sendHeartbeats();
+    considerForming();
+  });
+}
+
 void SequencedGroup::setFoundation(std::set<ServerId> foundation) { foundation_ = std::move(foundation); }
 
 std::optional<std::set<ServerId>> SequencedGroup::unjoinedSeeds() const {
@@ -99,6 +107,7 @@
 }
 
 void SequencedGroup::sendHeartbeats() {
+  if (listener_ && listener_->suspended()) return;
   GroupHeartbeat heartbeat;
   heartbeat.from = own_;
   heartbeat.joined = listener_ != nullptr;
@@ -111,6 +120,7 @@
   heartbeat.sentAt = clock_.now().time_since_epoch();
   heartbeat.known = known_;
   heartbeat.foundation = foundation_;
+  heartbeat.retiring = retiring_;
   for (const auto& [address, peer] : peers_)
     if (clock_.now() - peer.heardAt <= timings_.suspicion) heartbeat.heard[peer.heartbeat.from] = peer.heartbeat.sentAt;
   for (const auto& address : known_) pass(address, Matter::groupHeartbeat, heartbeat);
@@ -186,9 +196,10 @@
 
 std::set<Member> SequencedGroup::reachable() const {
   std::set<Member> members{own_};
+  if (retiring_ || (listener_ && listener_->suspended())) return members;
   for (const auto& [address, peer] : peers_) {
     if (!peer.heartbeat.joined || clock_.now() - peer.heardAt > timings_.suspicion) continue;
-    if (!peer.heartbeat.heard.contains(own_)) continue;
+    if (!peer.heartbeat.heard.contains(own_) || peer.heartbeat.retiring) continue;
     if (peer.refusedUntil && *peer.refusedUntil > clock_.now()) continue;
     members.insert(peer.heartbeat.from);
   }
--- a/src/group/sequenced_group.hpp
+++ b/src/group/sequenced_group.hpp
@@ -23,6 +23,8 @@
   std::set<ServerId> unjoined() const override;
 
   void meet(const std::set<Address>& addresses);
+  /// Leaves the view and stays alone until the process ends; the others hear of it with the next heartbeat.
+  void retire();
   void setFoundation(std::set<ServerId> foundation);
   std::optional<std::set<ServerId>> unjoinedSeeds() const;
   std::optional<std::set<ServerId>> agreedFoundation() const;
@@ -102,6 +104,7 @@
   std::set<Member> members_;
   ViewId promised_;
   bool flushing_ = true;
+  bool retiring_ = false;
   Instant flushedAt_{};
   std::uint64_t highestCounter_ = 0;
   std::optional<Instant> unsettledSince_;
--- a/src/news/agent_node.cpp
+++ b/src/news/agent_node.cpp
@@ -10,8 +10,8 @@
 
 namespace tamarindshift {
 
-AgentNode::AgentNode(Clock& clock, PeerLink& link, Journal& journal, AgentSettings settings)
-    : clock_(clock), journal_(journal), settings_(std::move(settings)), replicas_(settings_.seeds), desk_(clock, link), news_(clock, desk_, journal, [this](const Topic& topic) { return sources(topic); }, FollowTimings{settings_.timings.newsPatience, 50ms, 5s, settings_.signs}, [this] { return isHome() ? std::nullopt : std::optional{settings_.address}; }), newsDesk_(clock, desk_, news_.board(), news_, settings_.timings.newsWait) {
+AgentNode::AgentNode(Clock& clock, PeerLink& link, Journal& journal, AgentSettings settings, std::uint64_t boot)
+    : clock_(clock), journal_(journal), settings_(std::move(settings)), replicas_(settings_.seeds), desk_(clock, link, boot), news_(clock, desk_, journal, [this](const Topic& topic) { return sources(topic); }, FollowTimings{settings_.timings.newsPatience, 50ms, 5s, settings_.signs}, [this] { return isHome() ? std::nullopt : std::optional{settings_.address}; }), newsDesk_(clock, desk_, news_.board(), news_, settings_.timings.newsWait) {
   desk_.serve("report", [this](Address, std::string body) -> Task<std::optional<std::string>> {
     if (auto report = unpacked<NodeReport>(body)) this->report(std::move(*report));
     co_return std::nullopt;
@@ -58,7 +58,10 @@
 }
 
 std::vector<Address> AgentNode::sources(const Topic& topic) const {
-  auto sources = homes().of(topic, settings_.address);
+  // whole news come from the replicas: the link of a home has no room for them
+  auto own = isHome() ? std::nullopt : std::optional{settings_.address};
+  bool whole = board().completeMark(topic, own) == 0;
+  auto sources = whole ? std::vector<Address>{} : homes().of(topic, settings_.address);
   std::vector<Address> replicas(replicas_.begin(), replicas_.end());
   if (!replicas.empty()) std::rotate(replicas.begin(), replicas.begin() + static_cast<std::ptrdiff_t>(ZoneHomes::spread(settings_.address.get()) % replicas.size()), replicas.end());
   sources.insert(sources.end(), replicas.begin(), replicas.end());
--- a/src/news/agent_node.hpp
+++ b/src/news/agent_node.hpp
@@ -16,7 +16,7 @@
 
 class AgentNode : public NewsFeed, public DoorKeeper {
  public:
-  AgentNode(Clock& clock, PeerLink& link, Journal& journal, AgentSettings settings);
+  AgentNode(Clock& clock, PeerLink& link, Journal& journal, AgentSettings settings, std::uint64_t boot);
 
   const NewsBoard& board() const override { return news_.board(); }
   Gate& changed() override { return news_.changed(); }
--- a/src/pool/proxy_node.cpp
+++ b/src/pool/proxy_node.cpp
@@ -12,7 +12,7 @@
 
 ProxyNode::ProxyNode(Clock& clock, PeerLink& link, WebLink& databases, Journal& journal, ProxySettings settings,
                      std::uint64_t entropy)
-    : clock_(clock), journal_(journal), settings_(std::move(settings)), boot_(entropy), desk_(clock, link), feed_(clock, desk_, journal, [this](const Topic&) { return std::vector{settings_.agent}; }, FollowTimings{settings_.timings.newsPatience, 50ms}, [this] { return std::optional{settings_.node}; }), guide_(clock, feed_, settings_.node, boot_), pool_(clock, databases, journal) {
+    : clock_(clock), journal_(journal), settings_(std::move(settings)), boot_(entropy), desk_(clock, link, boot_), feed_(clock, desk_, journal, [this](const Topic&) { return std::vector{settings_.agent}; }, FollowTimings{settings_.timings.newsPatience, 50ms}, [this] { return std::optional{settings_.node}; }), guide_(clock, feed_, settings_.node, boot_), pool_(clock, databases, journal) {
   scope_.spawn(work());
   scope_.spawn(tick());
   scope_.spawn(report());
--- a/src/programs/agent.cpp
+++ b/src/programs/agent.cpp
@@ -22,7 +22,7 @@
   Daemon daemon("agent");
   daemon.web.take(detours);
   TcpLink link(daemon.context, daemon.clock, daemon.journal, settings.address, detours);
-  AgentNode node(daemon.clock, link, daemon.journal, settings);
+  AgentNode node(daemon.clock, link, daemon.journal, settings, freshEntropy());
   if (auto fault = link.listen()) return complain("agent", *fault);
   if (auto fault = daemon.serve(http, node)) return complain("agent", *fault);
   return daemon.run([&] { node.drain(); }, daemon.rereads(program, [&] { node.change(settings); }),
--- a/src/real/file_store.cpp
+++ b/src/real/file_store.cpp
@@ -9,7 +9,6 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
-#include <stdexcept>
 
 #include <boost/crc.hpp>
 
@@ -83,15 +82,14 @@
   if (!records) return std::nullopt;
   file_ = ::open(path().c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0644);
   if (file_ < 0) return fail(systemReason("cannot open " + path()));
-  if (length_ == 0) {
-    if (::ftruncate(file_, 0) != 0) return fail(systemReason("cannot empty " + path()));
-    writeAll(file_, header());
-    length_ = headerSize;
-  }
   if (::ftruncate(file_, static_cast<off_t>(length_)) != 0) return fail(systemReason("cannot cut " + path()));
   ::lseek(file_, 0, SEEK_END);
   if (::fsync(file_) != 0) return fail(systemReason("cannot sync " + path()));
-  syncFolder();
+  if (!syncFolder()) return fail(systemReason("cannot sync the folder " + folder_));
+  syncedLength_ = length_;
+  // the header goes with the first records, so that a disk that is full at the start is tried again
+  if (length_ == 0) unsynced_ = header();
+  length_ += unsynced_.size();
   return records;
 }
 
@@ -122,54 +120,100 @@
   return records;
 }
 
-void FileStore::writeAll(int file, const std::string& bytes) {
+bool FileStore::writeAll(int file, const std::string& bytes) {
   std::size_t done = 0;
   while (done < bytes.size()) {
     auto amount = ::write(file, bytes.data() + done, bytes.size() - done);
     if (amount < 0 && errno == EINTR) continue;
-    if (amount <= 0) throw std::runtime_error(systemReason("cannot write " + path()));
+    if (amount <= 0) return false;
     done += static_cast<std::size_t>(amount);
   }
+  return true;
 }
 
 void FileStore::append(const std::string& record) {
-  unwritten_ += framed(record);
+  unsynced_ += framed(record);
   length_ += record.size() + recordHead;
 }
 
 void FileStore::sync(std::function<void()> synced) {
   waiting_.push_back(std::move(synced));
-  if (waiting_.size() == 1) clock_.after(Duration::zero(), [this] { flush(); });
+  if (waiting_.size() == 1 && !refusing_) clock_.after(Duration::zero(), [this] { flush(); });
+}
+
+bool FileStore::refuse(const std::string& what) {
+  reason_ = systemReason(what);
+  refusing_ = true;
+  return false;
 }
 
 void FileStore::flush() {
-  writeAll(file_, unwritten_);
-  unwritten_.clear();
-  if (::fdatasync(file_) != 0) throw std::runtime_error(systemReason("cannot sync " + path()));
+  if (!persist()) {
+    clock_.after(retryPause, [this, alive = std::weak_ptr<int>(alive_)] {
+      if (alive.lock()) flush();
+    });
+    return;
+  }
+  refusing_ = false;
   auto waiting = std::move(waiting_);
   waiting_.clear();
   for (auto& synced : waiting) synced();
 }
 
-void FileStore::rewrite(const std::vector<std::string>& records) {
-  auto bytes = header();
-  for (const auto& record : records) bytes += framed(record);
+bool FileStore::persist() { return persistReplacement() && persistFolder() && persistAppended(); }
+
+bool FileStore::persistReplacement() {
+  if (!replacement_) return true;
   auto fresh = path() + ".new";
   int file = ::open(fresh.c_str(), O_CREAT | O_TRUNC | O_RDWR | O_CLOEXEC, 0644);
-  if (file < 0) throw std::runtime_error(systemReason("cannot open " + fresh));
-  writeAll(file, bytes);
-  if (::fsync(file) != 0 || ::rename(fresh.c_str(), path().c_str()) != 0) throw std::runtime_error(systemReason("cannot rewrite " + path()));
-  syncFolder();
+  if (file < 0) return refuse("cannot open " + fresh);
+  bool written = writeAll(file, *replacement_) && ::fsync(file) == 0 && ::rename(fresh.c_str(), path().c_str()) == 0;
+  if (!written) {
+    refuse("cannot rewrite " + path());
+    ::close(file);
+    ::unlink(fresh.c_str());
+    return false;
+  }
   ::close(file_);
   file_ = file;
+  syncedLength_ = replacement_->size();
+  replacement_.reset();
+  folderChanged_ = true;
+  return true;
+}
+
+bool FileStore::persistFolder() {
+  if (folderChanged_ && !syncFolder()) return refuse("cannot sync the folder " + folder_);
+  folderChanged_ = false;
+  return true;
+}
+
+bool FileStore::persistAppended() {
+  if (writeAll(file_, unsynced_) && ::fdatasync(file_) == 0) {
+    syncedLength_ += unsynced_.size();
+    unsynced_.clear();
+    return true;
+  }
+  refuse("cannot write " + path());
+  if (::ftruncate(file_, static_cast<off_t>(syncedLength_)) == 0) ::lseek(file_, static_cast<off_t>(syncedLength_), SEEK_SET);
+  return false;
+}
+
+void FileStore::rewrite(const std::vector<std::string>& records) {
+  auto bytes = header();
+  for (const auto& record : records) bytes += framed(record);
   length_ = bytes.size();
-  unwritten_.clear();
+  replacement_ = std::move(bytes);
+  unsynced_.clear();
+  if (!refusing_ && !(persistReplacement() && persistFolder())) flush();
 }
 
-void FileStore::syncFolder() {
+bool FileStore::syncFolder() {
   int folder = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (folder < 0 || ::fsync(folder) != 0) throw std::runtime_error(systemReason("cannot sync the folder " + folder_));
+  if (folder < 0) return false;
+  bool synced = ::fsync(folder) == 0;
   ::close(folder);
+  return synced;
 }
 
 }  // namespace tamarindshift
--- a/src/real/file_store.hpp
+++ b/src/real/file_store.hpp
@@ -1,12 +1,20 @@
 #pragma once
 
+#include <memory>
+
 #include "base/clock.hpp"
 #include "store/stable_store.hpp"
 
 namespace tamarindshift {
 
+/// The store in one file of a data folder. Writes and syncs block the one thread.
+///
+/// Bytes leave memory only after their sync. If a write or a sync fails, the file is cut back to what the last good
+/// sync covered and the same bytes are written again after `retryPause`, since the kernel may have dropped the pages
+/// of a failed sync.
 class FileStore : public StableStore {
  public:
+  static constexpr Duration retryPause = 200ms;
   static constexpr std::uint32_t version = 1;
 
   FileStore(Clock& clock, std::string folder) : clock_(clock), folder_(std::move(folder)) {}
@@ -16,22 +24,36 @@
   void sync(std::function<void()> synced) override;
   void rewrite(const std::vector<std::string>& records) override;
   std::size_t length() const override { return length_; }
+  bool refusing() const override { return refusing_; }
   const std::string& lastReason() const override { return reason_; }
 
  private:
   std::string path() const { return folder_ + "/actions.log"; }
   std::optional<std::vector<std::string>> fail(std::string reason);
   std::optional<std::vector<std::string>> parse(const std::string& bytes);
-  void writeAll(int file, const std::string& bytes);
-  void syncFolder();
+  bool writeAll(int file, const std::string& bytes);
+  bool syncFolder();
   void flush();
+  bool persist();
+  bool persistReplacement();
+  bool persistFolder();
+  bool persistAppended();
+  bool refuse(const std::string& what);
 
   Clock& clock_;
   std::string folder_;
   int lock_ = -1;
   int file_ = -1;
   std::size_t length_ = 0;
-  std::string unwritten_;
+  // bytes of the file that a good sync covered
+  std::size_t syncedLength_ = 0;
+  std::string unsynced_;
+  // the whole content that is to replace the file
+  std::optional<std::string> replacement_;
+  // the name of a new file is not yet known to be on the disk
+  bool folderChanged_ = false;
+  bool refusing_ = false;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
   std::vector<std::function<void()>> waiting_;
   std::string reason_;
 };
--- a/src/real/tcp_link.cpp
+++ b/src/real/tcp_link.cpp
@@ -58,6 +58,26 @@
 
 std::optional<std::string> TcpLink::listen() { return listener_.open(own_, tcp::acceptor::max_listen_connections); }
 
+std::size_t TcpLink::arriving(const Address& peer) const {
+  auto found = arriving_.find(peer);
+  return found == arriving_.end() ? 0 : found->second;
+}
+
+Task<bool> TcpLink::receiveBody(tcp::socket& socket, std::shared_ptr<std::string> body, const std::optional<Address>& from) {
+  std::size_t received = 0;
+  while (received < body->size()) {
+    if (from && received > 0) arriving_[*from] = received;
+    auto [error, size] = co_await Completion<Error, std::size_t>([&](auto done) {
+      socket.async_read_some(boost::asio::buffer(body->data() + received, body->size() - received),
+                             [body, done](Error failure, std::size_t amount) { done(failure, amount); });
+    });
+    received += size;
+    if (error) break;
+  }
+  if (from) arriving_.erase(*from);
+  co_return received == body->size();
+}
+
 Task<void> TcpLink::receive(std::shared_ptr<tcp::socket> socket) {
   Error ignored;
   socket->set_option(tcp::no_delay(true), ignored);
@@ -70,10 +90,8 @@
     });
     if (headError || headSize != 4 || *head == 0 || *head > mostFrameBytes) co_return;
     auto body = std::make_shared<std::string>(*head, '\0');
-    auto [error, size] = co_await Completion<Error, std::size_t>([&](auto done) {
-      boost::asio::async_read(*socket, boost::asio::buffer(*body), [body, done](Error failure, std::size_t amount) { done(failure, amount); });
-    });
-    if (error || size != body->size()) co_return;
+    bool whole = co_await receiveBody(*socket, body, from);
+    if (!whole) co_return;
     Envelope envelope{static_cast<Matter>(body->front()), body->substr(1)};
     if (!from) {
       auto blank = envelope.body.find(' ');
--- a/src/real/tcp_link.hpp
+++ b/src/real/tcp_link.hpp
@@ -17,6 +17,7 @@
   std::optional<std::string> listen();
   const Address& own() const override { return own_; }
   void pass(const Address& peer, Envelope envelope) override;
+  std::size_t arriving(const Address& peer) const override;
 
  private:
   struct Outgoing {
@@ -31,6 +32,7 @@
 
   void heardFrom(const Address& peer, bool restarted);
   std::string hello() const { return own_.get() + " " + std::to_string(boot_); }
+  Task<bool> receiveBody(boost::asio::ip::tcp::socket& socket, std::shared_ptr<std::string> body, const std::optional<Address>& from);
   Task<void> receive(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
   Task<void> send(Address peer);
 
@@ -41,6 +43,7 @@
   Detours detours_;
   std::uint64_t boot_;
   std::map<Address, std::string> boots_;
+  std::map<Address, std::size_t> arriving_;
   std::map<Address, std::unique_ptr<Outgoing>> outgoing_;
   TaskScope scope_;
   TcpListener listener_;
--- a/src/scale/hollow_node.cpp
+++ b/src/scale/hollow_node.cpp
@@ -7,7 +7,7 @@
 HollowNode::HollowNode(Clock& clock, Journal& journal, PeerLink& agentLink, PeerLink& proxyLink, WebLink& databases,
                        const HollowNodeSettings& settings, std::uint64_t boot)
     : settings_(settings), agentLink_(agentLink, traffic_, [this](const Address& peer) { return peerClass(peer); }), proxyLink_(proxyLink, proxyTraffic_, [](const Address&) { return "inside"; }) {
-  agent_ = std::make_unique<AgentNode>(clock, agentLink_, journal, AgentSettings{settings_.agent, settings_.zone, settings_.seeds, true, settings_.timings});
+  agent_ = std::make_unique<AgentNode>(clock, agentLink_, journal, AgentSettings{settings_.agent, settings_.zone, settings_.seeds, true, settings_.timings}, boot);
   ProxySettings proxy;
   proxy.agent = proxy.node = settings_.agent;
   proxy.timings = settings_.timings;
--- a/src/scale/light_zone.cpp
+++ b/src/scale/light_zone.cpp
@@ -12,7 +12,7 @@
 LightZone::Node::Node(LightZone& zone, boost::asio::io_context& context, std::size_t index, bool follows)
     : zone(zone), index(index), address(zone.addresses_.agent(index)), link(context, zone.clock_, zone.journal_, address, {}),
       metered(link, traffic, [&zone](const Address& peer) { return zone.addresses_.isReplica(peer) ? "replica" : "agent"; }),
-      desk(zone.clock_, metered) {
+      desk(zone.clock_, metered, freshEntropy()) {
   for (std::size_t replica = 0; replica < zone.addresses_.shape.replicas; ++replica) replicas.push_back(zone.addresses_.replica(replica));
   std::rotate(replicas.begin(), replicas.begin() + static_cast<std::ptrdiff_t>(ZoneHomes::spread(address.get()) % replicas.size()), replicas.end());
   desk.serve("report-whole", [this](Address from, std::string) -> Task<std::optional<std::string>> {
--- a/src/scale/metered_link.cpp
+++ b/src/scale/metered_link.cpp
@@ -38,8 +38,9 @@
   auto reference = [](msgpack::type::object_type, std::size_t, void*) { return true; };
   auto handle = msgpack::unpack(envelope.body.data(), envelope.body.size(), referenced, reference);
   const auto& object = handle.get();
-  if (object.type != msgpack::type::ARRAY || object.via.array.size < 2) return "ask";
-  return object.via.array.ptr[1].as<std::string>();
+  constexpr std::size_t subjectOfAsk = 2;  // as DeskAsk lays its fields
+  if (object.type != msgpack::type::ARRAY || object.via.array.size <= subjectOfAsk) return "ask";
+  return object.via.array.ptr[subjectOfAsk].as<std::string>();
 }
 
 }  // namespace tamarindshift
--- a/src/scale/metered_link.hpp
+++ b/src/scale/metered_link.hpp
@@ -13,6 +13,7 @@
   MeteredLink(PeerLink& inner, Traffic& traffic, PeerClass peerClass);
   const Address& own() const override { return inner_.own(); }
   void pass(const Address& peer, Envelope envelope) override;
+  std::size_t arriving(const Address& peer) const override { return inner_.arriving(peer); }
 
  private:
   static constexpr std::size_t frameHead = 5;
--- a/src/scale/pieces.cpp
+++ b/src/scale/pieces.cpp
@@ -33,7 +33,7 @@
   return (processorSeconds() - began) / static_cast<double>(calls) * 1e6;
 }
 
-std::string asked(std::string subject, std::string body) { return packed(DeskAsk{1u << 30, std::move(subject), std::move(body)}); }
+std::string asked(std::string subject, std::string body) { return packed(DeskAsk{1u << 30, ~0ull, std::move(subject), std::move(body)}); }
 
 class Pieces {
  public:
@@ -128,7 +128,7 @@
         for (std::size_t number = 1; number <= shape_.databasesPerService; ++number)
           own.signs.push_back(DatabaseSign{"d" + std::to_string(number), "replica", 2, 123456, 150ms, 120ms});
     }
-    return packed(DeskReply{1u << 30, packed(reply)}).size();
+    return packed(DeskReply{1u << 30, ~0ull, packed(reply)}).size();
   }
 
   std::map<Topic, std::uint64_t> marks() const {
--- a/src/simulated/simulated_fleet.cpp
+++ b/src/simulated/simulated_fleet.cpp
@@ -109,7 +109,7 @@
   own.proxyLink = std::make_unique<SimulatedLink>(network_, *own.clock, at(own.host, 2));
   own.web = std::make_unique<SimulatedWebLink>(web_, *own.clock, at(own.host, 1));
   AgentSettings agent{at(own.host, 1), own.zone, {seed(0), seed(1), seed(2)}, true, shape_.timings};
-  own.agent = std::make_unique<AgentNode>(*own.clock, *own.agentLink, *own.journal, agent);
+  own.agent = std::make_unique<AgentNode>(*own.clock, *own.agentLink, *own.journal, agent, static_cast<std::uint64_t>(world_.now().time_since_epoch().count()));
   ProxySettings proxy;
   proxy.agent = proxy.node = at(own.host, 1);
   proxy.timings = shape_.timings;
--- a/src/simulated/simulated_store.hpp
+++ b/src/simulated/simulated_store.hpp
@@ -14,8 +14,11 @@
   void sync(std::function<void()> synced) override;
   void rewrite(const std::vector<std::string>& records) override;
   std::size_t length() const override { return length_; }
+  bool refusing() const override { return refusing_; }
   const std::string& lastReason() const override { return reason_; }
   void slow(Duration latency) { latency_ = latency; }
+  /// From now on the disk refuses writes, or takes them again.
+  void refuse(bool refusing);
 
  private:
   Clock& clock_;
@@ -23,6 +26,10 @@
   Duration latency_;
   std::size_t length_ = 0;
   std::size_t generation_ = 0;
+  bool refusing_ = false;
+  std::vector<std::function<void()>> held_;
+  // what is to replace the records of a disk that refuses, and what was appended since
+  std::optional<std::vector<std::string>> replacement_;
   std::string reason_;
 };
 
--- a/tests/control_cluster.cpp
+++ b/tests/control_cluster.cpp
@@ -11,7 +11,7 @@
 }  // namespace
 
 ControlCluster::ControlCluster(bool rations)
-    : world(7), network(world), outside(world), databases(outside, [this](DatabaseHeartbeat heartbeat) { return replica(heartbeat.number % 3).heartbeat(heartbeat); }), disks(3), nodeLink(network, outside, Address{"10.1.0.1:1"}), nodeDesk(outside, nodeLink) {
+    : world(7), network(world), outside(world), databases(outside, [this](DatabaseHeartbeat heartbeat) { return replica(heartbeat.number % 3).heartbeat(heartbeat); }), disks(3), nodeLink(network, outside, Address{"10.1.0.1:1"}), nodeDesk(outside, nodeLink, 1) {
   for (std::size_t index = 0; index < 3; ++index) {
     ownClocks.push_back(std::make_unique<SimulatedClock>(world));
     auto& clock = *ownClocks.back();
--- a/tests/engine_cluster.cpp
+++ b/tests/engine_cluster.cpp
@@ -38,15 +38,61 @@
   own.link = std::make_unique<SimulatedLink>(network, *own.clock, address);
   own.store = makeStore(*own.clock, own.disk);
   own.application = std::make_unique<ObservedApplication>(*this, index);
-  std::set<Address> seeds{Address{host(0) + ":1"}, Address{host(1) + ":1"}, Address{host(2) + ":1"}};
-  own.core = std::make_unique<Core>(*own.clock, *own.link, *own.store, *own.application, *own.journal, CoreSettings{address, seeds, GroupTimings{}, bounds}, world.incarnation());
+  std::set<Address> seedAddresses;
+  for (auto seed : seeds) seedAddresses.insert(Address{host(seed) + ":1"});
+  own.core = std::make_unique<Core>(*own.clock, *own.link, *own.store, *own.application, *own.journal, CoreSettings{address, seedAddresses, GroupTimings{}, bounds}, world.incarnation());
   if (auto fault = own.core->start()) faults.push_back("did not start: " + *fault);
+  own.replacement = std::make_unique<MemberReplacement>(*own.clock, *own.journal, own.core->engine(), losses, 1s);
+  if (losses > 0) scopes_[index]->spawn(replacing(index));
+}
+
+Task<void> EngineCluster::replacing(std::size_t index) {
+  auto& own = *nodes[index];
+  for (;;) {
+    const auto& engine = own.core->engine();
+    bool leads = engine.state() == EngineState::regPrim && *engine.conf().set.begin() == own.core->own();
+    if (leads) own.replacement->review();
+    co_await sleep(*own.clock, 100ms);
+  }
+}
+
+void EngineCluster::stop(std::size_t index) {
+  if (!up(index)) return;
+  note("stop " + std::to_string(index + 1));
+  auto& core = *nodes[index]->core;
+  auto deadline = world.now() + 4s;
+  while (world.now() < deadline && !MemberReplacement::othersHoldAll(core.engine(), core.own(), losses)) run(25ms);
+  if (leavesWhenSpare && MemberReplacement::spare(core.engine(), core.own(), losses)) core.engine().requestLeave(core.own());
+  while (leavesWhenSpare && world.now() < deadline && MemberReplacement::spare(core.engine(), core.own(), losses)) run(25ms);
+  core.retire();
+  run(200ms);
+  kill(index);
+}
+
+std::set<std::string> EngineCluster::synced(std::size_t index) const {
+  std::set<std::string> held;
+  auto add = [&](const std::string& body) {
+    if (auto action = unpacked<Action>(body); action && action->type == ActionType::action) held.insert(action->update);
+  };
+  for (const auto& bytes : nodes[index]->disk.synced) {
+    auto record = unpacked<EngineRecord>(bytes);
+    if (!record) continue;
+    if (record->kind == EngineRecordKind::red || record->kind == EngineRecordKind::ongoing) add(record->body);
+    if (record->kind == EngineRecordKind::received)
+      if (auto delivery = unpacked<Delivery>(record->body))
+        if (auto message = unpacked<EngineMessage>(delivery->payload); message && message->matter == EngineMatter::action) add(message->body);
+    if (record->kind == EngineRecordKind::snapshot)
+      if (auto snapshot = unpacked<EngineSnapshot>(record->body))
+        if (auto applied = unpacked<std::vector<std::string>>(snapshot->application)) held.insert(applied->begin(), applied->end());
+  }
+  return held;
 }
 
 void EngineCluster::kill(std::size_t index) {
   auto& own = *nodes[index];
   if (own.core) note("kill " + std::to_string(index + 1));
   scopes_[index] = std::make_unique<TaskScope>();
+  own.replacement.reset();
   own.core.reset();
   own.application.reset();
   own.store.reset();
--- a/tests/engine_cluster.hpp
+++ b/tests/engine_cluster.hpp
@@ -2,7 +2,9 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
+#include "control/member_replacement.hpp"
 #include "engine/core.hpp"
 #include "simulated/simulated_clock.hpp"
 #include "simulated/simulated_link.hpp"
@@ -38,12 +40,17 @@
     std::unique_ptr<SimulatedStore> store;
     std::unique_ptr<ObservedApplication> application;
     std::unique_ptr<Core> core;
+    std::unique_ptr<MemberReplacement> replacement;
   };
 
   EngineCluster(std::size_t size, std::uint64_t seed);
   ~EngineCluster();
   void start(std::size_t index);
   void kill(std::size_t index);
+  // an orderly end, as ReplicaNode::handOver does it: others hold all, a spare member leaves, the others hear of it
+  void stop(std::size_t index);
+  // what is on a disk and would be read after a loss of power
+  std::set<std::string> synced(std::size_t index) const;
   bool up(std::size_t index) const { return nodes[index]->core != nullptr; }
   void submit(std::size_t index);
   void run(Duration duration) { world.runUntil(world.now() + duration); }
@@ -63,8 +70,15 @@
   std::vector<std::string> lines;
   std::uint64_t submitted = 0;
   EngineBounds bounds;
+  // the members whose addresses a starting process is told
+  std::set<std::size_t> seeds{0, 1, 2};
+  // machines that may be lost at once; with 0 nobody is let go
+  std::size_t losses = 0;
+  // whether a member that stops leaves the group where it can be spared; taken out to see the checks notice
+  bool leavesWhenSpare = true;
 
  private:
+  Task<void> replacing(std::size_t index);
   Task<void> submitAndWait(std::size_t index, std::string update);
   std::vector<std::unique_ptr<TaskScope>> scopes_;
 };
--- a/tests/news_desk_test.cpp
+++ b/tests/news_desk_test.cpp
@@ -29,7 +29,7 @@
   Source(World& world, SimulatedNetwork& network) : clock(world), link(network, clock, sourceAt) { start(); }
   void start() {
     desk.reset();
-    desk = std::make_unique<Desk>(clock, link);
+    desk = std::make_unique<Desk>(clock, link, static_cast<std::uint64_t>(clock.now().time_since_epoch().count()));
     news = std::make_unique<NewsDesk>(clock, *desk, board, *this, 150ms);
   }
   std::optional<Instant> leaseUntil(const Topic& topic) override {
@@ -62,7 +62,7 @@
 
 struct Following {
   explicit Following(std::uint64_t seed = 1)
-      : world(seed), network(world), source(world, network), clock(world), link(network, clock, Address{"10.1.0.1:1"}), counted(link, traffic, [](const Address&) { return "source"; }), desk(clock, counted), journal("node", [](const std::string&) {}), follower(clock, desk, journal, [](const Topic&) { return std::vector{sourceAt}; }, FollowTimings{350ms, 50ms}) {
+      : world(seed), network(world), source(world, network), clock(world), link(network, clock, Address{"10.1.0.1:1"}), counted(link, traffic, [](const Address&) { return "source"; }), desk(clock, counted, 1), journal("node", [](const std::string&) {}), follower(clock, desk, journal, [](const Topic&) { return std::vector{sourceAt}; }, FollowTimings{350ms, 50ms}) {
     source.tables[fleetTopic] = planNews();
     source.board.publish(fleetTopic, ++source.at, source.tables[fleetTopic]);
     for (const auto& topic : topics()) source.publish(topic, "a", "1");
@@ -195,7 +195,7 @@
   const Address node{"10.1.0.2:1"};
   SimulatedClock clock(following.world);
   SimulatedLink link(following.network, clock, node);
-  Desk desk(clock, link);
+  Desk desk(clock, link, 2);
   SimulatedJournal journal("node", [](const std::string&) {});
   NewsFollower follower(clock, desk, journal, [](const Topic&) { return std::vector{sourceAt}; }, FollowTimings{350ms, 50ms}, [node] { return std::optional{node}; });
   following.run(2s);
--- a/tests/news_test.cpp
+++ b/tests/news_test.cpp
@@ -15,7 +15,7 @@
 
 struct Source : NewsSource {
   Source(World& world, SimulatedNetwork& network, const std::string& host)
-      : clock(world), link(network, clock, Address{host + ":1"}), desk(clock, link), news(clock, desk, board, *this, 250ms) {}
+      : clock(world), link(network, clock, Address{host + ":1"}), desk(clock, link, 1), news(clock, desk, board, *this, 250ms) {}
   std::optional<Instant> leaseUntil(const Topic& topic) override {
     return without.contains(topic) ? std::nullopt : std::optional{clock.now() + 2s};
   }
@@ -42,7 +42,7 @@
 
 struct Following {
   Following()
-      : world(3), network(world), first(world, network, "10.0.0.1"), second(world, network, "10.0.0.2"), third(world, network, "10.0.0.3"), clock(world), link(network, clock, Address{"10.1.0.1:1"}), desk(clock, link), journal("node", [](const std::string&) {}), follower(clock, desk, journal, [](const Topic&) { return std::vector{Address{"10.0.0.1:1"}, Address{"10.0.0.2:1"}, Address{"10.0.0.3:1"}}; }, FollowTimings{450ms, 50ms}) {
+      : world(3), network(world), first(world, network, "10.0.0.1"), second(world, network, "10.0.0.2"), third(world, network, "10.0.0.3"), clock(world), link(network, clock, Address{"10.1.0.1:1"}), desk(clock, link, 2), journal("node", [](const std::string&) {}), follower(clock, desk, journal, [](const Topic&) { return std::vector{Address{"10.0.0.1:1"}, Address{"10.0.0.2:1"}, Address{"10.0.0.3:1"}}; }, FollowTimings{450ms, 50ms}) {
     for (auto* source : {&first, &second, &third}) {
       source->board.publish(fleetTopic, ++source->at, planOf({"s1", "s2"}));
       source->publish("s1", "a", "1");
--- a/tests/platform/adapter_programs.cpp
+++ b/tests/platform/adapter_programs.cpp
@@ -8,8 +8,8 @@
     : process_(process),
       wraps_(std::move(wraps)),
       link_(process.network(), process.clock(), process.machine().internal()),
-      agent_(process.clock(), link_, process.journal(), agentSettings(process)),
       boot_(process.world().below(std::uint64_t{1} << 62)),
+      agent_(process.clock(), link_, process.journal(), agentSettings(process), boot_),
       guide_(process.clock(), wrapped<NewsFeed>(wraps_.feed, agent_, feed_), process.machine().internal(), boot_),
       wireBackEnds_(process.lines(), "pooler"),
       pooler_(process.clock(), guide_, wrapped<BackEnds>(wraps_.backEnds, wireBackEnds_, backEnds_), process.journal(), poolerSettings(process), boot_,
@@ -50,7 +50,7 @@
 }
 
 Task<void> CoreProgram::watch() {
-  while (!replica_.dismissed()) co_await sleep(process_.clock(), 20ms);
+  while (!replica_.dismissed() || (replica_.draining() && !replica_.stopped())) co_await sleep(process_.clock(), 20ms);
   process_.journal().line("this member was let go while it was away; its state is emptied and it joins anew");
   disk_.rewrite({});
   process_.endItself();
--- a/tests/platform/adapter_programs.hpp
+++ b/tests/platform/adapter_programs.hpp
@@ -27,9 +27,9 @@
   PlatformProcess& process_;
   AdapterWraps wraps_;
   SimulatedLink link_;
+  std::uint64_t boot_;
   AgentNode agent_;
   std::unique_ptr<NewsFeed> feed_;
-  std::uint64_t boot_;
   Guide guide_;
   platform::WireBackEnds wireBackEnds_;
   std::unique_ptr<BackEnds> backEnds_;
--- a/tests/platform/broken_adapters.cpp
+++ b/tests/platform/broken_adapters.cpp
@@ -151,6 +151,7 @@
     for (const auto& record : records) own_.append(record);
   }
   std::size_t length() const override { return own_.length(); }
+  bool refusing() const override { return own_.refusing(); }
   const std::string& lastReason() const override { return own_.lastReason(); }
 
  private:
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -1,7 +1,10 @@
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
 #include <unistd.h>
 
+#include <csignal>
+
 #include <filesystem>
 #include <fstream>
 
@@ -47,8 +50,97 @@
   for (int number = 1; number <= amount; ++number) opened.add(number);
 }
 
+/// Files may grow to this many bytes and no further, as on a disk that is full.
+class FullDisk {
+ public:
+  explicit FullDisk(std::size_t bytes) {
+    signal_ = std::signal(SIGXFSZ, SIG_IGN);
+    ::getrlimit(RLIMIT_FSIZE, &before_);
+    rlimit limit{bytes, before_.rlim_max};
+    ::setrlimit(RLIMIT_FSIZE, &limit);
+  }
+  ~FullDisk() {
+    ::setrlimit(RLIMIT_FSIZE, &before_);
+    std::signal(SIGXFSZ, signal_);
+  }
+
+ private:
+  rlimit before_{};
+  void (*signal_)(int) = nullptr;
+};
+
 }  // namespace
 
+TEST_CASE("a disk that is full refuses without an end of the process, and holds everything in order once it takes it") {
+  for (std::size_t room = 0; room < 112; room += 7) {
+    INFO("room for " << room << " bytes");
+    Folder folder;
+    fill(folder, 2);
+    int synced = 0;
+    {
+      Opened opened(folder);
+      REQUIRE(opened.records);
+      {
+        FullDisk full(folder.bytes().size() + room);
+        for (int number = 3; number <= 9; ++number) {
+          opened.store.append(record(number));
+          opened.store.sync([&] { ++synced; });
+          opened.world.runUntil(opened.world.now() + 300ms);
+        }
+        CHECK(opened.store.refusing());
+        CHECK(opened.store.lastReason().find("cannot write") != std::string::npos);
+        CHECK(synced < 7);
+        opened.store.rewrite({record(1), record(9)});
+        opened.store.append(record(10));
+        opened.world.runUntil(opened.world.now() + 300ms);
+      }
+      opened.world.runUntil(opened.world.now() + 300ms);
+      CHECK_FALSE(opened.store.refusing());
+      CHECK(synced == 7);
+    }
+    Opened again(folder);
+    REQUIRE(again.records);
+    CHECK(*again.records == std::vector<std::string>{record(1), record(9), record(10)});
+  }
+}
+
+TEST_CASE("what a full disk refused is not there after a crash, what was synced before is") {
+  Folder folder;
+  fill(folder, 2);
+  {
+    Opened opened(folder);
+    FullDisk full(folder.bytes().size() + 5);
+    opened.store.append(record(3));
+    opened.store.sync([] {});
+    opened.world.runUntil(opened.world.now() + 300ms);
+    CHECK(opened.store.refusing());
+  }
+  Opened again(folder);
+  REQUIRE(again.records);
+  CHECK(*again.records == std::vector<std::string>{record(1), record(2)});
+}
+
+TEST_CASE("a store that starts on a full disk waits for room") {
+  Folder folder;
+  std::optional<Opened> opened;
+  bool synced = false;
+  {
+    FullDisk full(4);
+    opened.emplace(folder);
+    REQUIRE(opened->records);
+    opened->store.append(record(1));
+    opened->store.sync([&] { synced = true; });
+    opened->world.runUntil(opened->world.now() + 1s);
+    CHECK_FALSE(synced);
+  }
+  opened->world.runUntil(opened->world.now() + 1s);
+  CHECK(synced);
+  opened.reset();
+  Opened again(folder);
+  REQUIRE(again.records);
+  CHECK(*again.records == std::vector<std::string>{record(1)});
+}
+
 TEST_CASE("a store gives back what was synced, in order, and goes on behind it") {
   Folder folder;
   fill(folder, 3);
