--- a/src/base/address.hpp
+++ b/src/base/address.hpp
@@ -20,7 +20,9 @@
 std::optional<HostAndPort> splitAddress(const Address& address);
 
 /// The host of an address as it is written, which names the machine.
-inline std::string hostOf(const Address& address) { return address.get().substr(0, address.get().rfind(':')); }
+inline std::string hostOf(const Address& address) {
+  return address.get().substr(0, address.get().rfind(':'));
+}
 
 using Detours = std::map<Address, Address>;
 
--- a/src/base/desk.cpp
+++ b/src/base/desk.cpp
@@ -5,8 +5,12 @@
 namespace tamarindshift {
 
 Desk::Desk(Clock& clock, PeerLink& link, std::uint64_t boot) : clock_(clock), link_(link), boot_(boot) {
-  link_.on(Matter::ask, [this](const Address& from, const std::string& bytes) { onAsk(from, bytes); });
-  link_.on(Matter::reply, [this](const Address& from, const std::string& bytes) { onReply(from, bytes); });
+  link_.on(Matter::ask, [this](const Address& from, const std::string& bytes) {
+    onAsk(from, bytes);
+  });
+  link_.on(Matter::reply, [this](const Address& from, const std::string& bytes) {
+    onReply(from, bytes);
+  });
 }
 
 std::shared_ptr<Desk::Pending> Desk::send(const Address& peer, std::string subject, std::string body) {
@@ -26,7 +30,8 @@
   co_return pending->body;
 }
 
-Task<std::optional<std::string>> Desk::askPatiently(Address peer, std::string subject, std::string body, Duration patience, Instant deadline) {
+Task<std::optional<std::string>> Desk::askPatiently(Address peer, std::string subject, std::string body, Duration patience,
+                                                    Instant deadline) {
   auto pending = send(peer, std::move(subject), std::move(body));
   std::size_t arrived = 0;
   do {
--- a/src/base/gate.cpp
+++ b/src/base/gate.cpp
@@ -15,7 +15,10 @@
     place_ = gate_->waits_.insert(gate_->waits_.end(), this);
     listed_ = true;
   }
-  if (deadline_) timer_ = clock_.after(std::max(Duration::zero(), *deadline_ - clock_.now()), [this] { wake(false); });
+  if (deadline_)
+    timer_ = clock_.after(std::max(Duration::zero(), *deadline_ - clock_.now()), [this] {
+      wake(false);
+    });
 }
 
 void Gate::Wait::wake(bool opened) {
@@ -34,7 +37,9 @@
   for (auto* wait : waits_) {
     wait->listed_ = false;
     if (wait->timer_) wait->clock_.cancel(*wait->timer_);
-    wait->timer_ = wait->clock_.after(Duration::zero(), [wait] { wait->wake(true); });
+    wait->timer_ = wait->clock_.after(Duration::zero(), [wait] {
+      wait->wake(true);
+    });
   }
   waits_.clear();
 }
--- a/src/base/gate.hpp
+++ b/src/base/gate.hpp
@@ -43,6 +43,8 @@
   std::list<Wait*> waits_;
 };
 
-inline Gate::Wait sleep(Clock& clock, Duration duration) { return Gate::Wait{nullptr, clock, clock.now() + duration}; }
+inline Gate::Wait sleep(Clock& clock, Duration duration) {
+  return Gate::Wait{nullptr, clock, clock.now() + duration};
+}
 
 }  // namespace tamarindshift
--- a/src/base/setting_kinds.cpp
+++ b/src/base/setting_kinds.cpp
@@ -14,7 +14,9 @@
   return value;
 }
 
-std::string rangeText(std::size_t least, std::size_t most) { return "from " + std::to_string(least) + " to " + std::to_string(most); }
+std::string rangeText(std::size_t least, std::size_t most) {
+  return "from " + std::to_string(least) + " to " + std::to_string(most);
+}
 
 std::optional<std::string> takeAddresses(const std::string& text, std::set<Address>& target) {
   std::set<Address> read;
@@ -44,7 +46,8 @@
 }
 
 Setting seedsSetting(std::set<Address>& target) {
-  return Setting{"seeds", "three addresses of replicas, with commas between", "", true, [&target](const std::string& text) -> std::optional<std::string> {
+  return Setting{"seeds", "three addresses of replicas, with commas between", "", true,
+                 [&target](const std::string& text) -> std::optional<std::string> {
                    if (auto fault = takeAddresses(text, target)) return fault;
                    if (target.size() != 3) return "must be three different addresses";
                    return std::nullopt;
@@ -52,7 +55,9 @@
 }
 
 Setting addressesSetting(std::string key, std::string meaning, std::set<Address>& target) {
-  return Setting{std::move(key), std::move(meaning), "", false, [&target](const std::string& text) { return takeAddresses(text, target); }};
+  return Setting{std::move(key), std::move(meaning), "", false, [&target](const std::string& text) {
+                   return takeAddresses(text, target);
+                 }};
 }
 
 Setting detoursSetting(Detours& target) {
@@ -73,7 +78,8 @@
 }
 
 Setting zoneSetting(Zone& target) {
-  return Setting{"zone", "name of the zone this process runs in", "", true, [&target](const std::string& text) -> std::optional<std::string> {
+  return Setting{"zone", "name of the zone this process runs in", "", true,
+                 [&target](const std::string& text) -> std::optional<std::string> {
                    if (text.empty()) return "must not be empty";
                    target = Zone{text};
                    return std::nullopt;
@@ -93,7 +99,8 @@
   return Setting{std::move(key), std::move(meaning) + ", in milliseconds " + range, std::to_string(milliseconds(target).count()), false,
                  [&target, least, most, range](const std::string& text) -> std::optional<std::string> {
                    auto value = wholeNumber(text);
-                   bool fits = value && *value >= static_cast<std::size_t>(milliseconds(least).count()) && *value <= static_cast<std::size_t>(milliseconds(most).count());
+                   bool fits = value && *value >= static_cast<std::size_t>(milliseconds(least).count()) &&
+                               *value <= static_cast<std::size_t>(milliseconds(most).count());
                    if (!fits) return "must be a whole number " + range;
                    target = std::chrono::milliseconds{*value};
                    return std::nullopt;
@@ -102,7 +109,8 @@
 
 Setting numberSetting(std::string key, std::string meaning, std::size_t& target, std::size_t least, std::size_t most) {
   auto range = rangeText(least, most);
-  return Setting{std::move(key), std::move(meaning) + ", " + range, std::to_string(target), false, [&target, least, most, range](const std::string& text) -> std::optional<std::string> {
+  return Setting{std::move(key), std::move(meaning) + ", " + range, std::to_string(target), false,
+                 [&target, least, most, range](const std::string& text) -> std::optional<std::string> {
                    auto value = wholeNumber(text);
                    if (!value || *value < least || *value > most) return "must be a whole number " + range;
                    target = *value;
@@ -111,11 +119,14 @@
 }
 
 Setting rationsSetting(bool& target) {
-  return flagSetting("rations", "whether nodes agree which work a crowded database gets first; only once all replicas run a release that knows rations", target);
+  return flagSetting(
+      "rations", "whether nodes agree which work a crowded database gets first; only once all replicas run a release that knows rations",
+      target);
 }
 
 Setting flagSetting(std::string key, std::string meaning, bool& target) {
-  return Setting{std::move(key), std::move(meaning) + ", true or false", target ? "true" : "false", false, [&target](const std::string& text) -> std::optional<std::string> {
+  return Setting{std::move(key), std::move(meaning) + ", true or false", target ? "true" : "false", false,
+                 [&target](const std::string& text) -> std::optional<std::string> {
                    if (text != "true" && text != "false") return "must be true or false";
                    target = text == "true";
                    return std::nullopt;
--- a/src/base/strong.hpp
+++ b/src/base/strong.hpp
@@ -26,7 +26,5 @@
 
 template <class Tag, class Value>
 struct std::hash<tamarindshift::Strong<Tag, Value>> {
-  std::size_t operator()(const tamarindshift::Strong<Tag, Value>& strong) const {
-    return std::hash<Value>{}(strong.get());
-  }
+  std::size_t operator()(const tamarindshift::Strong<Tag, Value>& strong) const { return std::hash<Value>{}(strong.get()); }
 };
--- a/src/base/task_scope.cpp
+++ b/src/base/task_scope.cpp
@@ -13,7 +13,9 @@
 void TaskScope::sweep() {
   for (auto& task : tasks_)
     if (task.done() && task.failure()) std::rethrow_exception(task.failure());
-  tasks_.remove_if([](const Task<void>& task) { return task.done(); });
+  tasks_.remove_if([](const Task<void>& task) {
+    return task.done();
+  });
   sweepAt_ = std::max<std::size_t>(16, tasks_.size() * 2);
 }
 
--- a/src/control/access_tables.cpp
+++ b/src/control/access_tables.cpp
@@ -7,7 +7,8 @@
 bool AccessTables::misses(const NodeReport& report) const {
   if (report.whole) return false;
   auto held = nodes_.find(report.node);
-  return held == nodes_.end() || held->second.report.boot != report.boot || (report.after != 0 && held->second.report.number != report.after);
+  return held == nodes_.end() || held->second.report.boot != report.boot ||
+         (report.after != 0 && held->second.report.number != report.after);
 }
 
 bool AccessTables::noteReport(NodeReport report, Instant now) {
@@ -29,8 +30,11 @@
     });
   for (auto& [service, own] : report.services) {
     auto [before, fresh] = services.try_emplace(service, own);
-    if (fresh || !sameBoot || std::tie(before->second.followed, before->second.wanted) != std::tie(own.followed, own.wanted)) ++sharesInputs_[service];
-    tells = tells || fresh || std::tie(before->second.epoch, before->second.followed, before->second.suspects, before->second.strained) != std::tie(own.epoch, own.followed, own.suspects, own.strained);
+    if (fresh || !sameBoot || std::tie(before->second.followed, before->second.wanted) != std::tie(own.followed, own.wanted))
+      ++sharesInputs_[service];
+    tells = tells || fresh ||
+            std::tie(before->second.epoch, before->second.followed, before->second.suspects, before->second.strained) !=
+                std::tie(own.epoch, own.followed, own.suspects, own.strained);
     auto& acknowledged = acknowledged_[service];
     acknowledged = std::max(acknowledged, own.acknowledged);
     if (!fresh) before->second = std::move(own);
@@ -57,7 +61,9 @@
 
 bool AccessTables::noteHeartbeat(const DatabaseHeartbeat& heartbeat, Instant now, Duration silence) {
   if (older(heartbeat, now, silence)) return false;
-  std::erase_if(databases_, [&](const auto& each) { return !each.second.heartbeat.address.get().empty() && now - each.second.heardAt > databasesKept; });
+  std::erase_if(databases_, [&](const auto& each) {
+    return !each.second.heartbeat.address.get().empty() && now - each.second.heardAt > databasesKept;
+  });
   databases_[{heartbeat.service, heartbeat.database}] = Database{heartbeat, now};
   return true;
 }
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -21,47 +21,97 @@
   };
   switch (update->matter) {
     case ControlMatter::plan:
-      apply([this](const auto& body) { return applyPlan(body); }, unpacked<PlanUpdate>(update->body));
+      apply(
+          [this](const auto& body) {
+            return applyPlan(body);
+          },
+          unpacked<PlanUpdate>(update->body));
       break;
     case ControlMatter::drainDatabase:
-      apply([this](const auto& body) { return applyDatabase(body, true); }, unpacked<DatabaseUpdate>(update->body));
+      apply(
+          [this](const auto& body) {
+            return applyDatabase(body, true);
+          },
+          unpacked<DatabaseUpdate>(update->body));
       break;
     case ControlMatter::returnDatabase:
-      apply([this](const auto& body) { return applyDatabase(body, false); }, unpacked<DatabaseUpdate>(update->body));
+      apply(
+          [this](const auto& body) {
+            return applyDatabase(body, false);
+          },
+          unpacked<DatabaseUpdate>(update->body));
       break;
     case ControlMatter::enrolDatabase:
-      apply([this](const auto& body) { return applyEnrolment(body); }, unpacked<EnrolmentUpdate>(update->body));
+      apply(
+          [this](const auto& body) {
+            return applyEnrolment(body);
+          },
+          unpacked<EnrolmentUpdate>(update->body));
       break;
     case ControlMatter::removeDatabase:
-      apply([this](const auto& body) { return removeDatabase(body); }, unpacked<DatabaseUpdate>(update->body));
+      apply(
+          [this](const auto& body) {
+            return removeDatabase(body);
+          },
+          unpacked<DatabaseUpdate>(update->body));
       break;
     case ControlMatter::recovery:
-      apply([this](const auto& body) { return applyRecovery(body); }, unpacked<RecoveryUpdate>(update->body));
+      apply(
+          [this](const auto& body) {
+            return applyRecovery(body);
+          },
+          unpacked<RecoveryUpdate>(update->body));
       break;
     case ControlMatter::promoted:
-      apply([this](const auto& body) { return applyPromoted(body); }, unpacked<PromotedUpdate>(update->body));
+      apply(
+          [this](const auto& body) {
+            return applyPromoted(body);
+          },
+          unpacked<PromotedUpdate>(update->body));
       break;
     case ControlMatter::shares:
-      apply([this](const auto& body) { return applyShares(body); }, unpacked<SharesUpdate>(update->body));
+      apply(
+          [this](const auto& body) {
+            return applyShares(body);
+          },
+          unpacked<SharesUpdate>(update->body));
       break;
     case ControlMatter::ration:
-      apply([this](const auto& body) { return applyRation(body); }, unpacked<RationUpdate>(update->body));
+      apply(
+          [this](const auto& body) {
+            return applyRation(body);
+          },
+          unpacked<RationUpdate>(update->body));
       break;
     case ControlMatter::enrolNode:
-      apply([this](const auto& body) { return applyNode(body, false); }, unpacked<NodeUpdate>(update->body));
+      apply(
+          [this](const auto& body) {
+            return applyNode(body, false);
+          },
+          unpacked<NodeUpdate>(update->body));
       break;
     case ControlMatter::drainNode:
-      apply([this](const auto& body) { return applyNode(body, true); }, unpacked<NodeUpdate>(update->body));
+      apply(
+          [this](const auto& body) {
+            return applyNode(body, true);
+          },
+          unpacked<NodeUpdate>(update->body));
       break;
     case ControlMatter::removeNode:
-      apply([this](const auto& body) { return removeNode(body); }, unpacked<NodeUpdate>(update->body));
+      apply(
+          [this](const auto& body) {
+            return removeNode(body);
+          },
+          unpacked<NodeUpdate>(update->body));
       break;
   }
   publish();
   return reply;
 }
 
-std::string ControlState::applyPlan(const PlanUpdate& update) { return text(judgePlan(update)); }
+std::string ControlState::applyPlan(const PlanUpdate& update) {
+  return text(judgePlan(update));
+}
 
 PlanVerdict ControlState::judgePlan(const PlanUpdate& update) {
   PlanReader reader;
@@ -84,12 +134,18 @@
   for (const auto& [name, service] : plan_->services) {
     auto& state = services_[name];
     auto databases = this->databases(name);
-    std::erase_if(state.drained, [&](const auto& database) { return !databases.contains(database.first); });
-    std::erase_if(state.rations, [&](const auto& database) { return !databases.contains(database.first); });
+    std::erase_if(state.drained, [&](const auto& database) {
+      return !databases.contains(database.first);
+    });
+    std::erase_if(state.rations, [&](const auto& database) {
+      return !databases.contains(database.first);
+    });
     state.sharesAt = position_;
     std::map<BranchName, std::uint32_t> sums;
     auto fit = [&](std::map<BranchName, std::uint32_t>& branches) {
-      std::erase_if(branches, [&](const auto& branch) { return !service.branches.contains(branch.first); });
+      std::erase_if(branches, [&](const auto& branch) {
+        return !service.branches.contains(branch.first);
+      });
       for (auto& [branch, amount] : branches) {
         auto& sum = sums[branch];
         amount = std::min(amount, service.branches.at(branch).connections - sum);
@@ -195,7 +251,8 @@
   own->second.erase(database);
   if (own->second.empty()) enrolled_.erase(own);
   for (auto* states : {&services_, &retired_})
-    if (auto state = states->find(service); state != states->end()) state->second.drained.erase(database), state->second.rations.erase(database);
+    if (auto state = states->find(service); state != states->end())
+      state->second.drained.erase(database), state->second.rations.erase(database);
 }
 
 std::string ControlState::applyEnrolment(const EnrolmentUpdate& update) {
@@ -253,7 +310,9 @@
         if ((sums[branch] += amount) > branches.at(branch).connections) return "over the branch";
       }
   auto& reserved = service->second.reserved;
-  std::erase_if(reserved, [&](const auto& each) { return !update.reserved.contains(each.first); });
+  std::erase_if(reserved, [&](const auto& each) {
+    return !update.reserved.contains(each.first);
+  });
   for (const auto& [node, most] : update.reserved)
     if (auto [held, fresh] = reserved.try_emplace(node, ReservedShare{position_, update.basis, most}); !fresh) held->second.most = most;
   if (service->second.grants == update.grants) return "held";
@@ -344,7 +403,8 @@
   layPlan(table, news);
   table["primary"] = packed(PrimaryNews{state.epoch, state.primary, state.promoted, state.planned});
   if (service.discovered)
-    for (const auto& [database, own] : databases(name)) table["database/" + database.get()] = packed(DatabaseNews{own.address, own.zone, own.capacity});
+    for (const auto& [database, own] : databases(name))
+      table["database/" + database.get()] = packed(DatabaseNews{own.address, own.zone, own.capacity});
   for (const auto& [database, ration] : state.rations) table["ration/" + database.get()] = packed(ration);
   for (const auto& [database, mark] : state.drained) table["drained/" + database.get()] = packed(mark);
   for (const auto& [node, branches] : state.grants) table[sharePrefix + node.get()] = packed(ShareNews{branches});
@@ -369,7 +429,8 @@
 std::string ControlState::snapshot() const {
   std::map<Topic, std::uint64_t> marks;
   for (const auto& [topic, entry] : board_.entries()) marks[topic] = entry->mark;
-  return packed(ControlSnapshot{planText_, services_, nodes_, dutyEpoch_, position_, retired_, enrolled_, std::move(marks), versions_, departed_});
+  return packed(
+      ControlSnapshot{planText_, services_, nodes_, dutyEpoch_, position_, retired_, enrolled_, std::move(marks), versions_, departed_});
 }
 
 bool ControlState::restore(const std::string& snapshot) {
--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -8,7 +8,16 @@
 
 Duties::Duties(Clock& clock, Journal& journal, const Timings& timings, ReplicationEngine& engine, const ControlState& state,
                AccessTables& access, DatabaseControl& databases, ServerId own, std::size_t losses, bool rationing)
-    : clock_(clock), journal_(journal), timings_(timings), engine_(engine), state_(state), access_(access), databases_(databases), own_(std::move(own)), members_(clock, journal, engine, losses, timings.memberAway), rationing_(rationing) {
+    : clock_(clock),
+      journal_(journal),
+      timings_(timings),
+      engine_(engine),
+      state_(state),
+      access_(access),
+      databases_(databases),
+      own_(std::move(own)),
+      members_(clock, journal, engine, losses, timings.memberAway),
+      rationing_(rationing) {
   scope_.spawn(run());
   scope_.spawn(wakeOnGreen());
 }
@@ -41,7 +50,9 @@
 }
 
 void Duties::noteEpochs() {
-  std::erase_if(seenEpochs_, [&](const auto& each) { return !state_.services().contains(each.first); });
+  std::erase_if(seenEpochs_, [&](const auto& each) {
+    return !state_.services().contains(each.first);
+  });
   for (const auto& [name, service] : state_.services()) {
     auto& seen = seenEpochs_[name];
     if (seen.at == Instant{} || seen.epoch != service.epoch) seen = SeenEpoch{service.epoch, clock_.now(), std::nullopt};
@@ -131,12 +142,16 @@
 }
 
 bool Duties::everyNodeFollows(const ServiceName& name, const ServiceState& service) const {
-  return std::all_of(state_.nodes().begin(), state_.nodes().end(), [&](const auto& each) { return follows(name, service, each.first); });
+  return std::all_of(state_.nodes().begin(), state_.nodes().end(), [&](const auto& each) {
+    return follows(name, service, each.first);
+  });
 }
 
 Grants Duties::reserve(const ServiceName& name, const ServiceState& service) {
   auto& seen = duties_[name].reservedSeenAt;
-  std::erase_if(seen, [&](const auto& each) { return !service.reserved.contains(each.first); });
+  std::erase_if(seen, [&](const auto& each) {
+    return !service.reserved.contains(each.first);
+  });
   Grants reserved;
   for (const auto& [node, share] : service.reserved) {
     auto& [at, since] = seen[node];
@@ -168,7 +183,10 @@
 // few connections of nodes that may come back stay with them until another node is short
 bool Duties::canWait(const ServiceName& name, const ServiceState& service, const Grants& target) const {
   if (!service.reserved.empty()) return false;
-  if (std::any_of(target.begin(), target.end(), [&](const auto& each) { return !service.grants.contains(each.first); })) return false;
+  if (std::any_of(target.begin(), target.end(), [&](const auto& each) {
+        return !service.grants.contains(each.first);
+      }))
+    return false;
   std::map<BranchName, std::uint64_t> away;
   for (const auto& [node, branches] : service.grants) {
     if (target.contains(node)) continue;
@@ -177,7 +195,9 @@
     for (const auto& [branch, amount] : branches) away[branch] += amount;
   }
   const auto& branches = state_.plan()->services.at(name).branches;
-  return std::all_of(away.begin(), away.end(), [&](const auto& each) { return each.second * fewOfABranch <= branches.at(each.first).connections; });
+  return std::all_of(away.begin(), away.end(), [&](const auto& each) {
+    return each.second * fewOfABranch <= branches.at(each.first).connections;
+  });
 }
 
 Task<void> Duties::shares(ServiceName name) {
@@ -215,7 +235,8 @@
   }
   auto lower = lowered(service.grants, target);
   for (const auto& [node, share] : service.reserved)
-    if (!reserved.contains(node) && target.contains(node) && !lower.contains(node)) lower[node] = lowered({{node, share.most}}, target)[node];
+    if (!reserved.contains(node) && target.contains(node) && !lower.contains(node))
+      lower[node] = lowered({{node, share.most}}, target)[node];
   if (lower != service.grants || reserved != reservedBefore) {
     bool nodesChanged = reserved != reservedBefore || target.size() != service.grants.size();
     bool pressing = nodesChanged && !canWait(name, service, target);
@@ -269,7 +290,9 @@
   co_await orderAll(std::move(orders));
   std::vector<NodeUpdate> gone;
   for (const auto& [address, node] : state_.nodes()) {
-    bool holds = std::any_of(state_.services().begin(), state_.services().end(), [&](const auto& each) { return each.second.holds(address); });
+    bool holds = std::any_of(state_.services().begin(), state_.services().end(), [&](const auto& each) {
+      return each.second.holds(address);
+    });
     if (!holds && silent(address)) gone.push_back(NodeUpdate{address, node.zone, node.boot});
   }
   for (const auto& update : gone) {
@@ -285,7 +308,9 @@
   for (const auto& [service, databases] : state_.enrolled())
     for (const auto& [database, own] : databases) {
       auto served = state_.services().find(service);
-      if (served != state_.services().end() && (served->second.primary == database || (!served->second.promoted && served->second.servedBy == database))) continue;
+      if (served != state_.services().end() &&
+          (served->second.primary == database || (!served->second.promoted && served->second.servedBy == database)))
+        continue;
       const auto* sign = access_.database(service, database);
       const auto* drained = state_.drained(service, database);
       bool silent = clock_.now() - std::max(sign ? sign->heardAt : Instant{}, takenAt_) > timings_.databaseGone;
@@ -303,7 +328,8 @@
   for (const auto& [database, own] : state_.databases(name)) {
     const auto* sign = access_.database(name, database);
     if (!sign || !sign->heartbeat.leaving || !fresh(*sign)) continue;
-    if (!state_.services().at(name).drained.contains(database)) leaving.push_back({name, database, sign->heartbeat.boot, sign->heartbeat.number, false});
+    if (!state_.services().at(name).drained.contains(database))
+      leaving.push_back({name, database, sign->heartbeat.boot, sign->heartbeat.number, false});
   }
   for (const auto& update : leaving) {
     journal_.line("database " + update.database.get() + " leaves, its heartbeats say");
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -13,8 +13,8 @@
 
 class Duties {
  public:
-  Duties(Clock& clock, Journal& journal, const Timings& timings, ReplicationEngine& engine, const ControlState& state,
-         AccessTables& access, DatabaseControl& databases, ServerId own, std::size_t losses, bool rationing);
+  Duties(Clock& clock, Journal& journal, const Timings& timings, ReplicationEngine& engine, const ControlState& state, AccessTables& access,
+         DatabaseControl& databases, ServerId own, std::size_t losses, bool rationing);
 
   bool onDuty() const;
   // something came that a duty may wait for
@@ -95,7 +95,8 @@
   Task<bool> holdsNeeded(ServiceName name, ServiceState service);
   Task<void> callPromotion(ServiceName name, ServiceState service);
   Task<bool> leads(ServiceName name, ServiceState service, Instant calledAt);
-  Task<std::optional<DatabaseStanding>> reached(ServiceName name, ServiceState service, Place needed, std::optional<DatabaseStanding> standing);
+  Task<std::optional<DatabaseStanding>> reached(ServiceName name, ServiceState service, Place needed,
+                                                std::optional<DatabaseStanding> standing);
   Task<void> demote(ServiceName name, DatabaseName former);
   Task<void> demoteStray(ServiceName name);
   Task<std::optional<DatabaseStanding>> status(ServiceName name, DatabaseName database, Duration patience);
--- a/src/control/duty_reasons.cpp
+++ b/src/control/duty_reasons.cpp
@@ -27,7 +27,9 @@
   for (const auto& [address, node] : state_.nodes()) {
     const auto* known = heard(address);
     auto granted = service.grants.find(address);
-    bool has = granted != service.grants.end() && std::any_of(granted->second.begin(), granted->second.end(), [](const auto& each) { return each.second > 0; });
+    bool has = granted != service.grants.end() && std::any_of(granted->second.begin(), granted->second.end(), [](const auto& each) {
+                 return each.second > 0;
+               });
     if (!known)
       reasons[address] = "no report heard";
     else if (known->report.boot != node.boot)
--- a/src/control/heartbeat_json.cpp
+++ b/src/control/heartbeat_json.cpp
@@ -21,7 +21,8 @@
     heartbeat.leaving = json.value("leaving", false);
     heartbeat.address = Address{json.value("address", "")};
     heartbeat.zone = Zone{json.value("zone", "")};
-    if (json.contains("capacity")) heartbeat.capacity = static_cast<std::uint32_t>(std::min<std::uint64_t>(wholeNumber(json["capacity"]), UINT32_MAX));
+    if (json.contains("capacity"))
+      heartbeat.capacity = static_cast<std::uint32_t>(std::min<std::uint64_t>(wholeNumber(json["capacity"]), UINT32_MAX));
     if (!heartbeat.address.get().empty() && !splitAddress(heartbeat.address)) return std::nullopt;
     if (heartbeat.role != "primary" && heartbeat.role != "replica") return std::nullopt;
     return heartbeat;
@@ -40,7 +41,8 @@
                       {"position", heartbeat.position.get()},
                       {"contact_age_ms", milliseconds(heartbeat.contactAge).count()},
                       {"leaving", heartbeat.leaving}};
-  if (!heartbeat.address.get().empty()) json.update({{"address", heartbeat.address.get()}, {"zone", heartbeat.zone.get()}, {"capacity", heartbeat.capacity}});
+  if (!heartbeat.address.get().empty())
+    json.update({{"address", heartbeat.address.get()}, {"zone", heartbeat.zone.get()}, {"capacity", heartbeat.capacity}});
   return json.dump();
 }
 
--- a/src/control/member_replacement.cpp
+++ b/src/control/member_replacement.cpp
@@ -7,8 +7,9 @@
 std::size_t MemberReplacement::presentWithout(const ReplicationEngine& engine, const ServerId& member) {
   if (engine.state() != EngineState::regPrim) return 0;
   const auto& present = engine.conf().set;
-  return static_cast<std::size_t>(
-      std::count_if(present.begin(), present.end(), [&](const auto& server) { return server != member && engine.knows(server); }));
+  return static_cast<std::size_t>(std::count_if(present.begin(), present.end(), [&](const auto& server) {
+    return server != member && engine.knows(server);
+  }));
 }
 
 bool MemberReplacement::spare(const ReplicationEngine& engine, const ServerId& member, std::size_t losses) {
@@ -22,7 +23,9 @@
 void MemberReplacement::review() {
   const auto& present = engine_.conf().set;
   auto members = engine_.members();
-  std::erase_if(awaySince_, [&](const auto& each) { return present.contains(each.first) || !members.contains(each.first); });
+  std::erase_if(awaySince_, [&](const auto& each) {
+    return present.contains(each.first) || !members.contains(each.first);
+  });
   for (const auto& server : members) {
     if (present.contains(server)) continue;
     if (!spare(engine_, server, losses_)) {
--- a/src/control/operator_door.cpp
+++ b/src/control/operator_door.cpp
@@ -12,7 +12,8 @@
   const auto& path = request.path;
   if (path == "/plan") {
     if (request.method == "GET") {
-      if (!replica_.leaseUntil(fleetTopic)) co_return refusal(503, "not in a proved primary component", {}, replica_.settings().timings.comeBack);
+      if (!replica_.leaseUntil(fleetTopic))
+        co_return refusal(503, "not in a proved primary component", {}, replica_.settings().timings.comeBack);
       if (!replica_.state().plan()) co_return refusal(404, "no plan is held yet");
       co_return DoorReply{200, replica_.state().planText(), std::nullopt};
     }
@@ -34,7 +35,8 @@
     Address member{path.substr(9)};
     co_return co_await replica_.removeMember(member);
   }
-  if (request.method != "GET") co_return refusal(path == "/status" || path == "/counters" || path == "/ready" ? 405 : 404, "no such path or method");
+  if (request.method != "GET")
+    co_return refusal(path == "/status" || path == "/counters" || path == "/ready" ? 405 : 404, "no such path or method");
   if (path == "/status") co_return DoorReply{200, replicaStatus(replica_, clock_.now()).dump(2), std::nullopt};
   if (path == "/counters") co_return DoorReply{200, nlohmann::json(replica_.journal().counters()).dump(2), std::nullopt};
   if (path == "/ready") {
--- a/src/control/plan_check.cpp
+++ b/src/control/plan_check.cpp
@@ -24,12 +24,16 @@
 }
 
 void compareWithHeld(const Plan& plan, const Plan& held, PlanCheck& check) {
-  auto same = [](const auto& left, const auto& right) { return packed(left) == packed(right); };
+  auto same = [](const auto& left, const auto& right) {
+    return packed(left) == packed(right);
+  };
   compare("service", held.services, plan.services, check, same);
   compare("kind", held.kinds, plan.kinds, check, same);
   compare("machine", held.machines, plan.machines, check, same);
-  if (plan.mark < held.mark) check.misfits.push_back("mark " + std::to_string(plan.mark.get()) + " is older than the held " + std::to_string(held.mark.get()));
-  if (plan.mark == held.mark && !check.changes.empty()) check.misfits.push_back("mark " + std::to_string(plan.mark.get()) + " is held with other content");
+  if (plan.mark < held.mark)
+    check.misfits.push_back("mark " + std::to_string(plan.mark.get()) + " is older than the held " + std::to_string(held.mark.get()));
+  if (plan.mark == held.mark && !check.changes.empty())
+    check.misfits.push_back("mark " + std::to_string(plan.mark.get()) + " is held with other content");
 }
 
 void compareWithFleet(const Plan& plan, const Json& status, PlanCheck& check) {
@@ -39,24 +43,29 @@
   auto selects = [&](const std::set<Label>& selector) {
     if (selector.empty()) return !nodes.empty();
     return std::any_of(plan.machines.begin(), plan.machines.end(), [&](const auto& machine) {
-      return nodes.contains(machine.first.get()) && std::includes(machine.second.begin(), machine.second.end(), selector.begin(), selector.end());
+      return nodes.contains(machine.first.get()) &&
+             std::includes(machine.second.begin(), machine.second.end(), selector.begin(), selector.end());
     });
   };
   for (const auto& [name, kind] : plan.kinds)
     if (!selects(kind.machines)) check.misfits.push_back("kind " + name.get() + " selects no machine of the fleet");
-  auto living = std::count_if(nodes.begin(), nodes.end(), [](const Json& node) { return !node.value("draining", false); });
+  auto living = std::count_if(nodes.begin(), nodes.end(), [](const Json& node) {
+    return !node.value("draining", false);
+  });
   for (const auto& [name, service] : plan.services) {
     for (const auto& [branchName, branch] : service.branches) {
       auto path = name.get() + "/" + branchName.get();
       if (branch.connections < static_cast<std::uint32_t>(living))
-        check.misfits.push_back("branch " + path + " has " + std::to_string(branch.connections) + " connections for " + std::to_string(living) + " machines");
+        check.misfits.push_back("branch " + path + " has " + std::to_string(branch.connections) + " connections for " +
+                                std::to_string(living) + " machines");
       if (branch.floor * static_cast<std::uint64_t>(living) > branch.connections)
         check.warnings.push_back("branch " + path + " cannot give its floor to " + std::to_string(living) + " machines");
     }
     auto known = status.value("services", Json::object()).value(name.get(), Json::object());
     auto databases = known.value("databases", Json::object());
     for (const auto& [databaseName, database] : service.databases)
-      if (!databases.contains(databaseName.get())) check.warnings.push_back("database " + name.get() + "/" + databaseName.get() + " has sent no heartbeat");
+      if (!databases.contains(databaseName.get()))
+        check.warnings.push_back("database " + name.get() + "/" + databaseName.get() + " has sent no heartbeat");
     auto primary = known.value("primary", "");
     if (!primary.empty() && !service.discovered && !service.databases.contains(DatabaseName{primary}))
       check.warnings.push_back("the primary " + name.get() + "/" + primary + " is not in the plan and would be replaced");
--- a/src/control/plan_news.cpp
+++ b/src/control/plan_news.cpp
@@ -55,8 +55,12 @@
   return ServiceNews{planMarkIn(table), std::move(*service), kindsIn<PlanKind>(table)};
 }
 
-PlanMark planMarkIn(const NewsTable& table) { return valueAt<PlanMark>(table, markKey).value_or(PlanMark{}); }
+PlanMark planMarkIn(const NewsTable& table) {
+  return valueAt<PlanMark>(table, markKey).value_or(PlanMark{});
+}
 
-bool isPlanKey(const std::string& key) { return key == markKey || key == limitsKey || key == serviceKey || key.starts_with(kindPrefix); }
+bool isPlanKey(const std::string& key) {
+  return key == markKey || key == limitsKey || key == serviceKey || key.starts_with(kindPrefix);
+}
 
 }  // namespace tamarindshift
--- a/src/control/plan_reader.cpp
+++ b/src/control/plan_reader.cpp
@@ -25,10 +25,13 @@
   }
   Tree tree;
   bool tooDeep = false;
-  auto json = nlohmann::json::parse(text, [&](int depth, auto, auto&) {
-    tooDeep = tooDeep || depth > mostDepth;
-    return !tooDeep;
-  }, false);
+  auto json = nlohmann::json::parse(
+      text,
+      [&](int depth, auto, auto&) {
+        tooDeep = tooDeep || depth > mostDepth;
+        return !tooDeep;
+      },
+      false);
   if (tooDeep || json.is_discarded()) {
     fault("", tooDeep ? "nested too deep" : "not JSON");
     return std::nullopt;
@@ -81,8 +84,11 @@
 }
 
 void PlanReader::scalarTypes(const nlohmann::json& json, const std::string& path) {
-  static const std::set<std::string> numbers{"mark", "cap", "connections", "order", "floor", "sync-replicas", "staleness-ms", "statement-ms", "aim-ms"};
-  auto counts = [&](const std::string& key) { return numbers.contains(key) || path == "weights" || path == "limits"; };
+  static const std::set<std::string> numbers{"mark",          "cap",          "connections",  "order", "floor",
+                                             "sync-replicas", "staleness-ms", "statement-ms", "aim-ms"};
+  auto counts = [&](const std::string& key) {
+    return numbers.contains(key) || path == "weights" || path == "limits";
+  };
   if (json.is_array())
     for (const auto& child : json) child.is_string() ? void() : fault(path, "must be a list of strings");
   if (!json.is_object()) return;
@@ -127,7 +133,8 @@
   const auto& text = tree.data();
   std::uint64_t value = 0;
   auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (!tree.empty() || error != std::errc{} || stop != text.data() + text.size() || value < least) fault(path, "must be a whole number from " + std::to_string(least));
+  if (!tree.empty() || error != std::errc{} || stop != text.data() + text.size() || value < least)
+    fault(path, "must be a whole number from " + std::to_string(least));
   return value;
 }
 
@@ -143,7 +150,9 @@
 
 std::string PlanReader::line(const Tree& tree, const std::string& key, const std::string& path) {
   auto text = tree.get<std::string>(key, "");
-  bool plain = text.size() <= 256 && std::none_of(text.begin(), text.end(), [](unsigned char letter) { return std::iscntrl(letter); });
+  bool plain = text.size() <= 256 && std::none_of(text.begin(), text.end(), [](unsigned char letter) {
+                 return std::iscntrl(letter);
+               });
   if (!plain) fault(path + "." + key, "must be at most 256 letters on one line");
   return text;
 }
@@ -188,16 +197,18 @@
   if (!keys(tree, path, {"quota"}, {"databases", "discovery", "sync-replicas"})) return service;
   auto discovery = tree.get_child_optional("discovery");
   service.discovered = discovery.has_value();
-  if (discovery && discovery->data() != "heartbeats" && discovery->data() != discoveryFormerly) fault(path + ".discovery", "must be heartbeats");
-  if (discovery.has_value() == tree.get_child_optional("databases").has_value()) fault(path + ".databases", "a service has databases or discovery, one of them");
-  else if (!discovery) listed(tree, path, service);
+  if (discovery && discovery->data() != "heartbeats" && discovery->data() != discoveryFormerly)
+    fault(path + ".discovery", "must be heartbeats");
+  if (discovery.has_value() == tree.get_child_optional("databases").has_value())
+    fault(path + ".databases", "a service has databases or discovery, one of them");
+  else if (!discovery)
+    listed(tree, path, service);
   if (auto given = tree.get_child_optional("sync-replicas")) service.syncReplicas = number(*given, path + ".sync-replicas", 0, 100);
   const auto& quota = tree.get_child("quota");
   if (!keys(quota, path + ".quota", {"connections", "branches"}, {})) return service;
   service.connections = number(quota.get_child("connections"), path + ".quota.connections", 1, 100000);
   for (const auto& [database, own] : service.databases)
-    if (own.cap < service.connections)
-      fault(path + ".quota.connections", "more than the cap of database " + database.get());
+    if (own.cap < service.connections) fault(path + ".quota.connections", "more than the cap of database " + database.get());
   std::set<std::string> seen;
   std::uint32_t sum = 0;
   for (const auto& [key, child] : quota.get_child("branches")) {
@@ -212,8 +223,8 @@
   return service;
 }
 
-void PlanReader::branch(const Tree& tree, const std::string& path, std::uint32_t order, std::uint32_t depth,
-                        std::set<std::string>& seen, PlanService& service) {
+void PlanReader::branch(const Tree& tree, const std::string& path, std::uint32_t order, std::uint32_t depth, std::set<std::string>& seen,
+                        PlanService& service) {
   if (depth > 8) return fault(path, "the tree is deeper than 8");
   if (!keys(tree, path, {"connections"}, {"order", "floor", "takes", "branches"})) return;
   PlanBranch own;
@@ -243,7 +254,9 @@
 
 PlanKind PlanReader::kind(const Tree& tree, const std::string& path) {
   PlanKind kind;
-  if (!keys(tree, path, {"service", "consistency"}, {"branch", "machines", "databases", "labels", "staleness-ms", "statement-ms", "aim-ms", "order", "host", "prefix"})) return kind;
+  if (!keys(tree, path, {"service", "consistency"},
+            {"branch", "machines", "databases", "labels", "staleness-ms", "statement-ms", "aim-ms", "order", "host", "prefix"}))
+    return kind;
   kind.service = ServiceName{tree.get<std::string>("service")};
   kind.branch = BranchName{tree.get<std::string>("branch", "")};
   if (auto given = tree.get_child_optional("labels")) kind.labels = labels(*given, path + ".labels");
@@ -273,11 +286,13 @@
     if (service == plan.services.end() || !kind.branch.get().empty()) continue;
     std::vector<BranchName> taking;
     for (const auto& [name, branch] : service->second.branches)
-      if (!branch.takes.empty() && std::includes(kind.labels.begin(), kind.labels.end(), branch.takes.begin(), branch.takes.end())) taking.push_back(name);
+      if (!branch.takes.empty() && std::includes(kind.labels.begin(), kind.labels.end(), branch.takes.begin(), branch.takes.end()))
+        taking.push_back(name);
     if (taking.size() == 1)
       kind.branch = taking.front();
     else
-      fault("kinds." + kindName.get() + ".branch", taking.empty() ? "missing, and no branch takes the kind's labels" : "missing, and several branches take the kind's labels");
+      fault("kinds." + kindName.get() + ".branch",
+            taking.empty() ? "missing, and no branch takes the kind's labels" : "missing, and several branches take the kind's labels");
   }
 }
 
@@ -290,7 +305,9 @@
       if (!fresh) fault(path + ".address", "also the address of " + other->second);
     }
   for (const auto& [label, weight] : plan.weights)
-    if (std::none_of(plan.machines.begin(), plan.machines.end(), [&](const auto& machine) { return machine.second.contains(label); }))
+    if (std::none_of(plan.machines.begin(), plan.machines.end(), [&](const auto& machine) {
+          return machine.second.contains(label);
+        }))
       fault("weights." + label.get(), "no machine has this label");
   auto selects = [](const std::set<Label>& selector, const std::set<Label>& labels) {
     return std::includes(labels.begin(), labels.end(), selector.begin(), selector.end());
@@ -303,8 +320,11 @@
       continue;
     }
     if (!service->second.branches.contains(kind.branch)) fault(path + ".branch", "no such leaf branch in the service");
-    if (service->second.discovered ? !kind.databases.empty() : !std::any_of(service->second.databases.begin(), service->second.databases.end(),
-                     [&](const auto& database) { return selects(kind.databases, database.second.labels); }))
+    if (service->second.discovered
+            ? !kind.databases.empty()
+            : !std::any_of(service->second.databases.begin(), service->second.databases.end(), [&](const auto& database) {
+                return selects(kind.databases, database.second.labels);
+              }))
       fault(path + ".databases", "selects nothing");
     if (!kind.machines.empty() && !std::any_of(plan.machines.begin(), plan.machines.end(), [&](const auto& machine) {
           return selects(kind.machines, machine.second);
--- a/src/control/plan_reader.hpp
+++ b/src/control/plan_reader.hpp
@@ -33,7 +33,8 @@
   std::set<Label> labels(const Tree& tree, const std::string& path);
   void listed(const Tree& tree, const std::string& path, PlanService& service);
   PlanService service(const Tree& tree, const std::string& path);
-  void branch(const Tree& tree, const std::string& path, std::uint32_t order, std::uint32_t depth, std::set<std::string>& seen, PlanService& service);
+  void branch(const Tree& tree, const std::string& path, std::uint32_t order, std::uint32_t depth, std::set<std::string>& seen,
+              PlanService& service);
   PlanKind kind(const Tree& tree, const std::string& path);
   void placeKinds(Plan& plan);
   void crossCheck(const Plan& plan);
--- a/src/control/ration_duties.cpp
+++ b/src/control/ration_duties.cpp
@@ -41,7 +41,8 @@
     auto ration = cutRation(runningPerSlot * std::max(own.capacity, 1u), demands, weights, before);
     if (current == held.end() ? !ration : ration == before) continue;
     if (!ration || current == held.end())
-      journal_.line("database " + database.get() + " of " + name.get() + (ration ? " is crowded, its work goes by order" : " is rationed no more"));
+      journal_.line("database " + database.get() + " of " + name.get() +
+                    (ration ? " is crowded, its work goes by order" : " is rationed no more"));
     journal_.count("duties.rations");
     RationUpdate update{name, database, ration};
     orders.emplace_back(ControlMatter::ration, packed(update));
--- a/src/control/recovery_duties.cpp
+++ b/src/control/recovery_duties.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-Place placeOf(const DatabaseStanding& standing) { return Place{standing.epoch, standing.position}; }
+Place placeOf(const DatabaseStanding& standing) {
+  return Place{standing.epoch, standing.position};
+}
 
 }  // namespace
 
@@ -53,7 +55,8 @@
   if (!state_.services().contains(name) || state_.services().at(name).epoch != epoch) co_return;
   duties_[name].probeAfter = clock_.now() + timings_.silence() / 2;
   if (standing && standing->role == "primary")
-    co_return wait(name, doubted ? "nodes do not reach the primary, yet STATUS is well" : "no heartbeats from the primary, yet STATUS is well");
+    co_return wait(name,
+                   doubted ? "nodes do not reach the primary, yet STATUS is well" : "no heartbeats from the primary, yet STATUS is well");
   co_await recover(name, standing ? "primary says it is none" : silent ? "primary is silent" : "primary does not answer");
 }
 
@@ -62,18 +65,20 @@
   auto databases = state_.databases(name);
   return std::any_of(databases.begin(), databases.end(), [&](const auto& each) {
     const auto* sign = access_.database(name, each.first);
-    return each.first != service.primary && !service.drained.contains(each.first) && sign && fresh(*sign) && sign->heartbeat.role == "replica" &&
-           !strained(name, each.first) && !suspected(name, each.first);
+    return each.first != service.primary && !service.drained.contains(each.first) && sign && fresh(*sign) &&
+           sign->heartbeat.role == "replica" && !strained(name, each.first) && !suspected(name, each.first);
   });
 }
 
-// a primary that most nodes find strained for as long as the change may cost gives its place to a replica that is not, in order and not too often
+// a primary that most nodes find strained for as long as the change may cost gives its place to a replica that is not, in order and not too
+// often
 Task<void> Duties::relieve(ServiceName name) {
   auto& duty = duties_[name];
   auto primary = state_.services().at(name).primary;
   auto now = clock_.now();
   const auto* seen = seenEpoch(name);
-  bool settled = seen && seen->promotedAt && now - *seen->promotedAt > timings_.lease && now - duty.takenAt > timings_.suspicionKept && (!duty.relievedAt || now - *duty.relievedAt > timings_.reliefPause);
+  bool settled = seen && seen->promotedAt && now - *seen->promotedAt > timings_.lease && now - duty.takenAt > timings_.suspicionKept &&
+                 (!duty.relievedAt || now - *duty.relievedAt > timings_.reliefPause);
   if (!discovered(name) || !settled || !strained(name, primary) || !hasBetter(name)) {
     duty.strainedSince.reset();
     co_return;
@@ -127,9 +132,13 @@
   return sign && sign->heartbeat.role == "primary" && fresh(*sign);
 }
 
-bool Duties::suspected(const ServiceName& name, const DatabaseName& database) const { return mostSay(name, database, &ServiceReport::suspects); }
+bool Duties::suspected(const ServiceName& name, const DatabaseName& database) const {
+  return mostSay(name, database, &ServiceReport::suspects);
+}
 
-bool Duties::strained(const ServiceName& name, const DatabaseName& database) const { return mostSay(name, database, &ServiceReport::strained); }
+bool Duties::strained(const ServiceName& name, const DatabaseName& database) const {
+  return mostSay(name, database, &ServiceReport::strained);
+}
 
 bool Duties::mostSay(const ServiceName& name, const DatabaseName& database, std::set<DatabaseName> ServiceReport::*told) const {
   std::size_t working = 0;
@@ -203,7 +212,8 @@
   for (const auto& [database, own] : state_.databases(name)) {
     if (database == besides) continue;
     const auto* sign = access_.database(name, database);
-    bool lost = discovered(name) && ((sign && clock_.now() - sign->heardAt > 3 * timings_.silence()) || suspected(name, database) || strained(name, database));
+    bool lost = discovered(name) &&
+                ((sign && clock_.now() - sign->heardAt > 3 * timings_.silence()) || suspected(name, database) || strained(name, database));
     if (discovered(name) && drained.contains(database)) continue;
     (drained.contains(database) || lost ? others : wanted).push_back(database);
   }
@@ -238,7 +248,9 @@
       continue;
     }
     if (!access_.database(name, database)) continue;
-    auto rank = [](const DatabaseStanding& each) { return std::pair(placeOf(each), each.role == "primary"); };
+    auto rank = [](const DatabaseStanding& each) {
+      return std::pair(placeOf(each), each.role == "primary");
+    };
     if (!best || rank(*standing) > rank(best->standing)) best = Candidate{database, *standing, true, std::nullopt};
   }
   if (!best) {
@@ -259,7 +271,8 @@
   for (const auto& [address, known] : access_.nodes()) {
     auto own = known.report.services.find(name);
     bool current = reporting(known) && own != known.report.services.end() && own->second.epoch >= service.epoch;
-    if (!current && known.heardAt > primary->heardAt - timings_.databaseOut) return "node " + address.get() + " has not reported what it acknowledged";
+    if (!current && known.heardAt > primary->heardAt - timings_.databaseOut)
+      return "node " + address.get() + " has not reported what it acknowledged";
   }
   return std::nullopt;
 }
@@ -378,7 +391,8 @@
   const auto& duty = duties_[name];
   bool ready = left || leasesOver(name) || (!discovered(name) && duty.demotedAt);
   bool awaitsDemote = service.planned && demotes && !duty.demotedAt && !leasesOver(name);
-  if (!ready && clock_.now() - duty.seenAt > timings_.statusPatience) wait(name, "node " + behind->get() + " has not left the former epoch");
+  if (!ready && clock_.now() - duty.seenAt > timings_.statusPatience)
+    wait(name, "node " + behind->get() + " has not left the former epoch");
   if (!ready || awaitsDemote || clock_.now() < duty.promoteAfter) co_return;
   if (!co_await holdsNeeded(name, service) || !pending(name, service.epoch)) co_return;
   co_await callPromotion(name, service);
@@ -393,7 +407,8 @@
 }
 
 // in a planned change the chosen database is asked again until it has what is needed, for a while
-Task<std::optional<DatabaseStanding>> Duties::reached(ServiceName name, ServiceState service, Place needed, std::optional<DatabaseStanding> standing) {
+Task<std::optional<DatabaseStanding>> Duties::reached(ServiceName name, ServiceState service, Place needed,
+                                                      std::optional<DatabaseStanding> standing) {
   auto deadline = clock_.now() + timings_.statusPatience;
   for (Duration pause = 30ms;; pause = pause * 3 / 2) {
     bool waits = service.planned && standing && placeOf(*standing) < needed && clock_.now() < deadline && pending(name, service.epoch);
@@ -464,11 +479,13 @@
     auto& duty = duties_[name];
     duty.promotePause = std::clamp<Duration>(2 * duty.promotePause, timings_.duty, 16 * timings_.duty);
     duty.promoteAfter = clock_.now() + duty.promotePause;
-    co_return wait(name, outcome == PromotionOutcome::accepted ? "the chosen database does not say that it leads" : "the platform did not confirm the promotion");
+    co_return wait(name, outcome == PromotionOutcome::accepted ? "the chosen database does not say that it leads"
+                                                               : "the platform did not confirm the promotion");
   }
   waits_.erase(name);
   PromotedUpdate update{name, service.epoch};
-  if (co_await order(ControlMatter::promoted, packed(update))) journal_.line("service " + name.get() + " is led by " + service.primary.get());
+  if (co_await order(ControlMatter::promoted, packed(update)))
+    journal_.line("service " + name.get() + " is led by " + service.primary.get());
 }
 
 Task<bool> Duties::leads(ServiceName name, ServiceState service, Instant calledAt) {
--- a/src/control/replica_node.cpp
+++ b/src/control/replica_node.cpp
@@ -12,11 +12,19 @@
 
 ReplicaNode::ReplicaNode(Clock& clock, PeerLink& link, StableStore& store, DatabaseControl& databases, Journal& journal,
                          ReplicaSettings settings, std::uint64_t incarnation)
-    : clock_(clock), databases_(databases), journal_(journal), settings_(std::move(settings)), state_(board_), desk_(clock, link, incarnation), core_(clock, link, store, state_, journal, CoreSettings{settings_.address, settings_.seeds, settings_.timings.group, settings_.bounds, settings_.mayFound}, incarnation) {}
+    : clock_(clock),
+      databases_(databases),
+      journal_(journal),
+      settings_(std::move(settings)),
+      state_(board_),
+      desk_(clock, link, incarnation),
+      core_(clock, link, store, state_, journal,
+            CoreSettings{settings_.address, settings_.seeds, settings_.timings.group, settings_.bounds, settings_.mayFound}, incarnation) {}
 
 std::optional<std::string> ReplicaNode::start() {
   if (auto fault = core_.start()) return fault;
-  duties_ = std::make_unique<Duties>(clock_, journal_, settings_.timings, engine(), state_, access_, databases_, core_.own(), settings_.losses, settings_.rations);
+  duties_ = std::make_unique<Duties>(clock_, journal_, settings_.timings, engine(), state_, access_, databases_, core_.own(),
+                                     settings_.losses, settings_.rations);
   news_ = std::make_unique<NewsDesk>(clock_, desk_, board_, *this, settings_.timings.newsWait);
   serveDesk();
   scope_.spawn(watchDisk());
@@ -75,7 +83,9 @@
   return until;
 }
 
-std::vector<DatabaseSign> ReplicaNode::signs(const Topic& topic) { return access_.signs(ServiceName{topic}, clock_.now()); }
+std::vector<DatabaseSign> ReplicaNode::signs(const Topic& topic) {
+  return access_.signs(ServiceName{topic}, clock_.now());
+}
 
 bool ReplicaNode::known(const DatabaseHeartbeat& heartbeat) const {
   if (state_.listed(heartbeat.service)) return state_.planned(heartbeat.service)->databases.contains(heartbeat.database);
@@ -117,7 +127,8 @@
   auto deadline = *drainingSince_ + settings_.timings.orderPatience;
   auto pause = settings_.timings.group.heartbeat / 4;
   const auto& own = core_.own();
-  while (clock_.now() < deadline && (ordering_ > 0 || !MemberReplacement::othersHoldAll(engine(), own, settings_.losses))) co_await sleep(clock_, pause);
+  while (clock_.now() < deadline && (ordering_ > 0 || !MemberReplacement::othersHoldAll(engine(), own, settings_.losses)))
+    co_await sleep(clock_, pause);
   if (MemberReplacement::spare(engine(), own, settings_.losses)) engine().requestLeave(own);
   while (clock_.now() < deadline && MemberReplacement::spare(engine(), own, settings_.losses)) co_await sleep(clock_, pause);
   core_.retire();
@@ -211,11 +222,14 @@
 }
 
 Task<std::optional<DoorReply>> ReplicaNode::enrol(DatabaseHeartbeat heartbeat) {
-  EnrolmentUpdate update{heartbeat.service, heartbeat.database, heartbeat.address, heartbeat.zone, heartbeat.capacity, heartbeat.boot, heartbeat.number, heartbeat.role};
+  EnrolmentUpdate update{heartbeat.service,  heartbeat.database, heartbeat.address, heartbeat.zone,
+                         heartbeat.capacity, heartbeat.boot,     heartbeat.number,  heartbeat.role};
   auto outcome = co_await order(ControlMatter::enrolDatabase, packed(update));
   std::optional<DoorReply> refused;
-  if (outcome.fate != OrderFate::green) refused = refusal(503, "not taken in time", "send it again", settings_.timings.comeBack);
-  else if (outcome.reply != "held" && !state_.departed(heartbeat.database)) refused = refusal(404, outcome.reply);
+  if (outcome.fate != OrderFate::green)
+    refused = refusal(503, "not taken in time", "send it again", settings_.timings.comeBack);
+  else if (outcome.reply != "held" && !state_.departed(heartbeat.database))
+    refused = refusal(404, outcome.reply);
   co_return refused;
 }
 
--- a/src/control/replica_node.hpp
+++ b/src/control/replica_node.hpp
@@ -12,8 +12,8 @@
 
 class ReplicaNode : public NewsSource {
  public:
-  ReplicaNode(Clock& clock, PeerLink& link, StableStore& store, DatabaseControl& databases, Journal& journal,
-              ReplicaSettings settings, std::uint64_t incarnation);
+  ReplicaNode(Clock& clock, PeerLink& link, StableStore& store, DatabaseControl& databases, Journal& journal, ReplicaSettings settings,
+              std::uint64_t incarnation);
 
   std::optional<std::string> start();
   bool dismissed() const { return core_.dismissed(); }
--- a/src/control/replica_status.cpp
+++ b/src/control/replica_status.cpp
@@ -18,14 +18,20 @@
 
 void addEngine(Json& json, const ReplicaNode& replica, Instant now) {
   const auto& engine = replica.engine();
-  json["engine"] = {{"state", text(engine.state())},          {"green", engine.greenLine()},        {"white", engine.whiteLine()},
-                    {"red", engine.redCount()},                {"yellow", engine.yellowCount()},     {"ongoing", engine.ongoingCount()},
-                    {"vulnerable", engine.vulnerable().valid}, {"on_duty", replica.duties().onDuty()}};
+  json["engine"] = {{"state", text(engine.state())},
+                    {"green", engine.greenLine()},
+                    {"white", engine.whiteLine()},
+                    {"red", engine.redCount()},
+                    {"yellow", engine.yellowCount()},
+                    {"ongoing", engine.ongoingCount()},
+                    {"vulnerable", engine.vulnerable().valid},
+                    {"on_duty", replica.duties().onDuty()}};
   if (auto fault = engine.diskFault()) json["disk_fault"] = *fault;
   if (engine.state() == EngineState::regPrim && !engine.conf().set.empty()) json["duty_holder"] = engine.conf().set.begin()->address.get();
   Json primary = Json::array();
   for (const auto& server : engine.primComponent().servers) primary.push_back(text(server));
-  json["primary_component"] = {{"index", engine.primComponent().primIndex}, {"attempt", engine.primComponent().attemptIndex}, {"servers", primary}};
+  json["primary_component"] = {
+      {"index", engine.primComponent().primIndex}, {"attempt", engine.primComponent().attemptIndex}, {"servers", primary}};
   json["members"] = Json::object();
   for (const auto& [server, line] : engine.greenLines()) {
     auto cut = engine.redCut().find(server);
@@ -53,8 +59,11 @@
     for (const auto& [node, amount] : ration.later) told["later"][node.get()] = amount;
   }
   for (const auto& sign : replica.access().signs(name, now))
-    own["databases"][sign.database] = {{"role", sign.role}, {"epoch", sign.epoch}, {"position", sign.position},
-                                       {"contact_ms", milliseconds(sign.contactAge).count()}, {"heard_ms_ago", milliseconds(sign.age).count()}};
+    own["databases"][sign.database] = {{"role", sign.role},
+                                       {"epoch", sign.epoch},
+                                       {"position", sign.position},
+                                       {"contact_ms", milliseconds(sign.contactAge).count()},
+                                       {"heard_ms_ago", milliseconds(sign.age).count()}};
   for (const auto& [database, enrolled] : state.databases(name)) {
     own["addresses"][database.get()] = enrolled.address.get();
     if (auto reasons = duties.unused(name, database); !reasons.empty()) own["unused"][database.get()] = reasons;
--- a/src/control/share_cut.cpp
+++ b/src/control/share_cut.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-std::map<Address, std::uint32_t> cutBranch(const PlanBranch& branch, const std::map<Address, std::uint32_t>& wanted, const Weights& weights) {
+std::map<Address, std::uint32_t> cutBranch(const PlanBranch& branch, const std::map<Address, std::uint32_t>& wanted,
+                                           const Weights& weights) {
   std::map<Address, std::uint32_t> given;
   if (wanted.empty()) return given;
   auto nodes = static_cast<std::uint32_t>(wanted.size());
@@ -21,8 +22,12 @@
   using Place = std::pair<std::uint64_t, Address>;
   auto giveOut = [&](bool onlyHungry) {
     std::set<Place> order;
-    auto hungry = [&](const Address& node) { return !onlyHungry || given.at(node) < wanted.at(node); };
-    auto rank = [&](const Address& node) { return given.at(node) * shareScale / weight(node); };
+    auto hungry = [&](const Address& node) {
+      return !onlyHungry || given.at(node) < wanted.at(node);
+    };
+    auto rank = [&](const Address& node) {
+      return given.at(node) * shareScale / weight(node);
+    };
     for (const auto& [node, amount] : given)
       if (hungry(node)) order.emplace(rank(node), node);
     while (left > 0 && !order.empty()) {
--- a/src/control/version_ledger.cpp
+++ b/src/control/version_ledger.cpp
@@ -14,7 +14,9 @@
 
 }  // namespace
 
-const char* text(PlanVerdict verdict) { return verdictNames.at(static_cast<std::size_t>(verdict)); }
+const char* text(PlanVerdict verdict) {
+  return verdictNames.at(static_cast<std::size_t>(verdict));
+}
 
 PlanVerdict planVerdict(const std::string& text) {
   auto found = std::find(verdictNames.begin(), verdictNames.end(), text);
--- a/src/edge/session_door.cpp
+++ b/src/edge/session_door.cpp
@@ -126,10 +126,13 @@
   json["draining"] = proxy_.draining();
   for (const auto& [name, view] : guide.services()) {
     auto& own = json["services"][name.get()];
-    own = {{"epoch", view.primary.epoch.get()}, {"primary", view.primary.primary.get()}, {"promoted", view.primary.promoted},
+    own = {{"epoch", view.primary.epoch.get()},
+           {"primary", view.primary.primary.get()},
+           {"promoted", view.primary.promoted},
            {"leased", guide.leased(name)}};
     for (const auto& [branch, most] : view.share.most)
-      own["branches"][branch.get()] = {{"share", most}, {"busy", proxy_.pool().busiest(name, branch)}, {"waiting", proxy_.requests().waitingOn(name, branch)}};
+      own["branches"][branch.get()] = {
+          {"share", most}, {"busy", proxy_.pool().busiest(name, branch)}, {"waiting", proxy_.requests().waitingOn(name, branch)}};
     if (!view.plan) continue;
     for (const auto& [database, planned] : view.databases)
       own["connections"][database.get()] = proxy_.pool().openConnections(name, database);
--- a/src/edge/web_link.hpp
+++ b/src/edge/web_link.hpp
@@ -34,7 +34,8 @@
  public:
   virtual ~WebLink() = default;
   virtual Task<std::unique_ptr<WebConnection>> open(Address address, Instant deadline) = 0;
-  Task<std::optional<WebOutcome>> call(Address address, std::string method, std::string path, std::string body, Instant deadline, WebHeaders headers = {});
+  Task<std::optional<WebOutcome>> call(Address address, std::string method, std::string path, std::string body, Instant deadline,
+                                       WebHeaders headers = {});
 };
 
 }  // namespace tamarindshift
--- a/src/engine/core.cpp
+++ b/src/engine/core.cpp
@@ -4,7 +4,13 @@
 
 Core::Core(Clock& clock, PeerLink& link, StableStore& store, Application& application, Journal& journal, CoreSettings settings,
            std::uint64_t incarnation)
-    : clock_(clock), link_(link), store_(store), application_(application), journal_(journal), settings_(std::move(settings)), incarnation_(incarnation) {}
+    : clock_(clock),
+      link_(link),
+      store_(store),
+      application_(application),
+      journal_(journal),
+      settings_(std::move(settings)),
+      incarnation_(incarnation) {}
 
 std::optional<std::string> Core::start() {
   auto records = store_.load();
@@ -26,7 +32,9 @@
   std::set<Address> addresses;
   for (const auto& server : engine_->members()) addresses.insert(server.address);
   group_->meet(addresses);
-  link_.on(Matter::joinAsk, [this](const Address& from, const std::string& bytes) { onJoinAsk(from, bytes); });
+  link_.on(Matter::joinAsk, [this](const Address& from, const std::string& bytes) {
+    onJoinAsk(from, bytes);
+  });
   link_.on(Matter::joinSnapshot, [this](const Address& from, const std::string& bytes) {
     auto snapshot = unpacked<EngineSnapshot>(bytes);
     if (snapshot && engine_->identity() && engine_->adopt(*snapshot)) journal_.line("joined with a snapshot from " + from.get());
@@ -39,7 +47,9 @@
     group_->setFoundation(engine_->identity()->foundation);
     if (!engine_->member()) scope_.spawn(enter());
   } else {
-    engine_->writeIdentity(IdentityRecord{own_, {}, false}, [this] { scope_.spawn(enter()); });
+    engine_->writeIdentity(IdentityRecord{own_, {}, false}, [this] {
+      scope_.spawn(enter());
+    });
   }
   return std::nullopt;
 }
@@ -71,10 +81,13 @@
     } else if (!joined.empty()) {
       link_.pass(joined[attempt++ % joined.size()], Envelope{Matter::joinAsk, packed(own_)});
       co_await sleep(clock_, 2 * settings_.timings.heartbeat);
-    } else if (auto seeds = settings_.mayFound ? group_->unjoinedSeeds() : std::nullopt; seeds && seeds->contains(own_) && *seeds != identity.foundation) {
+    } else if (auto seeds = settings_.mayFound ? group_->unjoinedSeeds() : std::nullopt;
+               seeds && seeds->contains(own_) && *seeds != identity.foundation) {
       identity.foundation = *seeds;
       Gate synced;
-      engine_->writeIdentity(identity, [&synced] { synced.open(); });
+      engine_->writeIdentity(identity, [&synced] {
+        synced.open();
+      });
       co_await synced.wait(clock_);
       group_->setFoundation(identity.foundation);
     }
--- a/src/engine/engine_state.hpp
+++ b/src/engine/engine_state.hpp
@@ -18,8 +18,7 @@
 };
 
 inline const char* text(EngineState state) {
-  static constexpr const char* names[] = {"RegPrim",   "TransPrim", "ExchangeStates", "ExchangeActions",
-                                          "Construct", "No",        "Un",             "NonPrim"};
+  static constexpr const char* names[] = {"RegPrim", "TransPrim", "ExchangeStates", "ExchangeActions", "Construct", "No", "Un", "NonPrim"};
   return names[static_cast<int>(state)];
 }
 
--- a/src/engine/replication_engine.cpp
+++ b/src/engine/replication_engine.cpp
@@ -4,8 +4,8 @@
 
 namespace tamarindshift {
 
-ReplicationEngine::ReplicationEngine(Clock& clock, Group& group, StableStore& store, Application& application,
-                                     Journal& journal, EngineBounds bounds)
+ReplicationEngine::ReplicationEngine(Clock& clock, Group& group, StableStore& store, Application& application, Journal& journal,
+                                     EngineBounds bounds)
     : clock_(clock), group_(group), store_(store), application_(application), journal_(journal), bounds_(bounds) {}
 
 std::set<ServerId> ReplicationEngine::members() const {
@@ -46,7 +46,9 @@
   return MetaRecord{state_, conf_, actionIndex_, attemptIndex_, primComponent_, vulnerable_, yellow_, greenLines_, cpcs_};
 }
 
-void ReplicationEngine::recordMeta() { record(EngineRecordKind::meta, packed(meta())); }
+void ReplicationEngine::recordMeta() {
+  record(EngineRecordKind::meta, packed(meta()));
+}
 
 void ReplicationEngine::syncThen(std::function<void()> then) {
   store_.sync([alive = std::weak_ptr<int>(alive_), then = std::move(then)] {
@@ -71,12 +73,16 @@
   request(std::move(action), waiting);
   if (!waiting->outcome) co_await waiting->gate.wait(clock_, deadline);
   if (waiting->outcome) co_return *waiting->outcome;
-  auto buffered = std::find_if(buffered_.begin(), buffered_.end(), [&](const Buffered& each) { return each.waiting == waiting; });
+  auto buffered = std::find_if(buffered_.begin(), buffered_.end(), [&](const Buffered& each) {
+    return each.waiting == waiting;
+  });
   if (buffered != buffered_.end()) {
     buffered_.erase(buffered);
     co_return OrderOutcome{OrderFate::refused, 0, {}};
   }
-  std::erase_if(waiting_, [&](const auto& each) { return each.second == waiting; });
+  std::erase_if(waiting_, [&](const auto& each) {
+    return each.second == waiting;
+  });
   co_return OrderOutcome{OrderFate::unknown, 0, {}};
 }
 
@@ -258,7 +264,7 @@
   turn_ = 0;
   lostAtExchange_ = lostNow();
   enterState(EngineState::exchangeStates);
-  StateMessage state{serverId_,      conf_.confId,   redCut_,     greenLine(), greenBase_,
+  StateMessage state{serverId_,     conf_.confId,   redCut_,     greenLine(), greenBase_,
                      attemptIndex_, primComponent_, vulnerable_, yellow_,     lostAtExchange_};
   syncThenSend(EngineMatter::state, packed(state), false);
 }
@@ -415,8 +421,7 @@
   for (auto& [server, state] : stateMessages_) {
     if (!state.vulnerable.valid) continue;
     state.vulnerable.bits = bits;
-    if (std::includes(bits.begin(), bits.end(), state.vulnerable.set.begin(), state.vulnerable.set.end()))
-      state.vulnerable.valid = false;
+    if (std::includes(bits.begin(), bits.end(), state.vulnerable.set.begin(), state.vulnerable.set.end())) state.vulnerable.valid = false;
   }
   vulnerable_ = stateMessages_.at(serverId_).vulnerable;
   recordMeta();
@@ -571,7 +576,9 @@
     auto cut = greenCut_.find(each.first.serverId);
     return cut != greenCut_.end() && each.first.index <= cut->second;
   });
-  std::erase_if(ongoingQueue_, [this](const auto& each) { return each.first <= greenCut_[serverId_]; });
+  std::erase_if(ongoingQueue_, [this](const auto& each) {
+    return each.first <= greenCut_[serverId_];
+  });
   if (left_.contains(serverId_)) dismissed_ = true;
   changed_.open();
 }
@@ -607,7 +614,9 @@
   startFromFoundation();
   started_ = true;
   recordMeta();
-  syncThen([this] { group_.join(*this); });
+  syncThen([this] {
+    group_.join(*this);
+  });
 }
 
 void ReplicationEngine::startFromFoundation() {
@@ -622,13 +631,17 @@
   identity_->foundation.clear();
   started_ = true;
   store_.rewrite(wholeState());
-  syncThen([this] { group_.join(*this); });
+  syncThen([this] {
+    group_.join(*this);
+  });
   return true;
 }
 
 std::vector<std::string> ReplicationEngine::wholeState() const {
   std::vector<std::string> records;
-  auto add = [&records](EngineRecordKind kind, std::string body) { records.push_back(packed(EngineRecord{kind, std::move(body)})); };
+  auto add = [&records](EngineRecordKind kind, std::string body) {
+    records.push_back(packed(EngineRecord{kind, std::move(body)}));
+  };
   if (identity_) add(EngineRecordKind::identity, packed(*identity_));
   add(EngineRecordKind::snapshot, packed(snapshotNow()));
   add(EngineRecordKind::meta, packed(meta()));
@@ -700,7 +713,9 @@
     if (!record) return false;
     loadRecord(*record);
   }
-  std::erase_if(undelivered_, [this](const Delivery& delivery) { return delivery.view != conf_.confId; });
+  std::erase_if(undelivered_, [this](const Delivery& delivery) {
+    return delivery.view != conf_.confId;
+  });
   bool founded = identity_ && identity_->founded;
   replaying_ = false;
   if (!founded) return true;
@@ -710,7 +725,9 @@
     if (redCut_[serverId_] < index) markRed(action);
   recordMeta();
   journal_.line("recovered green " + std::to_string(greenLine()) + " red " + std::to_string(red_.size()));
-  syncThen([this] { group_.join(*this); });
+  syncThen([this] {
+    group_.join(*this);
+  });
   return true;
 }
 
--- a/src/engine/replication_engine.hpp
+++ b/src/engine/replication_engine.hpp
@@ -26,8 +26,7 @@
 
 class ReplicationEngine : public GroupListener {
  public:
-  ReplicationEngine(Clock& clock, Group& group, StableStore& store, Application& application, Journal& journal,
-                    EngineBounds bounds);
+  ReplicationEngine(Clock& clock, Group& group, StableStore& store, Application& application, Journal& journal, EngineBounds bounds);
 
   bool recover(const std::vector<std::string>& records);
   void writeIdentity(const IdentityRecord& identity, std::function<void()> synced);
--- a/src/group/sequenced_group.cpp
+++ b/src/group/sequenced_group.cpp
@@ -4,8 +4,7 @@
 
 namespace tamarindshift {
 
-SequencedGroup::SequencedGroup(Clock& clock, PeerLink& link, Journal& journal, Member own, std::set<Address> seeds,
-                               GroupTimings timings)
+SequencedGroup::SequencedGroup(Clock& clock, PeerLink& link, Journal& journal, Member own, std::set<Address> seeds, GroupTimings timings)
     : clock_(clock), link_(link), journal_(journal), own_(std::move(own)), seeds_(std::move(seeds)), timings_(timings), known_(seeds_) {
   known_.erase(own_.server.address);
   route(Matter::groupHeartbeat, &SequencedGroup::onHeartbeat);
@@ -28,7 +27,9 @@
       journal_.count("group.unreadable");
       return;
     }
-    queue_.put([this, handler, received = std::move(*body)] { (this->*handler)(received); });
+    queue_.put([this, handler, received = std::move(*body)] {
+      (this->*handler)(received);
+    });
   });
 }
 
@@ -54,7 +55,9 @@
   }
 }
 
-void SequencedGroup::join(GroupListener& listener) { listener_ = &listener; }
+void SequencedGroup::join(GroupListener& listener) {
+  listener_ = &listener;
+}
 
 void SequencedGroup::meet(const std::set<Address>& addresses) {
   for (const auto& address : addresses)
@@ -69,7 +72,9 @@
   });
 }
 
-void SequencedGroup::setFoundation(std::set<ServerId> foundation) { foundation_ = std::move(foundation); }
+void SequencedGroup::setFoundation(std::set<ServerId> foundation) {
+  foundation_ = std::move(foundation);
+}
 
 std::optional<std::set<ServerId>> SequencedGroup::unjoinedSeeds() const {
   std::set<ServerId> servers;
@@ -206,7 +211,9 @@
   return members;
 }
 
-bool SequencedGroup::isSequencer() const { return !members_.empty() && *members_.begin() == own_; }
+bool SequencedGroup::isSequencer() const {
+  return !members_.empty() && *members_.begin() == own_;
+}
 
 bool SequencedGroup::needsNewView(const std::set<Member>& reachable) const {
   if (flushing_ || reachable != members_ || listener_->wantsExchange()) return true;
@@ -224,9 +231,12 @@
   std::set<ServerId> servers;
   for (const auto& member : candidates) servers.insert(member.server);
   switch (listener_->coverage(servers)) {
-    case Coverage::all: return Duration::zero();
-    case Coverage::majority: return 2 * timings_.settle;
-    default: return 3 * timings_.settle;
+    case Coverage::all:
+      return Duration::zero();
+    case Coverage::majority:
+      return 2 * timings_.settle;
+    default:
+      return 3 * timings_.settle;
   }
 }
 
@@ -248,7 +258,8 @@
     return;
   }
   if (!unsettledSince_) unsettledSince_ = now;
-  bool shrinks = !flushing_ && candidates.size() < members_.size() && std::includes(members_.begin(), members_.end(), candidates.begin(), candidates.end());
+  bool shrinks = !flushing_ && candidates.size() < members_.size() &&
+                 std::includes(members_.begin(), members_.end(), candidates.begin(), candidates.end());
   if (shrinks || now - *unsettledSince_ >= settlesIn(candidates)) startForming(candidates);
 }
 
@@ -359,7 +370,9 @@
   unordered.sentAt = clock_.now();
   GroupSubmit submit{view_, own_, unordered.number, unordered.payload, unordered.durable};
   if (isSequencer())
-    queue_.put([this, submit] { order(submit); });
+    queue_.put([this, submit] {
+      order(submit);
+    });
   else
     pass(members_.begin()->server.address, Matter::groupSubmit, submit);
 }
@@ -390,7 +403,9 @@
   held_.emplace(delivery.sequence, delivery);
   if (delivery.sender == own_.server)
     while (!unordered_.empty() && unordered_.front().number <= ordered.number) unordered_.pop_front();
-  listener_->received({delivery}, [this, view = view_, upto = delivery.sequence] { becameStable(view, upto); });
+  listener_->received({delivery}, [this, view = view_, upto = delivery.sequence] {
+    becameStable(view, upto);
+  });
 }
 
 void SequencedGroup::becameStable(const ViewId& view, std::uint64_t upto) {
--- a/src/group/sequenced_group.hpp
+++ b/src/group/sequenced_group.hpp
@@ -14,8 +14,7 @@
 
 class SequencedGroup : public Group {
  public:
-  SequencedGroup(Clock& clock, PeerLink& link, Journal& journal, Member own, std::set<Address> seeds,
-                 GroupTimings timings);
+  SequencedGroup(Clock& clock, PeerLink& link, Journal& journal, Member own, std::set<Address> seeds, GroupTimings timings);
 
   void join(GroupListener& listener) override;
   void multicast(const ViewId& view, std::string payload, bool durable) override;
--- a/src/news/agent_node.cpp
+++ b/src/news/agent_node.cpp
@@ -11,7 +11,21 @@
 namespace tamarindshift {
 
 AgentNode::AgentNode(Clock& clock, PeerLink& link, Journal& journal, AgentSettings settings, std::uint64_t boot)
-    : clock_(clock), journal_(journal), settings_(std::move(settings)), replicas_(settings_.seeds), desk_(clock, link, boot), news_(clock, desk_, journal, [this](const Topic& topic) { return sources(topic); }, FollowTimings{settings_.timings.newsPatience, 50ms, 5s, settings_.signs}, [this] { return isHome() ? std::nullopt : std::optional{settings_.address}; }), newsDesk_(clock, desk_, news_.board(), news_, settings_.timings.newsWait) {
+    : clock_(clock),
+      journal_(journal),
+      settings_(std::move(settings)),
+      replicas_(settings_.seeds),
+      desk_(clock, link, boot),
+      news_(
+          clock, desk_, journal,
+          [this](const Topic& topic) {
+            return sources(topic);
+          },
+          FollowTimings{settings_.timings.newsPatience, 50ms, 5s, settings_.signs},
+          [this] {
+            return isHome() ? std::nullopt : std::optional{settings_.address};
+          }),
+      newsDesk_(clock, desk_, news_.board(), news_, settings_.timings.newsWait) {
   desk_.serve("report", [this](Address, std::string body) -> Task<std::optional<std::string>> {
     if (auto report = unpacked<NodeReport>(body)) this->report(std::move(*report));
     co_return std::nullopt;
@@ -39,7 +53,8 @@
 bool AgentNode::stopped() const {
   if (!drainingSince_) return false;
   auto now = clock_.now();
-  return now - reportedAt_ > settings_.timings.report + 2 * settings_.timings.reportPause || now - *drainingSince_ > settings_.timings.stop + settings_.timings.report;
+  return now - reportedAt_ > settings_.timings.report + 2 * settings_.timings.reportPause ||
+         now - *drainingSince_ > settings_.timings.stop + settings_.timings.report;
 }
 
 const ZoneHomes& AgentNode::homes() const {
@@ -63,7 +78,10 @@
   bool whole = board().completeMark(topic, own) == 0;
   auto sources = whole ? std::vector<Address>{} : homes().of(topic, settings_.address);
   std::vector<Address> replicas(replicas_.begin(), replicas_.end());
-  if (!replicas.empty()) std::rotate(replicas.begin(), replicas.begin() + static_cast<std::ptrdiff_t>(ZoneHomes::spread(settings_.address.get()) % replicas.size()), replicas.end());
+  if (!replicas.empty())
+    std::rotate(replicas.begin(),
+                replicas.begin() + static_cast<std::ptrdiff_t>(ZoneHomes::spread(settings_.address.get()) % replicas.size()),
+                replicas.end());
   sources.insert(sources.end(), replicas.begin(), replicas.end());
   return sources;
 }
@@ -129,7 +147,8 @@
   for (const auto& [topic, followed] : news_.topics()) {
     auto& own = json["topics"][topic];
     own = {{"mark", board().mark(topic)}, {"source", followed.source.get()}};
-    if (followed.leaseUntil && *followed.leaseUntil > clock_.now()) own["lease_ms"] = milliseconds(*followed.leaseUntil - clock_.now()).count();
+    if (followed.leaseUntil && *followed.leaseUntil > clock_.now())
+      own["lease_ms"] = milliseconds(*followed.leaseUntil - clock_.now()).count();
   }
   return json;
 }
--- a/src/news/news_desk.cpp
+++ b/src/news/news_desk.cpp
@@ -9,17 +9,23 @@
 // leases of topics that are told as one differ by no more than this
 constexpr Duration sameLease = 200ms;
 
-bool quiet(const TopicReply& reply, std::uint64_t have) { return reply.fate == FollowFate::changes && reply.mark == have && reply.changes.empty() && reply.signs.empty(); }
+bool quiet(const TopicReply& reply, std::uint64_t have) {
+  return reply.fate == FollowFate::changes && reply.mark == have && reply.changes.empty() && reply.signs.empty();
+}
 
 }  // namespace
 
 NewsDesk::NewsDesk(Clock& clock, Desk& desk, NewsBoard& board, NewsSource& source, Duration wait)
     : clock_(clock), board_(board), source_(source), wait_(wait) {
-  desk.serve("follow", [this](Address from, std::string body) { return follow(std::move(from), std::move(body)); });
+  desk.serve("follow", [this](Address from, std::string body) {
+    return follow(std::move(from), std::move(body));
+  });
 }
 
 bool NewsDesk::nothingNew(const Marks& have) const {
-  return std::all_of(have.begin(), have.end(), [&](const auto& each) { return each.second != 0 && board_.mark(each.first) == each.second && source_.answered(each.first); });
+  return std::all_of(have.begin(), have.end(), [&](const auto& each) {
+    return each.second != 0 && board_.mark(each.first) == each.second && source_.answered(each.first);
+  });
 }
 
 std::optional<Instant> NewsDesk::leasedUntil(const Marks& have) const {
@@ -51,7 +57,9 @@
   auto known = followers_.find(from);
   if (ask.after != 0 && (known == followers_.end() || known->second.number != ask.after)) return nullptr;
   if (known == followers_.end()) {
-    std::erase_if(followers_, [this](const auto& each) { return clock_.now() - each.second.askedAt > remembered; });
+    std::erase_if(followers_, [this](const auto& each) {
+      return clock_.now() - each.second.askedAt > remembered;
+    });
     known = followers_.try_emplace(from).first;
   }
   auto& own = known->second;
--- a/src/news/news_follower.cpp
+++ b/src/news/news_follower.cpp
@@ -8,7 +8,13 @@
 namespace tamarindshift {
 
 NewsFollower::NewsFollower(Clock& clock, Desk& desk, Journal& journal, Sources sources, FollowTimings timings, Own own)
-    : clock_(clock), desk_(desk), journal_(journal), sources_(std::move(sources)), own_(std::move(own)), timings_(timings), lastAsk_(static_cast<std::uint64_t>(clock.now().time_since_epoch().count())) {
+    : clock_(clock),
+      desk_(desk),
+      journal_(journal),
+      sources_(std::move(sources)),
+      own_(std::move(own)),
+      timings_(timings),
+      lastAsk_(static_cast<std::uint64_t>(clock.now().time_since_epoch().count())) {
   topics_[fleetTopic];
   scope_.spawn(keepTopics());
 }
@@ -47,7 +53,9 @@
     std::set<Topic> wanted{fleetTopic};
     if (const auto* fleet = board_.find(fleetTopic))
       for (const auto& [kind, service] : fleetPlanIn(fleet->table).kinds) wanted.insert(service.get());
-    std::erase_if(topics_, [&](const auto& each) { return !wanted.contains(each.first); });
+    std::erase_if(topics_, [&](const auto& each) {
+      return !wanted.contains(each.first);
+    });
     for (const auto& topic : wanted) topics_[topic];
     startAsks();
     co_await board_.changed().wait(clock_, clock_.now() + 500ms);
@@ -92,7 +100,9 @@
   auto rank = [&](const Address& source) {
     return std::tuple(failed.contains(source), silent(source), -standing(source).answeredAt.time_since_epoch().count());
   };
-  return *std::min_element(sources.begin(), sources.end(), [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
+  return *std::min_element(sources.begin(), sources.end(), [&](const auto& left, const auto& right) {
+    return rank(left) < rank(right);
+  });
 }
 
 bool NewsFollower::superseded(const Address& source, std::uint64_t turn) const {
@@ -133,13 +143,19 @@
   }
   ask.lease = shortest - clock_.now();
   auto told = told_.find(source);
-  auto sameTopics = [&] { return std::equal(have.begin(), have.end(), told->second.have.begin(), told->second.have.end(), [](const auto& left, const auto& right) { return left.first == right.first; }); };
+  auto sameTopics = [&] {
+    return std::equal(have.begin(), have.end(), told->second.have.begin(), told->second.have.end(),
+                      [](const auto& left, const auto& right) {
+                        return left.first == right.first;
+                      });
+  };
   if (told == told_.end() || told->second.own != ask.own || !sameTopics()) {
     ask.have = have;
     return ask;
   }
   ask.after = told->second.number;
-  std::set_difference(have.begin(), have.end(), told->second.have.begin(), told->second.have.end(), std::inserter(ask.have, ask.have.end()));
+  std::set_difference(have.begin(), have.end(), told->second.have.begin(), told->second.have.end(),
+                      std::inserter(ask.have, ask.have.end()));
   return ask;
 }
 
@@ -170,7 +186,9 @@
         auto before = board_.mark(topic);
         if (own != reply->topics.end() ? board_.apply(topic, own->second, ask.own) : remembers) {
           if (board_.mark(topic) != before) changed_.open();
-          take(topic, source, at, own != reply->topics.end() ? std::move(own->second) : TopicReply{FollowFate::changes, mark, {}, {}, reply->lease, {}, reply->position});
+          take(topic, source, at,
+               own != reply->topics.end() ? std::move(own->second)
+                                          : TopicReply{FollowFate::changes, mark, {}, {}, reply->lease, {}, reply->position});
           continue;
         }
       }
@@ -209,7 +227,10 @@
   if (currentSource(topic, followed) != source) return;
   const auto& sources = sourcesOf(topic, followed);
   followed.failed.insert(source);
-  if (std::all_of(sources.begin(), sources.end(), [&](const auto& each) { return followed.failed.contains(each) || silent(each); })) followed.failed = {source};
+  if (std::all_of(sources.begin(), sources.end(), [&](const auto& each) {
+        return followed.failed.contains(each) || silent(each);
+      }))
+    followed.failed = {source};
   followed.instead = nextSource(sources, followed.failed);
 }
 
--- a/src/news/news_follower.hpp
+++ b/src/news/news_follower.hpp
@@ -32,7 +32,10 @@
 
   // the node whose own entries are all that is wanted of those that concern one node; nothing if all are
   using Own = std::function<std::optional<Address>()>;
-  NewsFollower(Clock& clock, Desk& desk, Journal& journal, Sources sources, FollowTimings timings, Own own = [] { return std::nullopt; });
+  NewsFollower(
+      Clock& clock, Desk& desk, Journal& journal, Sources sources, FollowTimings timings, Own own = [] {
+        return std::nullopt;
+      });
   const NewsBoard& board() const override { return board_; }
   NewsBoard& board() { return board_; }
   Gate& changed() override { return changed_; }
--- a/src/news/report_book.cpp
+++ b/src/news/report_book.cpp
@@ -8,14 +8,19 @@
   if (!sameBoot) told_.clear();
   auto number = last_.number + 1;
   auto services = std::move(last_.services);
-  if (report.whole && std::erase_if(services, [&](const auto& each) { return !report.services.contains(each.first); }) > 0) told_.clear();
+  if (report.whole && std::erase_if(services, [&](const auto& each) {
+                        return !report.services.contains(each.first);
+                      }) > 0)
+    told_.clear();
   for (auto& [service, own] : report.services) {
     auto [before, fresh] = services.try_emplace(service, own);
     if (!fresh && before->second == own) continue;
     before->second = std::move(own);
     changedBy_[service] = number;
   }
-  std::erase_if(changedBy_, [&](const auto& each) { return !services.contains(each.first); });
+  std::erase_if(changedBy_, [&](const auto& each) {
+    return !services.contains(each.first);
+  });
   last_ = std::move(report);
   last_.services = std::move(services);
   last_.whole = true;
--- a/src/pool/connection_pool.cpp
+++ b/src/pool/connection_pool.cpp
@@ -52,11 +52,13 @@
   return shelf == shelves_.end() ? 0 : shelf->second.total() - static_cast<std::uint32_t>(shelf->second.idle.size());
 }
 
-bool ConnectionPool::mayHold(const Guide::ServiceView& view, const ServiceName& service, const DatabaseName& database, const BranchName& branch) const {
+bool ConnectionPool::mayHold(const Guide::ServiceView& view, const ServiceName& service, const DatabaseName& database,
+                             const BranchName& branch) const {
   return busy(service, database, branch) < allowed(view, branch);
 }
 
-std::shared_ptr<PooledConnection> ConnectionPool::takeIdle(const ServiceName& service, const DatabaseName& database, const BranchName& branch) {
+std::shared_ptr<PooledConnection> ConnectionPool::takeIdle(const ServiceName& service, const DatabaseName& database,
+                                                           const BranchName& branch) {
   auto& shelf = shelves_[{service, database}];
   while (!shelf.idle.empty()) {
     auto connection = shelf.idle.back();
@@ -81,7 +83,8 @@
   return shelf.total() < allowed(view) && shelf.opening < most && clock_.now() >= shelf.openAfter;
 }
 
-Task<std::shared_ptr<PooledConnection>> ConnectionPool::open(ServiceName service, DatabaseName database, BranchName branch, Address address, Instant deadline) {
+Task<std::shared_ptr<PooledConnection>> ConnectionPool::open(ServiceName service, DatabaseName database, BranchName branch, Address address,
+                                                             Instant deadline) {
   auto& shelf = shelves_[{service, database}];
   ++shelf.opening;
   ++shelf.busy[branch];
--- a/src/pool/connection_pool.hpp
+++ b/src/pool/connection_pool.hpp
@@ -15,7 +15,8 @@
   std::shared_ptr<PooledConnection> takeIdle(const ServiceName& service, const DatabaseName& database, const BranchName& branch);
   bool mayHold(const Guide::ServiceView& view, const ServiceName& service, const DatabaseName& database, const BranchName& branch) const;
   bool mayOpen(const Guide::ServiceView& view, const ServiceName& service, const DatabaseName& database);
-  Task<std::shared_ptr<PooledConnection>> open(ServiceName service, DatabaseName database, BranchName branch, Address address, Instant deadline);
+  Task<std::shared_ptr<PooledConnection>> open(ServiceName service, DatabaseName database, BranchName branch, Address address,
+                                               Instant deadline);
   void release(const std::shared_ptr<PooledConnection>& connection);
   void drop(const std::shared_ptr<PooledConnection>& connection);
   void closeAll(const ServiceName& service);
--- a/src/pool/database_json.cpp
+++ b/src/pool/database_json.cpp
@@ -21,7 +21,8 @@
 }
 
 DatabaseStanding standingOf(const Json& json) {
-  return DatabaseStanding{json.at("role").get<std::string>(), Epoch{wholeNumber(json.at("epoch"))}, Position{wholeNumber(json.at("position"))},
+  return DatabaseStanding{json.at("role").get<std::string>(), Epoch{wholeNumber(json.at("epoch"))},
+                          Position{wholeNumber(json.at("position"))},
                           std::chrono::milliseconds{std::min(wholeNumber(json.at("contact_age_ms")), mostAge)}};
 }
 
@@ -36,7 +37,9 @@
 
 }  // namespace
 
-const char* text(Operation operation) { return operationNames[static_cast<std::size_t>(operation)]; }
+const char* text(Operation operation) {
+  return operationNames[static_cast<std::size_t>(operation)];
+}
 
 std::optional<Operation> operationNamed(const std::string& name) {
   for (std::size_t index = 0; index < operationNames.size(); ++index)
@@ -79,14 +82,23 @@
   return guarded(body, [](const Json& json) {
     auto standing = standingOf(json.at("standing"));
     Position keptAt{json.contains("kept_at") ? wholeNumber(json["kept_at"]) : standing.position.get()};
-    return DatabaseReply{json.at("done").get<bool>(), json.value("replicated", true), json.value("reason", ""), json.at("result").get<std::string>(), standing, keptAt};
+    return DatabaseReply{json.at("done").get<bool>(),
+                         json.value("replicated", true),
+                         json.value("reason", ""),
+                         json.at("result").get<std::string>(),
+                         standing,
+                         keptAt};
   });
 }
 
-std::string standingToJson(const DatabaseStanding& standing) { return standingJson(standing).dump(); }
+std::string standingToJson(const DatabaseStanding& standing) {
+  return standingJson(standing).dump();
+}
 
 std::optional<DatabaseStanding> standingFromJson(const std::string& body) {
-  return guarded(body, [](const Json& json) { return standingOf(json); });
+  return guarded(body, [](const Json& json) {
+    return standingOf(json);
+  });
 }
 
 }  // namespace tamarindshift
--- a/src/pool/guide.cpp
+++ b/src/pool/guide.cpp
@@ -10,7 +10,9 @@
   readFleet();
   std::set<ServiceName> wanted;
   for (const auto& [kind, service] : fleetPlan_.kinds) wanted.insert(service);
-  std::erase_if(services_, [&](const auto& each) { return !wanted.contains(each.first); });
+  std::erase_if(services_, [&](const auto& each) {
+    return !wanted.contains(each.first);
+  });
   for (const auto& service : wanted) {
     const auto* entry = feed_.board().find(service.get());
     if (!entry) continue;
@@ -30,7 +32,9 @@
   if (!nodeKnown_) return "not registered";
   if (node_news_.boot != boot_) return "registered under another boot";
   if (feed_.position(name.get()) < node_news_.enrolledAt) return "news of the service are older than the registration";
-  bool granted = std::any_of(view->granted.most.begin(), view->granted.most.end(), [](const auto& each) { return each.second > 0; });
+  bool granted = std::any_of(view->granted.most.begin(), view->granted.most.end(), [](const auto& each) {
+    return each.second > 0;
+  });
   if (granted) return std::nullopt;
   return "nothing is granted; the status of the duty holder says why";
 }
@@ -71,7 +75,8 @@
       view.granted = unpacked<ShareNews>(value).value_or(ShareNews{});
   }
   if (view.plan && !view.plan->service.discovered)
-    for (const auto& [database, planned] : view.plan->service.databases) view.databases[database] = DatabaseNews{planned.address, {}, planned.cap};
+    for (const auto& [database, planned] : view.plan->service.databases)
+      view.databases[database] = DatabaseNews{planned.address, {}, planned.cap};
 }
 
 bool Guide::KindView::selects(const DatabaseName& database) const {
@@ -121,10 +126,16 @@
   });
 }
 
-bool Guide::leased(const ServiceName& name) const { return leaseUntil(name).has_value(); }
+bool Guide::leased(const ServiceName& name) const {
+  return leaseUntil(name).has_value();
+}
 
-bool Guide::draining() const { return nodeKnown_ && node_news_.draining; }
+bool Guide::draining() const {
+  return nodeKnown_ && node_news_.draining;
+}
 
-std::vector<DatabaseSign> Guide::signs(const ServiceName& name) const { return feed_.signs(name.get()); }
+std::vector<DatabaseSign> Guide::signs(const ServiceName& name) const {
+  return feed_.signs(name.get());
+}
 
 }  // namespace tamarindshift
--- a/src/pool/json_database_control.cpp
+++ b/src/pool/json_database_control.cpp
@@ -27,7 +27,8 @@
 }
 
 Task<PromotionOutcome> JsonDatabaseControl::promote(DatabaseTarget target, Epoch epoch, DutyHolder, Instant deadline) {
-  nlohmann::json body{{"service", target.service.get()}, {"database", target.database.get()}, {"address", target.address.get()}, {"epoch", epoch.get()}};
+  nlohmann::json body{
+      {"service", target.service.get()}, {"database", target.database.get()}, {"address", target.address.get()}, {"epoch", epoch.get()}};
   auto outcome = co_await web_.call(platform_, "POST", "/promote", body.dump(), deadline);
   co_return outcome && outcome->status == 200 ? PromotionOutcome::led : PromotionOutcome::unanswered;
 }
--- a/src/pool/proxy_node.cpp
+++ b/src/pool/proxy_node.cpp
@@ -6,13 +6,29 @@
 
 namespace {
 
-bool keeps(const DatabaseRequest& request) { return !request.reads; }
+bool keeps(const DatabaseRequest& request) {
+  return !request.reads;
+}
 
 }  // namespace
 
-ProxyNode::ProxyNode(Clock& clock, PeerLink& link, WebLink& databases, Journal& journal, ProxySettings settings,
-                     std::uint64_t entropy)
-    : clock_(clock), journal_(journal), settings_(std::move(settings)), boot_(entropy), desk_(clock, link, boot_), feed_(clock, desk_, journal, [this](const Topic&) { return std::vector{settings_.agent}; }, FollowTimings{settings_.timings.newsPatience, 50ms}, [this] { return std::optional{settings_.node}; }), guide_(clock, feed_, settings_.node, boot_), pool_(clock, databases, journal) {
+ProxyNode::ProxyNode(Clock& clock, PeerLink& link, WebLink& databases, Journal& journal, ProxySettings settings, std::uint64_t entropy)
+    : clock_(clock),
+      journal_(journal),
+      settings_(std::move(settings)),
+      boot_(entropy),
+      desk_(clock, link, boot_),
+      feed_(
+          clock, desk_, journal,
+          [this](const Topic&) {
+            return std::vector{settings_.agent};
+          },
+          FollowTimings{settings_.timings.newsPatience, 50ms},
+          [this] {
+            return std::optional{settings_.node};
+          }),
+      guide_(clock, feed_, settings_.node, boot_),
+      pool_(clock, databases, journal) {
   scope_.spawn(work());
   scope_.spawn(tick());
   scope_.spawn(report());
@@ -80,7 +96,8 @@
 }
 
 bool ProxyNode::presses(const NodeReport& report) const {
-  if (report.draining != reported_.draining || report.mark != reported_.mark || report.services.size() != reported_.services.size()) return true;
+  if (report.draining != reported_.draining || report.mark != reported_.mark || report.services.size() != reported_.services.size())
+    return true;
   return std::any_of(report.services.begin(), report.services.end(), [&](const auto& each) {
     const auto& [name, own] = each;
     auto before = reported_.services.find(name);
@@ -89,10 +106,11 @@
     bool shorter = std::any_of(own.wanted.begin(), own.wanted.end(), [&](const auto& want) {
       auto granted = share.find(want.first);
       auto told = before->second.wanted.find(want.first);
-      return granted != share.end() && want.second > granted->second && (told == before->second.wanted.end() || told->second <= granted->second);
+      return granted != share.end() && want.second > granted->second &&
+             (told == before->second.wanted.end() || told->second <= granted->second);
     });
-    return shorter || own.followed != before->second.followed || own.epoch != before->second.epoch || own.working != before->second.working ||
-           own.suspects != before->second.suspects;
+    return shorter || own.followed != before->second.followed || own.epoch != before->second.epoch ||
+           own.working != before->second.working || own.suspects != before->second.suspects;
   });
 }
 
@@ -158,7 +176,9 @@
   record->giveUpAt = clock_.now() + settings_.timings.queuePatience;
   session->usedAt = clock_.now();
   session->busy = true;
-  queue_.put([this, record] { enrolPass(record); });
+  queue_.put([this, record] {
+    enrolPass(record);
+  });
   while (record->stage != RequestStage::replied) co_await record->replied.wait(clock_);
   session->busy = false;
   session->usedAt = clock_.now();
@@ -198,8 +218,10 @@
 
 void ProxyNode::expirePass() {
   for (const auto& record : requests_.waiting()) {
-    if (record->session->closing) refuse(record, "session closed");
-    else if (clock_.now() >= record->giveUpAt) refuse(record, "no connection in time");
+    if (record->session->closing)
+      refuse(record, "session closed");
+    else if (clock_.now() >= record->giveUpAt)
+      refuse(record, "no connection in time");
   }
   if (!draining()) return;
   auto since = clock_.now() - *drainingSince_;
@@ -298,7 +320,9 @@
     if (planned == view.service->databases.end() || name == view.service->primary.primary) continue;
     if (view.service->drained.contains(name) || record->avoid.contains(name)) continue;
     if (!view.selects(name)) continue;
-    if (sign.leaving || sign.role != "replica" || Epoch{sign.epoch} != view.service->primary.epoch || sign.age > bound || Position{sign.position} < needed) continue;
+    if (sign.leaving || sign.role != "replica" || Epoch{sign.epoch} != view.service->primary.epoch || sign.age > bound ||
+        Position{sign.position} < needed)
+      continue;
     auto load = pool_.load(record->service, name);
     if (!best || load < least) {
       best = Choice{name, planned->second.address, view.service->primary.epoch};
@@ -342,7 +366,9 @@
     if (!connection) {
       noteUnreached(record->service, choice.database);
       record->avoid.insert(choice.database);
-      queue_.put([this, record] { again(record); });
+      queue_.put([this, record] {
+        again(record);
+      });
       co_return;
     }
   }
@@ -356,7 +382,9 @@
       pool_.release(connection);
     else
       pool_.drop(connection);
-    queue_.put([this, record] { again(record); });
+    queue_.put([this, record] {
+      again(record);
+    });
     co_return;
   }
   ++record->attempts;
@@ -447,8 +475,9 @@
   bool current = service && guide_.leased(record->service) && service->primary.epoch == connection->epoch && (atPrimary || view.kind);
   if (current && atPrimary) current = reply.standing.role == "primary" && reply.standing.epoch == connection->epoch;
   bool inTransaction = session->inTransaction && session->pinned == connection;
-  bool keptNow = reply.done && keeps(record->request) &&
-                 (operation == Operation::commit || (!inTransaction && (operation == Operation::statement || operation == Operation::execute)));
+  bool keptNow =
+      reply.done && keeps(record->request) &&
+      (operation == Operation::commit || (!inTransaction && (operation == Operation::statement || operation == Operation::execute)));
 
   if (!current) {
     journal_.count("passes.replied_late");
@@ -513,7 +542,8 @@
 void ProxyNode::retire(const Record& record, const std::shared_ptr<PooledConnection>& connection) {
   const auto& session = record->session;
   bool holds = session->inTransaction || session->stateful;
-  bool abandoned = session->closing || session->left || session->transactionLost || session->stateLost || record->stage == RequestStage::replied;
+  bool abandoned =
+      session->closing || session->left || session->transactionLost || session->stateLost || record->stage == RequestStage::replied;
   if (holds && !abandoned && !connection->doomed) {
     session->pinned = connection;
     connection->pinnedBy = session;
@@ -560,8 +590,10 @@
       const auto& branch = service->plan->kinds.at(connection->kind).branch;
       fits = branch == connection->branch || pool_.rebook(connection, *service, branch);
     }
-    if (fits) connection->misfitSince.reset();
-    else if (!connection->misfitSince) connection->misfitSince = now;
+    if (fits)
+      connection->misfitSince.reset();
+    else if (!connection->misfitSince)
+      connection->misfitSince = now;
     bool late = connection->misfitSince && now - *connection->misfitSince > settings_.timings.planGrace();
     if (pinned && !late) {
       late = !service || !guide_.leased(connection->service) || service->primary.epoch != connection->epoch ||
--- a/src/pooler/back_end_pool.cpp
+++ b/src/pooler/back_end_pool.cpp
@@ -213,7 +213,9 @@
 }
 
 std::uint32_t BackEndPool::Shelf::busyAfter(std::uint32_t order) const {
-  return static_cast<std::uint32_t>(std::count_if(busy.begin(), busy.end(), [order](const auto& connection) { return connection->order > order; }));
+  return static_cast<std::uint32_t>(std::count_if(busy.begin(), busy.end(), [order](const auto& connection) {
+    return connection->order > order;
+  }));
 }
 
 void BackEndPool::unreachable(const DatabaseName& database) {
@@ -246,7 +248,9 @@
   }
 }
 
-void BackEndPool::gaveUp(const DatabaseName& database) { shelves_[database].gaveUpAt = clock_.now(); }
+void BackEndPool::gaveUp(const DatabaseName& database) {
+  shelves_[database].gaveUpAt = clock_.now();
+}
 
 void BackEndPool::mellow() {
   if (clock_.now() - mellowedAt_ < mellowPause) return;
@@ -259,7 +263,9 @@
 }
 
 bool BackEndPool::doubting() const {
-  return std::any_of(shelves_.begin(), shelves_.end(), [](const auto& each) { return each.second.doubtedAt.has_value(); });
+  return std::any_of(shelves_.begin(), shelves_.end(), [](const auto& each) {
+    return each.second.doubtedAt.has_value();
+  });
 }
 
 void BackEndPool::cutBusy(const DatabaseName& database, bool onlyPrimaryWork, Epoch before, bool notRunning) {
--- a/src/pooler/freshness.cpp
+++ b/src/pooler/freshness.cpp
@@ -12,8 +12,9 @@
 }
 
 std::optional<Place> Freshness::covering(Instant since) const {
-  auto found = std::lower_bound(samples_.begin(), samples_.end(), since,
-                                [](const Sample& sample, Instant instant) { return sample.askedAt < instant; });
+  auto found = std::lower_bound(samples_.begin(), samples_.end(), since, [](const Sample& sample, Instant instant) {
+    return sample.askedAt < instant;
+  });
   if (found == samples_.end()) return std::nullopt;
   return found->place;
 }
--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -4,9 +4,22 @@
 
 namespace tamarindshift {
 
-Pooler::Pooler(Clock& clock, Guide& guide, BackEnds& backEnds, Journal& journal, PoolerSettings settings, std::uint64_t boot, Reports reports)
-    : clock_(clock), guide_(guide), journal_(journal), settings_(std::move(settings)), boot_(boot), reports_(std::move(reports)),
-      pool_(clock, backEnds, journal, [this] { serve(); }, [this](const DatabaseTarget& target) { return fits(target); }) {
+Pooler::Pooler(Clock& clock, Guide& guide, BackEnds& backEnds, Journal& journal, PoolerSettings settings, std::uint64_t boot,
+               Reports reports)
+    : clock_(clock),
+      guide_(guide),
+      journal_(journal),
+      settings_(std::move(settings)),
+      boot_(boot),
+      reports_(std::move(reports)),
+      pool_(
+          clock, backEnds, journal,
+          [this] {
+            serve();
+          },
+          [this](const DatabaseTarget& target) {
+            return fits(target);
+          }) {
   scope_.spawn(watch());
   scope_.spawn(report());
 }
@@ -17,7 +30,8 @@
     return nullptr;
   }
   if (!route(host)) {
-    refusal = guide_.routesKnown() ? refused(StatementFault::noDatabase, "no such database") : refused(StatementFault::busy, "no current lease");
+    refusal =
+        guide_.routesKnown() ? refused(StatementFault::noDatabase, "no such database") : refused(StatementFault::busy, "no current lease");
     return nullptr;
   }
   auto session = std::make_shared<ClientSession>();
@@ -47,7 +61,9 @@
   if (untold && !ends) {
     reply = refused(StatementFault::aborted, "the transaction was ended", TransactionState::failed);
   } else if (auto fault = invalid(*session, statement)) {
-    auto state = !session->transaction ? TransactionState::idle : session->transaction->failed ? TransactionState::failed : TransactionState::open;
+    auto state = !session->transaction          ? TransactionState::idle
+                 : session->transaction->failed ? TransactionState::failed
+                                                : TransactionState::open;
     reply = refused(*fault, "not possible in this state", state);
   } else {
     switch (statement.kind) {
@@ -90,7 +106,9 @@
   journal_.line("leaves");
 }
 
-bool Pooler::closing() const { return drainingSince_ && clock_.now() - *drainingSince_ > settings_.drainServes; }
+bool Pooler::closing() const {
+  return drainingSince_ && clock_.now() - *drainingSince_ > settings_.drainServes;
+}
 
 bool Pooler::stopped() const {
   if (!closing()) return false;
@@ -226,7 +244,9 @@
 }
 
 bool Pooler::changing() const {
-  return std::any_of(watches_.begin(), watches_.end(), [](const auto& each) { return each.second.confirmed != each.second.seen; });
+  return std::any_of(watches_.begin(), watches_.end(), [](const auto& each) {
+    return each.second.confirmed != each.second.seen;
+  });
 }
 
 void Pooler::care() {
@@ -239,7 +259,10 @@
     routesChanged = routesChanged || hostsAt_[name] != view.mark;
     hostsAt_[name] = view.mark;
   }
-  if (std::erase_if(hostsAt_, [&](const auto& each) { return !guide_.services().contains(each.first); }) > 0) routesChanged = true;
+  if (std::erase_if(hostsAt_, [&](const auto& each) {
+        return !guide_.services().contains(each.first);
+      }) > 0)
+    routesChanged = true;
   if (routesChanged) {
     hosts_.clear();
     for (const auto& [name, view] : guide_.services()) {
@@ -310,7 +333,9 @@
     }
     bool told = watch.suspects.contains(database) == shelf.suspect && watch.strained.contains(database) == shelf.strained();
     if (told) continue;
-    auto mark = [&database](std::set<DatabaseName>& marked, bool is) { is ? void(marked.insert(database)) : void(marked.erase(database)); };
+    auto mark = [&database](std::set<DatabaseName>& marked, bool is) {
+      is ? void(marked.insert(database)) : void(marked.erase(database));
+    };
     mark(watch.suspects, shelf.suspect);
     mark(watch.strained, shelf.strained());
     sendReport();
@@ -378,8 +403,9 @@
       auto before = left.wanted.find(each.first);
       return before != left.wanted.end() && each.second <= before->second + 1 && before->second <= each.second + 2;
     });
-    return wants && alike(left.demands, right.demands) && std::tie(left.epoch, left.followed, left.acknowledged, left.suspects, left.strained, left.working) ==
-                        std::tie(right.epoch, right.followed, right.acknowledged, right.suspects, right.strained, right.working);
+    return wants && alike(left.demands, right.demands) &&
+           std::tie(left.epoch, left.followed, left.acknowledged, left.suspects, left.strained, left.working) ==
+               std::tie(right.epoch, right.followed, right.acknowledged, right.suspects, right.strained, right.working);
   };
   std::erase_if(report.services, [&](const auto& each) {
     auto before = told_.find(each.first);
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -78,7 +78,8 @@
   Task<StatementReply> commit(Session session, Statement statement);
   StatementReply rollback(const Session& session);
   Task<StatementReply> startTransaction(Session session, Statement next, Instant deadline);
-  Task<Acquired> acquire(Session session, KindName kind, bool atPrimary, const Statement* executes, Instant arrived, Instant deadline, std::set<DatabaseName> avoid);
+  Task<Acquired> acquire(Session session, KindName kind, bool atPrimary, const Statement* executes, Instant arrived, Instant deadline,
+                         std::set<DatabaseName> avoid);
   Task<bool> conform(Session session, Connection connection, const Statement* executes, Instant deadline);
   Task<BackEndReply> runOn(Connection connection, Statement statement, std::optional<Place> after, Instant deadline);
   Task<void> finishRollback(Connection connection);
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -76,7 +76,9 @@
   auto since = now - demandsSince_;
   if (since < leastDemandTime) return;
   for (auto& [name, watch] : watches_) watch.demands.clear();
-  auto tenths = [since](Duration ran) { return static_cast<std::uint32_t>((ran.count() * demandUnit + since.count() / 2) / since.count()); };
+  auto tenths = [since](Duration ran) {
+    return static_cast<std::uint32_t>((ran.count() * demandUnit + since.count() / 2) / since.count());
+  };
   for (const auto& [name, view] : guide_.services())
     for (const auto& [database, news] : view.databases) {
       auto& shelf = pool_.shelf(database);
@@ -102,14 +104,16 @@
   const auto& primary = view.primary.primary;
   auto usable = [&](const DatabaseName& database) {
     const auto* shelf = pool_.find(database);
-    return view.databases.contains(database) && !view.drained.contains(database) && !(shelf && shelf->suspect) && !rationed(view, database, demand.order);
+    return view.databases.contains(database) && !view.drained.contains(database) && !(shelf && shelf->suspect) &&
+           !rationed(view, database, demand.order);
   };
   bool primaryServes = view.primary.promoted && usable(primary);
   std::vector<DatabaseName> chosen;
   if (!demand.atPrimary) {
     auto watch = watches_.find(route.kind->service);
     if (watch != watches_.end()) after = watch->second.freshness.covering(demand.arrivedAt - route.kind->stalenessBound());
-    if (auto own = demand.session->own.find(route.kind->service); after && own != demand.session->own.end()) after = std::max(*after, own->second);
+    if (auto own = demand.session->own.find(route.kind->service); after && own != demand.session->own.end())
+      after = std::max(*after, own->second);
   }
   if (!after) {
     if (primaryServes) chosen.push_back(primary);
@@ -136,7 +140,8 @@
   return chosen;
 }
 
-Task<Pooler::Acquired> Pooler::acquire(Session session, KindName kind, bool atPrimary, const Statement* executes, Instant arrived, Instant deadline, std::set<DatabaseName> avoid) {
+Task<Pooler::Acquired> Pooler::acquire(Session session, KindName kind, bool atPrimary, const Statement* executes, Instant arrived,
+                                       Instant deadline, std::set<DatabaseName> avoid) {
   auto demand = std::make_shared<Demand>();
   demand->session = session.get();
   demand->kind = kind;
@@ -158,7 +163,8 @@
   while (demand->stage == DemandStage::waiting) {
     co_await demand->decided.wait(clock_, demand->holdUntil);
     if (demand->stage == DemandStage::waiting && clock_.now() >= demand->holdUntil)
-      demands_.refuse(demand, StatementFault::busy, demand->rationed ? "work of earlier orders goes first at a crowded database" : "no database could take it in time");
+      demands_.refuse(demand, StatementFault::busy,
+                      demand->rationed ? "work of earlier orders goes first at a crowded database" : "no database could take it in time");
   }
   co_return Acquired{demand->connection, demand->after, demand->fault, demand->reason};
 }
@@ -230,14 +236,17 @@
     pool_.gaveUp(target.database);
   } else if (reply.fate == BackEndFate::lost && guide_.leased(target.service)) {
     const auto* now = guide_.service(target.service);
-    if (now && pool_.shelf(target.database).opening == 0 && pool_.mayOpen(target.database, allowed(target.service, *now))) pool_.open(target, settings_.suspicion);
+    if (now && pool_.shelf(target.database).opening == 0 && pool_.mayOpen(target.database, allowed(target.service, *now)))
+      pool_.open(target, settings_.suspicion);
   }
   co_return reply;
 }
 
 Task<bool> Pooler::conform(Session session, Connection connection, const Statement* executes, Instant deadline) {
   std::vector<Statement> steps;
-  bool extra = std::any_of(connection->values.begin(), connection->values.end(), [&](const auto& each) { return !session->values.contains(each.first); });
+  bool extra = std::any_of(connection->values.begin(), connection->values.end(), [&](const auto& each) {
+    return !session->values.contains(each.first);
+  });
   if (extra || connection->dubious) {
     connection->values.clear();
     connection->prepared.clear();
@@ -250,9 +259,11 @@
   if (executes) {
     const auto& wanted = session->prepared.at(executes->name);
     auto held = connection->prepared.find(executes->name);
-    if (held != connection->prepared.end() && held->second != wanted) steps.push_back(Statement{StatementKind::discard, {}, {}, executes->name, {}});
+    if (held != connection->prepared.end() && held->second != wanted)
+      steps.push_back(Statement{StatementKind::discard, {}, {}, executes->name, {}});
     if (held == connection->prepared.end() || held->second != wanted)
-      steps.push_back(Statement{wanted.writes ? StatementKind::prepareWrite : StatementKind::prepareRead, {}, {}, executes->name, wanted.shape});
+      steps.push_back(
+          Statement{wanted.writes ? StatementKind::prepareWrite : StatementKind::prepareRead, {}, {}, executes->name, wanted.shape});
   }
   for (const auto& step : steps) {
     auto reply = co_await runOn(connection, step, std::nullopt, deadline);
--- a/src/pooler/pooler_status.cpp
+++ b/src/pooler/pooler_status.cpp
@@ -23,8 +23,8 @@
 
 Json Pooler::status() const {
   auto now = clock_.now();
-  Json json{{"address", settings_.node.get()}, {"zone", settings_.zone.get()}, {"plan_mark", guide_.planMark().get()}, {"sessions", sessions_.size()},
-            {"leaving", draining()}, {"cut_off", cutOff()}};
+  Json json{{"address", settings_.node.get()}, {"zone", settings_.zone.get()}, {"plan_mark", guide_.planMark().get()},
+            {"sessions", sessions_.size()},    {"leaving", draining()},        {"cut_off", cutOff()}};
   auto hindrance = notReady();
   json["ready"] = !hindrance;
   if (hindrance) json["hindrance"] = *hindrance;
@@ -40,7 +40,8 @@
     own.longestWait = std::max(own.longestWait, now - demand->arrivedAt);
   }
   json["queue"] = Json::object();
-  for (const auto& [order, own] : queue) json["queue"][std::to_string(order)] = {{"length", own.length}, {"longest_wait_ms", milliseconds(own.longestWait).count()}};
+  for (const auto& [order, own] : queue)
+    json["queue"][std::to_string(order)] = {{"length", own.length}, {"longest_wait_ms", milliseconds(own.longestWait).count()}};
   json["services"] = Json::object();
   for (const auto& [name, view] : guide_.services()) json["services"][name.get()] = serviceStatus(name, view);
   return json;
@@ -49,7 +50,8 @@
 Json Pooler::serviceStatus(const ServiceName& name, const Guide::ServiceView& view) const {
   auto now = clock_.now();
   const auto& primary = view.primary;
-  Json own{{"epoch", primary.epoch.get()}, {"primary", primary.primary.get()}, {"promoted", primary.promoted}, {"share", allowed(name, view)}};
+  Json own{
+      {"epoch", primary.epoch.get()}, {"primary", primary.primary.get()}, {"promoted", primary.promoted}, {"share", allowed(name, view)}};
   auto lease = guide_.leaseUntil(name);
   own["lease_ms"] = lease ? milliseconds(*lease - now).count() : 0;
   if (auto reason = guide_.shareless(name)) own["shareless"] = *reason;
@@ -57,10 +59,14 @@
   auto watch = watches_.find(name);
   Json waits = Json::array();
   if (!lease) waits.push_back("no current lease");
-  if (primary.primary.get().empty()) waits.push_back("no primary yet");
-  else if (!primary.promoted) waits.push_back("the primary is being recovered");
-  else if (view.drained.contains(primary.primary)) waits.push_back("the primary is leaving");
-  else if (shelfOfPrimary && shelfOfPrimary->suspect) waits.push_back("the primary is suspected");
+  if (primary.primary.get().empty())
+    waits.push_back("no primary yet");
+  else if (!primary.promoted)
+    waits.push_back("the primary is being recovered");
+  else if (view.drained.contains(primary.primary))
+    waits.push_back("the primary is leaving");
+  else if (shelfOfPrimary && shelfOfPrimary->suspect)
+    waits.push_back("the primary is suspected");
   if (watch != watches_.end() && watch->second.confirmed != watch->second.seen) waits.push_back("work of an epoch before still runs");
   if (allowed(name, view) == 0) waits.push_back("no share");
   if (!waits.empty()) own["waits"] = waits;
--- a/src/pooler/pooler_transactions.cpp
+++ b/src/pooler/pooler_transactions.cpp
@@ -20,7 +20,9 @@
          fault == StatementFault::readOnly || fault == StatementFault::misdirected || fault == StatementFault::overloaded;
 }
 
-bool mayBeReadAgain(StatementFault fault) { return fault == StatementFault::failed || fault == StatementFault::timedOut; }
+bool mayBeReadAgain(StatementFault fault) {
+  return fault == StatementFault::failed || fault == StatementFault::timedOut;
+}
 
 }  // namespace
 
@@ -102,7 +104,9 @@
   auto pause = leastPause;
   for (int attempt = 0; attempt < mostAttempts && clock_.now() < deadline; ++attempt) {
     auto found = routeNamed(kind);
-    if (!found) co_return refused(guide_.routesKnown() ? StatementFault::noDatabase : StatementFault::busy, "the route is gone", TransactionState::failed);
+    if (!found)
+      co_return refused(guide_.routesKnown() ? StatementFault::noDatabase : StatementFault::busy, "the route is gone",
+                        TransactionState::failed);
     bool atPrimary = !readOnly || found->kind->consistency == Consistency::primary;
     auto acquired = co_await acquire(session, kind, atPrimary, executes, arrived, deadline, avoid);
     if (!acquired.connection) co_return refused(acquired.fault, acquired.reason, TransactionState::failed);
@@ -126,7 +130,8 @@
       pool_.release(connection);
     else
       pool_.drop(connection);
-    if (reply.fate == BackEndFate::replied && !notRun(reply.fault)) co_return refused(StatementFault::aborted, "the transaction could not begin", TransactionState::failed);
+    if (reply.fate == BackEndFate::replied && !notRun(reply.fault))
+      co_return refused(StatementFault::aborted, "the transaction could not begin", TransactionState::failed);
     if (atPrimary || avoid.size() > 1) {
       co_await sleep(clock_, pause);
       pause = std::min(2 * pause, mostPause);
@@ -218,7 +223,9 @@
   bool wrote = transaction.wrote;
   bool laid = transaction.laid;
   auto reply = co_await runOn(connection, statement, std::nullopt, deadline);
-  auto notRunYet = [&reply] { return reply.fate == BackEndFate::replied && reply.fault == StatementFault::busy && reply.state == TransactionState::open; };
+  auto notRunYet = [&reply] {
+    return reply.fate == BackEndFate::replied && reply.fault == StatementFault::busy && reply.state == TransactionState::open;
+  };
   for (auto pause = leastPause; notRunYet() && clock_.now() + pause < deadline; pause = std::min(2 * pause, mostPause)) {
     co_await sleep(clock_, pause);
     if (!mayPass(connection, transaction.kind, true)) {
--- a/src/programs/agent.cpp
+++ b/src/programs/agent.cpp
@@ -25,6 +25,15 @@
   AgentNode node(daemon.clock, link, daemon.journal, settings, freshEntropy());
   if (auto fault = link.listen()) return complain("agent", *fault);
   if (auto fault = daemon.serve(http, node)) return complain("agent", *fault);
-  return daemon.run([&] { node.drain(); }, daemon.rereads(program, [&] { node.change(settings); }),
-                    [&]() -> std::optional<int> { return node.stopped() ? std::optional{0} : std::nullopt; });
+  return daemon.run(
+      [&] {
+        node.drain();
+      },
+      daemon.rereads(program,
+                     [&] {
+                       node.change(settings);
+                     }),
+      [&]() -> std::optional<int> {
+        return node.stopped() ? std::optional{0} : std::nullopt;
+      });
 }
--- a/src/programs/fleet.cpp
+++ b/src/programs/fleet.cpp
@@ -29,14 +29,19 @@
   bool stopping = false;
   TaskScope scope;
   scope.spawn(runner->run());
-  return daemon.run([&] { stopping = true; }, [] {}, [&]() -> std::optional<int> {
-    if (!runner->ended() && !stopping) return std::nullopt;
-    auto faults = runner->faults();
-    if (stopping) faults.push_back("stopped before the end");
-    for (const auto& fault : faults) std::cout << "fault: " << fault << "\n";
-    std::cout << (faults.empty() ? "1 passed, 0 failed" : "0 passed, 1 failed") << std::endl;
-    scope.clear();
-    runner.reset();
-    return faults.empty() ? 0 : 1;
-  });
+  return daemon.run(
+      [&] {
+        stopping = true;
+      },
+      [] {},
+      [&]() -> std::optional<int> {
+        if (!runner->ended() && !stopping) return std::nullopt;
+        auto faults = runner->faults();
+        if (stopping) faults.push_back("stopped before the end");
+        for (const auto& fault : faults) std::cout << "fault: " << fault << "\n";
+        std::cout << (faults.empty() ? "1 passed, 0 failed" : "0 passed, 1 failed") << std::endl;
+        scope.clear();
+        runner.reset();
+        return faults.empty() ? 0 : 1;
+      });
 }
--- a/src/programs/plancheck.cpp
+++ b/src/programs/plancheck.cpp
@@ -42,8 +42,11 @@
 int main(int argumentCount, char** arguments) {
   Address replica;
   std::string file;
-  Program program("plancheck", "checks a plan against the fleet as it is; exits 0 if it fits, 1 if the plan is broken, 2 on wrong use, 3 if it does not fit, 4 without a fleet");
-  program.add(optionalAddressSetting("replica", "address of a replica's operator API; without it only the plan itself is checked", replica));
+  Program program("plancheck",
+                  "checks a plan against the fleet as it is; exits 0 if it fits, 1 if the plan is broken, 2 on wrong use, 3 if it does not "
+                  "fit, 4 without a fleet");
+  program.add(
+      optionalAddressSetting("replica", "address of a replica's operator API; without it only the plan itself is checked", replica));
   program.add(textSetting("plan", "file with the plan", file, true));
   if (auto code = program.read(argumentCount, arguments)) return *code;
   std::ifstream stream(file, std::ios::binary);
@@ -51,7 +54,8 @@
   std::string text{std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
   PlanReader reader;
   auto plan = reader.read(text);
-  for (const auto& fault : reader.faults()) std::cout << "broken: " << (fault.path.empty() ? "the plan" : fault.path) << ": " << fault.reason << "\n";
+  for (const auto& fault : reader.faults())
+    std::cout << "broken: " << (fault.path.empty() ? "the plan" : fault.path) << ": " << fault.reason << "\n";
   if (!plan) return broken;
   if (replica.get().empty()) {
     std::cout << "sound\n";
--- a/src/programs/proxy.cpp
+++ b/src/programs/proxy.cpp
@@ -16,7 +16,8 @@
   program.add(addressSetting("agent", "address of the agent on this machine", settings.agent));
   program.add(reread(numberSetting("queue", "most requests that wait in one branch", settings.queue, 1, 100000)));
   program.add(reread(numberSetting("sessions", "most open sessions", settings.sessions, 1, 1000000)));
-  program.add(reread(durationSetting("idle-in-transaction", "longest idle time of an open transaction", settings.idleInTransaction, 100ms, 600s)));
+  program.add(
+      reread(durationSetting("idle-in-transaction", "longest idle time of an open transaction", settings.idleInTransaction, 100ms, 600s)));
   program.add(reread(durationSetting("idle-session", "longest idle time of a session", settings.idleSession, 1s, 86400s)));
   program.add(detoursSetting(detours));
   program.add(timingSettings(settings.timings));
@@ -31,6 +32,15 @@
   SessionDoor door(node);
   if (auto fault = link.listen()) return complain("proxy", *fault);
   if (auto fault = daemon.serve(http, door)) return complain("proxy", *fault);
-  return daemon.run([&] { node.drain(); }, daemon.rereads(program, [&] { node.change(settings); }),
-                    [&]() -> std::optional<int> { return node.stopped() ? std::optional{0} : std::nullopt; });
+  return daemon.run(
+      [&] {
+        node.drain();
+      },
+      daemon.rereads(program,
+                     [&] {
+                       node.change(settings);
+                     }),
+      [&]() -> std::optional<int> {
+        return node.stopped() ? std::optional{0} : std::nullopt;
+      });
 }
--- a/src/programs/replica.cpp
+++ b/src/programs/replica.cpp
@@ -20,7 +20,8 @@
   program.add(seedsSetting(settings.seeds));
   program.add(textSetting("data", "data folder", folder, true));
   program.add(reread(addressSetting("platform", "address of the platform that carries out promotions", platform)));
-  program.add(reread(numberSetting("store-length", "bytes after which the store is rewritten", settings.bounds.storeLength, 65536, 1u << 30)));
+  program.add(
+      reread(numberSetting("store-length", "bytes after which the store is rewritten", settings.bounds.storeLength, 65536, 1u << 30)));
   program.add(rationsSetting(settings.rations));
   program.add(detoursSetting(detours));
   program.add(timingSettings(settings.timings));
@@ -37,14 +38,18 @@
   OperatorDoor door(node, daemon.clock);
   if (auto fault = link.listen()) return complain("replica", *fault);
   if (auto fault = daemon.serve(http, door)) return complain("replica", *fault);
-  return daemon.run([&] { node.drain(); },
-                    daemon.rereads(program, [&] {
-                      databases.change(platform);
-                      node.change(settings);
-                    }),
-                    [&]() -> std::optional<int> {
-                      if (node.stopped()) return 0;
-                      if (!node.dismissed()) return std::nullopt;
-                      return complain("replica", "this member was removed from the group; empty the data folder to join anew");
-                    });
+  return daemon.run(
+      [&] {
+        node.drain();
+      },
+      daemon.rereads(program,
+                     [&] {
+                       databases.change(platform);
+                       node.change(settings);
+                     }),
+      [&]() -> std::optional<int> {
+        if (node.stopped()) return 0;
+        if (!node.dismissed()) return std::nullopt;
+        return complain("replica", "this member was removed from the group; empty the data folder to join anew");
+      });
 }
--- a/src/programs/scale.cpp
+++ b/src/programs/scale.cpp
@@ -20,7 +20,14 @@
   Host host(daemon, settings);
   if (auto fault = host.start()) return complain("scale", *fault);
   bool stopping = false;
-  return daemon.run([&] { stopping = true; }, [] {}, [&]() -> std::optional<int> { return stopping ? std::optional{0} : std::nullopt; });
+  return daemon.run(
+      [&] {
+        stopping = true;
+      },
+      [] {},
+      [&]() -> std::optional<int> {
+        return stopping ? std::optional{0} : std::nullopt;
+      });
 }
 
 int write(const ScaleSettings& settings, const Figures& figures) {
@@ -30,7 +37,9 @@
 
 int runPieces(const ScaleSettings& settings) {
   auto figures = measurePieces(settings.addresses.shape);
-  auto report = std::find_if(figures.begin(), figures.end(), [](const auto& each) { return each.first == "report_bytes"; });
+  auto report = std::find_if(figures.begin(), figures.end(), [](const auto& each) {
+    return each.first == "report_bytes";
+  });
   for (auto& each : measureLinkPieces(settings, static_cast<std::size_t>(report->second))) figures.push_back(std::move(each));
   return write(settings, figures);
 }
@@ -42,18 +51,25 @@
   bool stopping = false;
   TaskScope scope;
   scope.spawn(runner->run());
-  return daemon.run([&] { stopping = true; }, [] {}, [&]() -> std::optional<int> {
-    if (!runner->ended() && !stopping) return std::nullopt;
-    auto faults = runner->faults();
-    if (stopping) faults.push_back("stopped before the end");
-    for (const auto& fault : faults) std::cout << "fault: " << fault << "\n";
-    auto figures = runner->figures();
-    scope.clear();
-    runner.reset();
-    if (stopping || !faults.empty()) return 1;
-    auto missed = std::any_of(figures.begin(), figures.end(), [](const auto& each) { return each.second < 0 || (each.first == "started" && each.second == 0); });
-    return std::max(write(settings, figures), missed ? 3 : 0);
-  });
+  return daemon.run(
+      [&] {
+        stopping = true;
+      },
+      [] {},
+      [&]() -> std::optional<int> {
+        if (!runner->ended() && !stopping) return std::nullopt;
+        auto faults = runner->faults();
+        if (stopping) faults.push_back("stopped before the end");
+        for (const auto& fault : faults) std::cout << "fault: " << fault << "\n";
+        auto figures = runner->figures();
+        scope.clear();
+        runner.reset();
+        if (stopping || !faults.empty()) return 1;
+        auto missed = std::any_of(figures.begin(), figures.end(), [](const auto& each) {
+          return each.second < 0 || (each.first == "started" && each.second == 0);
+        });
+        return std::max(write(settings, figures), missed ? 3 : 0);
+      });
 }
 
 }  // namespace
--- a/src/programs/scenario.cpp
+++ b/src/programs/scenario.cpp
@@ -14,7 +14,8 @@
   TCLAP::ValueArg<std::uint64_t> seeds("", "seeds", "how many seeds", false, 1, "number", command);
   TCLAP::SwitchArg lines("", "lines", "print the lines of all processes", command);
   TCLAP::SwitchArg summary("", "summary", "print outcomes and counters", command);
-  TCLAP::ValueArg<std::string> deployment("", "days", "run whole days made of each seed: small, fes or croatia", false, "", "deployment", command);
+  TCLAP::ValueArg<std::string> deployment("", "days", "run whole days made of each seed: small, fes or croatia", false, "", "deployment",
+                                          command);
   TCLAP::SwitchArg print("", "print", "print the days instead of running them", command);
   TCLAP::UnlabeledMultiArg<std::string> files("files", "scenario files", false, "path", command);
   command.parse(argumentCount, arguments);
--- a/src/programs/standin-callers.cpp
+++ b/src/programs/standin-callers.cpp
@@ -25,11 +25,16 @@
   StandinCallersSettings settings{{proxies.begin(), proxies.end()}, 1, shape->callers, seed, 15s};
   StandinCallers callers(daemon.clock, daemon.web, daemon.journal, settings);
   auto end = daemon.clock.now() + std::chrono::seconds{seconds};
-  return daemon.run([&] { callers.stop(); }, [] {}, [&]() -> std::optional<int> {
-    if (daemon.clock.now() >= end) callers.stop();
-    if (callers.running() > 0) return std::nullopt;
-    for (const auto& [name, value] : daemon.journal.counters()) std::cout << name << "=" << value << "\n";
-    for (const auto& fault : callers.faults()) std::cout << "fault: " << fault << "\n";
-    return callers.faults().empty() ? 0 : 1;
-  });
+  return daemon.run(
+      [&] {
+        callers.stop();
+      },
+      [] {},
+      [&]() -> std::optional<int> {
+        if (daemon.clock.now() >= end) callers.stop();
+        if (callers.running() > 0) return std::nullopt;
+        for (const auto& [name, value] : daemon.journal.counters()) std::cout << name << "=" << value << "\n";
+        for (const auto& fault : callers.faults()) std::cout << "fault: " << fault << "\n";
+        return callers.faults().empty() ? 0 : 1;
+      });
 }
--- a/src/programs/standin-database.cpp
+++ b/src/programs/standin-database.cpp
@@ -32,5 +32,12 @@
   StandinDatabase database(daemon.clock, daemon.web, daemon.journal, settings, freshIncarnation() >> 10);
   if (auto fault = daemon.serve(settings.address, database)) return complain("standin-database", *fault);
   bool stopping = false;
-  return daemon.run([&] { stopping = true; }, [] {}, [&]() -> std::optional<int> { return stopping ? std::optional{0} : std::nullopt; });
+  return daemon.run(
+      [&] {
+        stopping = true;
+      },
+      [] {},
+      [&]() -> std::optional<int> {
+        return stopping ? std::optional{0} : std::nullopt;
+      });
 }
--- a/src/programs/standin-platform.cpp
+++ b/src/programs/standin-platform.cpp
@@ -25,5 +25,12 @@
   }
   if (auto fault = daemon.serve(own, platform)) return complain("standin-platform", *fault);
   bool stopping = false;
-  return daemon.run([&] { stopping = true; }, [] {}, [&]() -> std::optional<int> { return stopping ? std::optional{0} : std::nullopt; });
+  return daemon.run(
+      [&] {
+        stopping = true;
+      },
+      [] {},
+      [&]() -> std::optional<int> {
+        return stopping ? std::optional{0} : std::nullopt;
+      });
 }
--- a/src/real/file_store.cpp
+++ b/src/real/file_store.cpp
@@ -53,7 +53,9 @@
   return bytes.substr(offset + recordHead, size);
 }
 
-std::string systemReason(const std::string& what) { return what + ": " + std::strerror(errno); }
+std::string systemReason(const std::string& what) {
+  return what + ": " + std::strerror(errno);
+}
 
 }  // namespace
 
@@ -104,8 +106,7 @@
   if (std::memcmp(bytes.data(), magic, sizeof(magic)) != 0) return fail(path() + " is not a tamarindshift store");
   std::uint32_t held = 0;
   std::memcpy(&held, bytes.data() + sizeof(magic), 4);
-  if (held != version)
-    return fail(path() + " has format " + std::to_string(held) + ", this program reads " + std::to_string(version));
+  if (held != version) return fail(path() + " has format " + std::to_string(held) + ", this program reads " + std::to_string(version));
   std::size_t offset = headerSize;
   while (offset < bytes.size()) {
     auto record = recordAt(bytes, offset);
@@ -138,7 +139,10 @@
 
 void FileStore::sync(std::function<void()> synced) {
   waiting_.push_back(std::move(synced));
-  if (waiting_.size() == 1 && !refusing_) clock_.after(Duration::zero(), [this] { flush(); });
+  if (waiting_.size() == 1 && !refusing_)
+    clock_.after(Duration::zero(), [this] {
+      flush();
+    });
 }
 
 bool FileStore::refuse(const std::string& what) {
@@ -160,7 +164,9 @@
   for (auto& synced : waiting) synced();
 }
 
-bool FileStore::persist() { return persistReplacement() && persistFolder() && persistAppended(); }
+bool FileStore::persist() {
+  return persistReplacement() && persistFolder() && persistAppended();
+}
 
 bool FileStore::persistReplacement() {
   if (!replacement_) return true;
--- a/src/real/http_web_link.cpp
+++ b/src/real/http_web_link.cpp
@@ -61,7 +61,9 @@
     line->request.prepare_payload();
     line->stream.expires_at(deadline);
     auto [writeError, written] = co_await Completion<Error, std::size_t>([&](auto done) {
-      http::async_write(line->stream, line->request, [line, done](Error error, std::size_t size) { done(error, size); });
+      http::async_write(line->stream, line->request, [line, done](Error error, std::size_t size) {
+        done(error, size);
+      });
     });
     if (writeError) {
       line->close();
@@ -70,7 +72,9 @@
     line->response.emplace();
     line->response->body_limit(16u << 20);
     auto [readError, size] = co_await Completion<Error, std::size_t>([&](auto done) {
-      http::async_read(line->stream, line->buffer, *line->response, [line, done](Error error, std::size_t amount) { done(error, amount); });
+      http::async_read(line->stream, line->buffer, *line->response, [line, done](Error error, std::size_t amount) {
+        done(error, amount);
+      });
     });
     if (readError || size == 0) {
       line->close();
@@ -99,7 +103,9 @@
   auto line = std::make_shared<Line>(context_);
   line->stream.expires_at(deadline);
   auto [connectError] = co_await Completion<Error>([&](auto done) {
-    line->stream.async_connect(endpoint, [line, done](Error failure) { done(failure); });
+    line->stream.async_connect(endpoint, [line, done](Error failure) {
+      done(failure);
+    });
   });
   if (connectError) co_return nullptr;
   Error ignored;
--- a/src/real/log_journal.cpp
+++ b/src/real/log_journal.cpp
@@ -11,12 +11,15 @@
   log4cxx::BasicConfigurator::configure(std::make_shared<log4cxx::ConsoleAppender>(layout));
 }
 
-void LogJournal::line(const std::string& text) { LOG4CXX_INFO(logger_, text); }
+void LogJournal::line(const std::string& text) {
+  LOG4CXX_INFO(logger_, text);
+}
 
 void LogJournal::logCounters() {
   std::string text;
   for (const auto& [name, value] : counters())
-    if (auto before = logged_.find(name); before == logged_.end() || before->second != value) text += " " + name + "=" + std::to_string(value);
+    if (auto before = logged_.find(name); before == logged_.end() || before->second != value)
+      text += " " + name + "=" + std::to_string(value);
   logged_ = counters();
   if (!text.empty()) line("counters" + text);
 }
--- a/src/real/program.cpp
+++ b/src/real/program.cpp
@@ -17,7 +17,8 @@
 std::optional<int> Program::read(int argumentCount, char** arguments) {
   try {
     TCLAP::CmdLine command(purpose_, ' ', PROGRAM_VERSION);
-    TCLAP::ValueArg<std::string> file("", "settings", "settings file, lines of key=value with the keys named here", false, "", "path", command);
+    TCLAP::ValueArg<std::string> file("", "settings", "settings file, lines of key=value with the keys named here", false, "", "path",
+                                      command);
     TCLAP::SwitchArg defaults("", "print-defaults", "print every key with its default and end", command);
     std::vector<std::unique_ptr<TCLAP::ValueArg<std::string>>> flags;
     for (const auto& setting : settings_)
@@ -61,7 +62,9 @@
 
 bool Program::known(const std::map<std::string, std::string>& values) {
   for (const auto& [key, value] : values)
-    if (std::none_of(settings_.begin(), settings_.end(), [&](const Setting& setting) { return setting.key == key; })) {
+    if (std::none_of(settings_.begin(), settings_.end(), [&](const Setting& setting) {
+          return setting.key == key;
+        })) {
       reason_ = "unknown setting " + key;
       return false;
     }
--- a/src/real/restinio_door.cpp
+++ b/src/real/restinio_door.cpp
@@ -13,7 +13,8 @@
  public:
   explicit DepartureListener(DoorKeeper& keeper) : keeper_(keeper) {}
   void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
-    if (restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) keeper_.gone(ConnectionId{notice.connection_id()});
+    if (restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause()))
+      keeper_.gone(ConnectionId{notice.connection_id()});
   }
 
  private:
@@ -26,19 +27,32 @@
 
 std::string reasonPhrase(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 400: return "Bad Request";
-    case 403: return "Forbidden";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 409: return "Conflict";
-    case 410: return "Gone";
-    case 413: return "Payload Too Large";
-    case 422: return "Unprocessable Entity";
-    case 503: return "Service Unavailable";
-    case 504: return "Gateway Timeout";
-    default: return "Unknown";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 400:
+      return "Bad Request";
+    case 403:
+      return "Forbidden";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 409:
+      return "Conflict";
+    case 410:
+      return "Gone";
+    case 413:
+      return "Payload Too Large";
+    case 422:
+      return "Unprocessable Entity";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Unknown";
   }
 }
 
@@ -52,7 +66,8 @@
               .read_next_http_message_timelimit(std::chrono::hours{2})
               .handle_request_timeout(std::chrono::seconds{30})
               .write_http_response_timelimit(std::chrono::seconds{10})
-              .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}.max_url_size(2048).max_field_value_size(8192).max_body_size(2u << 20))
+              .incoming_http_msg_limits(
+                  restinio::incoming_http_msg_limits_t{}.max_url_size(2048).max_field_value_size(8192).max_body_size(2u << 20))
               .connection_state_listener(std::make_shared<DepartureListener>(keeper))
               .request_handler([this](auto request) {
                 scope.spawn(handle(request));
@@ -64,7 +79,8 @@
     DoorRequest asked{request->header().method().c_str(), std::string{request->header().path()}, request->body(),
                       ConnectionId{request->connection_id()}};
     auto reply = co_await keeper.serve(std::move(asked));
-    auto response = request->create_response(restinio::http_status_line_t{restinio::http_status_code_t{static_cast<std::uint16_t>(reply.status)}, reasonPhrase(reply.status)});
+    auto response = request->create_response(
+        restinio::http_status_line_t{restinio::http_status_code_t{static_cast<std::uint16_t>(reply.status)}, reasonPhrase(reply.status)});
     response.append_header(restinio::http_field::content_type, "application/json");
     if (reply.comeBack) {
       auto seconds = std::chrono::ceil<std::chrono::seconds>(*reply.comeBack).count();
--- a/src/real/tcp_line_connection.cpp
+++ b/src/real/tcp_line_connection.cpp
@@ -116,11 +116,14 @@
     wire->tooLong = wire->tooLong || line || wire->arrived.size() > mostLineBytes;
     if (wire->tooLong || wire->ended || !wire->open || (deadline && clock_.now() >= *deadline)) co_return std::nullopt;
     std::optional<TimerId> timer;
-    if (deadline) timer = clock_.after(*deadline - clock_.now(), [weak = std::weak_ptr<Wire>(wire)] {
-      if (auto held = weak.lock()) held->wake();
-    });
+    if (deadline)
+      timer = clock_.after(*deadline - clock_.now(), [weak = std::weak_ptr<Wire>(wire)] {
+        if (auto held = weak.lock()) held->wake();
+      });
     wire->arm();
-    co_await Completion<>([&](auto done) { wire->reader = done; });
+    co_await Completion<>([&](auto done) {
+      wire->reader = done;
+    });
     if (timer) clock_.cancel(*timer);
   }
 }
--- a/src/real/tcp_line_door.cpp
+++ b/src/real/tcp_line_door.cpp
@@ -16,6 +16,8 @@
         scope_.spawn(keeper_.serve(std::make_shared<TcpLineConnection>(clock_, std::move(*socket), clientUnanswered)));
       }) {}
 
-std::optional<std::string> TcpLineDoor::open() { return listener_.open(address_, mostUnaccepted); }
+std::optional<std::string> TcpLineDoor::open() {
+  return listener_.open(address_, mostUnaccepted);
+}
 
 }  // namespace tamarindshift
--- a/src/real/tcp_line_link.cpp
+++ b/src/real/tcp_line_link.cpp
@@ -24,7 +24,9 @@
     if (auto open = weak.lock()) open->close(ignored);
   });
   auto [error] = co_await Completion<Error>([&](auto done) {
-    socket->async_connect(*endpoint, [socket, done](Error failure) { done(failure); });
+    socket->async_connect(*endpoint, [socket, done](Error failure) {
+      done(failure);
+    });
   });
   clock_.cancel(limit);
   if (error || !socket->is_open()) co_return nullptr;
--- a/src/real/tcp_link.cpp
+++ b/src/real/tcp_link.cpp
@@ -54,9 +54,19 @@
 }  // namespace
 
 TcpLink::TcpLink(boost::asio::io_context& context, Clock& clock, Journal& journal, Address own, Detours detours)
-    : context_(context), clock_(clock), journal_(journal), own_(std::move(own)), detours_(std::move(detours)), boot_(static_cast<std::uint64_t>(clock.now().time_since_epoch().count())), listener_(context, clock, [this](auto socket) { scope_.spawn(receive(std::move(socket))); }) {}
-
-std::optional<std::string> TcpLink::listen() { return listener_.open(own_, tcp::acceptor::max_listen_connections); }
+    : context_(context),
+      clock_(clock),
+      journal_(journal),
+      own_(std::move(own)),
+      detours_(std::move(detours)),
+      boot_(static_cast<std::uint64_t>(clock.now().time_since_epoch().count())),
+      listener_(context, clock, [this](auto socket) {
+        scope_.spawn(receive(std::move(socket)));
+      }) {}
+
+std::optional<std::string> TcpLink::listen() {
+  return listener_.open(own_, tcp::acceptor::max_listen_connections);
+}
 
 std::size_t TcpLink::arriving(const Address& peer) const {
   auto found = arriving_.find(peer);
@@ -69,7 +79,9 @@
     if (from && received > 0) arriving_[*from] = received;
     auto [error, size] = co_await Completion<Error, std::size_t>([&](auto done) {
       socket.async_read_some(boost::asio::buffer(body->data() + received, body->size() - received),
-                             [body, done](Error failure, std::size_t amount) { done(failure, amount); });
+                             [body, done](Error failure, std::size_t amount) {
+                               done(failure, amount);
+                             });
     });
     received += size;
     if (error) break;
@@ -86,7 +98,9 @@
   for (;;) {
     auto head = std::make_shared<std::uint32_t>(0);
     auto [headError, headSize] = co_await Completion<Error, std::size_t>([&](auto done) {
-      boost::asio::async_read(*socket, boost::asio::buffer(head.get(), 4), [head, done](Error error, std::size_t size) { done(error, size); });
+      boost::asio::async_read(*socket, boost::asio::buffer(head.get(), 4), [head, done](Error error, std::size_t size) {
+        done(error, size);
+      });
     });
     if (headError || headSize != 4 || *head == 0 || *head > mostFrameBytes) co_return;
     auto body = std::make_shared<std::string>(*head, '\0');
@@ -143,7 +157,9 @@
     outgoing.socket = socket;
     outgoing.connecting = true;
     auto [connectError] = co_await Completion<Error>([&](auto done) {
-      socket->async_connect(*endpoint, [socket, done](Error error) { done(error); });
+      socket->async_connect(*endpoint, [socket, done](Error error) {
+        done(error);
+      });
     });
     outgoing.connecting = false;
     clock_.cancel(limit);
@@ -169,7 +185,9 @@
       }
       outgoing.bytes -= batch->size();
       auto [error, size] = co_await Completion<Error, std::size_t>([&](auto done) {
-        boost::asio::async_write(*socket, boost::asio::buffer(*batch), [socket, batch, done](Error failure, std::size_t amount) { done(failure, amount); });
+        boost::asio::async_write(*socket, boost::asio::buffer(*batch), [socket, batch, done](Error failure, std::size_t amount) {
+          done(failure, amount);
+        });
       });
       if (error || size != batch->size()) break;
     }
--- a/src/real/tcp_listener.cpp
+++ b/src/real/tcp_listener.cpp
@@ -28,7 +28,9 @@
 Task<void> TcpListener::accept() {
   for (;;) {
     auto socket = std::make_shared<tcp::socket>(context_);
-    auto [error] = co_await Completion<Error>([&](auto done) { acceptor_.async_accept(*socket, done); });
+    auto [error] = co_await Completion<Error>([&](auto done) {
+      acceptor_.async_accept(*socket, done);
+    });
     if (error)
       co_await sleep(clock_, 50ms);
     else
--- a/src/runner/child_process.cpp
+++ b/src/runner/child_process.cpp
@@ -13,7 +13,9 @@
 ChildProcess::ChildProcess(std::string program, std::vector<std::string> arguments, std::string logFile)
     : program_(std::move(program)), arguments_(std::move(arguments)), logFile_(std::move(logFile)) {}
 
-ChildProcess::~ChildProcess() { kill(); }
+ChildProcess::~ChildProcess() {
+  kill();
+}
 
 bool ChildProcess::start() {
   if (running()) return true;
--- a/src/runner/fleet_runner.cpp
+++ b/src/runner/fleet_runner.cpp
@@ -14,9 +14,16 @@
 using Json = nlohmann::json;
 
 FleetRunner::FleetRunner(Daemon& daemon, FleetShape shape, FleetScript script, std::string binaries, std::string folder, std::uint64_t seed)
-    : daemon_(daemon), shape_(std::move(shape)), script_(std::move(script)), binaries_(std::move(binaries)), folder_(std::move(folder)), seed_(seed) {}
+    : daemon_(daemon),
+      shape_(std::move(shape)),
+      script_(std::move(script)),
+      binaries_(std::move(binaries)),
+      folder_(std::move(folder)),
+      seed_(seed) {}
 
-void FleetRunner::say(const std::string& text) { daemon_.journal.line(text); }
+void FleetRunner::say(const std::string& text) {
+  daemon_.journal.line(text);
+}
 
 void FleetRunner::fault(const std::string& text) {
   if (faults_.size() < 20) faults_.push_back(text);
@@ -28,7 +35,8 @@
   return Address{"127.0.0.1:" + std::to_string(reserved_.back()->local_endpoint().port())};
 }
 
-void FleetRunner::addProcess(std::string name, std::string program, std::vector<Address> addresses, std::vector<std::string> arguments, std::string data) {
+void FleetRunner::addProcess(std::string name, std::string program, std::vector<Address> addresses, std::vector<std::string> arguments,
+                             std::string data) {
   processes_.push_back(std::make_unique<Process>());
   auto& own = *processes_.back();
   own.name = std::move(name);
@@ -52,8 +60,8 @@
     auto number = std::to_string(index + 1);
     auto data = folder_ + "/replica-" + number;
     addProcess("replica-" + number, "replica", {replicaLinks[index], replicaDoors_[index]},
-               {"--address", replicaLinks[index].get(), "--http", replicaDoors_[index].get(), "--zone", "z" + std::to_string(index % shape_.zones + 1),
-                "--seeds", seeds, "--platform", platform_.get(), "--data", data},
+               {"--address", replicaLinks[index].get(), "--http", replicaDoors_[index].get(), "--zone",
+                "z" + std::to_string(index % shape_.zones + 1), "--seeds", seeds, "--platform", platform_.get(), "--data", data},
                data);
   }
   for (std::size_t index = 0; index < shape_.machines; ++index) {
@@ -63,7 +71,8 @@
     agentDoors.push_back(freePort());
     proxyDoors_.push_back(freePort());
     addProcess("machine-" + number + "/agent", "agent", {agentLink, agentDoors.back()},
-               {"--address", agentLink.get(), "--http", agentDoors.back().get(), "--zone", "z" + std::to_string(index % shape_.zones + 1), "--seeds", seeds});
+               {"--address", agentLink.get(), "--http", agentDoors.back().get(), "--zone", "z" + std::to_string(index % shape_.zones + 1),
+                "--seeds", seeds});
     addProcess("machine-" + number + "/proxy", "proxy", {proxyLink, proxyDoors_.back()},
                {"--address", proxyLink.get(), "--http", proxyDoors_.back().get(), "--agent", agentLink.get()});
   }
@@ -75,9 +84,11 @@
       settings.name = DatabaseName{"d" + std::to_string(number)};
       settings.address = freePort();
       std::string heartbeatsTo = replicaDoors_[(service + number) % replicaDoors_.size()].get();
-      for (std::size_t index = 0; index < 2; ++index) heartbeatsTo += "," + agentDoors[(service + number + index) % agentDoors.size()].get();
-      std::vector<std::string> arguments{"--address", settings.address.get(), "--service", settings.service.get(), "--name", settings.name.get(),
-                                         "--platform", platform_.get(), "--heartbeats-to", heartbeatsTo, "--cap", std::to_string(shape_.cap)};
+      for (std::size_t index = 0; index < 2; ++index)
+        heartbeatsTo += "," + agentDoors[(service + number + index) % agentDoors.size()].get();
+      std::vector<std::string> arguments{"--address",       settings.address.get(), "--service",  settings.service.get(),
+                                         "--name",          settings.name.get(),    "--platform", platform_.get(),
+                                         "--heartbeats-to", heartbeatsTo,           "--cap",      std::to_string(shape_.cap)};
       if (number == 1) {
         arguments.insert(arguments.end(), {"--primary", "true"});
         primaries += (primaries.empty() ? "" : ",") + settings.service.get() + "=" + settings.address.get();
@@ -219,7 +230,7 @@
     callers_->pace(static_cast<unsigned>(std::stoul(words[1])));
     co_return true;
   }
-  if (words.size() == 3 && (verb == "cut" || verb == "heal" || verb == "cut-way" || verb == "heal-way" )) {
+  if (words.size() == 3 && (verb == "cut" || verb == "heal" || verb == "cut-way" || verb == "heal-way")) {
     bool known = false;
     for (auto& [way, relays] : relays_) {
       bool forth = way.first == words[1] && way.second == words[2];
@@ -251,15 +262,21 @@
   }
   for (const auto& name : names) {
     auto& process = *find(name);
-    if (verb == "kill") process.child->kill();
-    else if (verb == "start") start(process);
-    else if (verb == "freeze") process.child->signal(SIGSTOP);
-    else if (verb == "thaw") process.child->signal(SIGCONT);
-    else if (verb == "empty" && !process.data.empty()) std::filesystem::remove_all(process.data);
+    if (verb == "kill")
+      process.child->kill();
+    else if (verb == "start")
+      start(process);
+    else if (verb == "freeze")
+      process.child->signal(SIGSTOP);
+    else if (verb == "thaw")
+      process.child->signal(SIGCONT);
+    else if (verb == "empty" && !process.data.empty())
+      std::filesystem::remove_all(process.data);
     else if (verb == "leave" || verb == "return") {
       auto outcome = co_await daemon_.web.call(process.addresses[0], "POST", "/" + verb, "{}", daemon_.clock.now() + 8s);
       if (!outcome || outcome->status != 200) co_return false;
-    } else co_return false;
+    } else
+      co_return false;
   }
   co_return true;
 }
@@ -283,7 +300,9 @@
 
 Task<void> FleetRunner::judge() {
   co_await collectKept();
-  HistoryChecks checks(callers_->operations(), shape_.callers, startedAt_, [this](std::string text) { fault(text); });
+  HistoryChecks checks(callers_->operations(), shape_.callers, startedAt_, [this](std::string text) {
+    fault(text);
+  });
   checks.writesOnce(kept_);
   checks.readsFresh();
   for (const auto& each : callers_->faults()) fault(each);
@@ -297,7 +316,8 @@
     auto counters = co_await daemon_.web.call(database.address, "GET", "/counters", {}, daemon_.clock.now() + 2s);
     if (!counters || counters->status != 200) continue;
     auto most = Json::parse(counters->body).at("most_connections").get<std::uint32_t>();
-    if (most > shape_.connections) fault(database.service.get() + "/" + database.name.get() + " had " + std::to_string(most) + " connections");
+    if (most > shape_.connections)
+      fault(database.service.get() + "/" + database.name.get() + " had " + std::to_string(most) + " connections");
   }
   std::map<std::string, std::map<std::string, std::size_t>> outcomes;
   std::map<std::string, std::vector<Duration>> taken;
@@ -311,7 +331,8 @@
     auto& times = taken[kind];
     std::sort(times.begin(), times.end());
     if (!times.empty())
-      text += " p50=" + std::to_string(milliseconds(times[times.size() / 2]).count()) + "ms p99=" + std::to_string(milliseconds(times[times.size() * 99 / 100]).count()) + "ms";
+      text += " p50=" + std::to_string(milliseconds(times[times.size() / 2]).count()) +
+              "ms p99=" + std::to_string(milliseconds(times[times.size() * 99 / 100]).count()) + "ms";
     say(text);
   }
   for (const auto& words : script_.expectations()) expect(words);
@@ -321,7 +342,8 @@
   auto from = startedAt_ + after;
   std::optional<Duration> first;
   for (const auto& each : callers_->operations())
-    if (each.kind.get() == kind && each.outcome == "done" && each.startedAt >= from) first = std::min(first.value_or(Duration::max()), each.endedAt - from);
+    if (each.kind.get() == kind && each.outcome == "done" && each.startedAt >= from)
+      first = std::min(first.value_or(Duration::max()), each.endedAt - from);
   return first;
 }
 
@@ -337,9 +359,12 @@
   const auto& operations = callers_->operations();
   if (words[0] == "serving" && words.size() == 6) {
     auto seen = servedAfter(words[1], durationText(words[5]).value_or(0s));
-    if (!seen || *seen > durationText(words[3]).value_or(0s)) fault("expected" + line + "; seen " + (seen ? std::to_string(milliseconds(*seen).count()) + "ms" : "nothing"));
+    if (!seen || *seen > durationText(words[3]).value_or(0s))
+      fault("expected" + line + "; seen " + (seen ? std::to_string(milliseconds(*seen).count()) + "ms" : "nothing"));
   } else if (words.size() == 4) {
-    auto amount = std::count_if(operations.begin(), operations.end(), [&](const auto& each) { return each.kind.get() == words[1] && each.outcome == words[0]; });
+    auto amount = std::count_if(operations.begin(), operations.end(), [&](const auto& each) {
+      return each.kind.get() == words[1] && each.outcome == words[0];
+    });
     auto bound = std::stoll(words[3]);
     bool held = words[2] == ">=" ? amount >= bound : words[2] == "<=" ? amount <= bound : amount == bound;
     if (!held) fault("expected" + line + "; seen " + std::to_string(amount));
--- a/src/runner/fleet_runner.hpp
+++ b/src/runner/fleet_runner.hpp
@@ -29,7 +29,8 @@
 
   Address freePort();
   void layOut();
-  void addProcess(std::string name, std::string program, std::vector<Address> addresses, std::vector<std::string> arguments, std::string data = {});
+  void addProcess(std::string name, std::string program, std::vector<Address> addresses, std::vector<std::string> arguments,
+                  std::string data = {});
   void planRelays();
   void startAll();
   void start(Process& process);
--- a/src/runner/fleet_script.cpp
+++ b/src/runner/fleet_script.cpp
@@ -33,7 +33,9 @@
       return false;
     }
   }
-  std::stable_sort(events_.begin(), events_.end(), [](const auto& left, const auto& right) { return left.at < right.at; });
+  std::stable_sort(events_.begin(), events_.end(), [](const auto& left, const auto& right) {
+    return left.at < right.at;
+  });
   return true;
 }
 
--- a/src/runner/relay.cpp
+++ b/src/runner/relay.cpp
@@ -29,7 +29,9 @@
 Task<void> Relay::accept() {
   for (;;) {
     auto near = std::make_shared<Socket>(context_);
-    auto [error] = co_await Completion<Error>([&](auto done) { acceptor_.async_accept(*near, done); });
+    auto [error] = co_await Completion<Error>([&](auto done) {
+      acceptor_.async_accept(*near, done);
+    });
     if (error) co_return;
     scope_.spawn(join(near));
   }
@@ -39,7 +41,11 @@
   while (cut_) co_await sleep(clock_, 20ms);
   auto far = std::make_shared<Socket>(context_);
   auto endpoint = endpointOf(target_).value_or(tcp::endpoint{});
-  auto [error] = co_await Completion<Error>([&](auto done) { far->async_connect(endpoint, [far, done](Error failure) { done(failure); }); });
+  auto [error] = co_await Completion<Error>([&](auto done) {
+    far->async_connect(endpoint, [far, done](Error failure) {
+      done(failure);
+    });
+  });
   Error ignored;
   if (error) {
     near->close(ignored);
@@ -56,13 +62,17 @@
   Error ignored;
   for (;;) {
     auto [readError, size] = co_await Completion<Error, std::size_t>([&](auto done) {
-      from->async_read_some(boost::asio::buffer(*buffer), [from, buffer, done](Error error, std::size_t amount) { done(error, amount); });
+      from->async_read_some(boost::asio::buffer(*buffer), [from, buffer, done](Error error, std::size_t amount) {
+        done(error, amount);
+      });
     });
     if (delay_ > Duration::zero()) co_await sleep(clock_, delay_);
     while (cut_) co_await sleep(clock_, 20ms);
     if (readError) break;
     auto [writeError, written] = co_await Completion<Error, std::size_t>([&](auto done) {
-      boost::asio::async_write(*to, boost::asio::buffer(buffer->data(), size), [to, buffer, done](Error error, std::size_t amount) { done(error, amount); });
+      boost::asio::async_write(*to, boost::asio::buffer(buffer->data(), size), [to, buffer, done](Error error, std::size_t amount) {
+        done(error, amount);
+      });
     });
     if (writeError || written != size) break;
   }
--- a/src/runner/scale_runner.cpp
+++ b/src/runner/scale_runner.cpp
@@ -12,7 +12,9 @@
 
 namespace {
 
-double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+double seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
 
 void readFlows(const Json& json, std::map<std::string, Flow>& flows) {
   for (const auto& [name, flow] : json.items()) flows[name] += Flow{flow[0].get<std::uint64_t>(), flow[1].get<std::uint64_t>()};
@@ -38,10 +40,22 @@
 
 std::vector<std::string> ScaleRunner::shapeArguments() const {
   const auto& shape = settings_.addresses.shape;
-  return {"--prefix", settings_.addresses.prefix, "--replicas", std::to_string(shape.replicas), "--nodes", std::to_string(shape.nodes),
-          "--databases", std::to_string(shape.databases), "--databases-per-service", std::to_string(shape.databasesPerService),
-          "--zones", std::to_string(shape.zones), "--regions", std::to_string(shape.regions),
-          "--connections", std::to_string(shape.connections)};
+  return {"--prefix",
+          settings_.addresses.prefix,
+          "--replicas",
+          std::to_string(shape.replicas),
+          "--nodes",
+          std::to_string(shape.nodes),
+          "--databases",
+          std::to_string(shape.databases),
+          "--databases-per-service",
+          std::to_string(shape.databasesPerService),
+          "--zones",
+          std::to_string(shape.zones),
+          "--regions",
+          std::to_string(shape.regions),
+          "--connections",
+          std::to_string(shape.connections)};
 }
 
 void ScaleRunner::layOut() {
@@ -60,18 +74,21 @@
   for (std::size_t index = 0; index < settings_.real; ++index) {
     auto number = std::to_string(index + 1);
     add(Role::agent, "agent-" + number, "agent",
-        {"--address", addresses.agent(index).get(), "--http", addresses.agentDoor(index).get(), "--zone", shape.zone(index).get(), "--seeds", seeds});
+        {"--address", addresses.agent(index).get(), "--http", addresses.agentDoor(index).get(), "--zone", shape.zone(index).get(),
+         "--seeds", seeds});
     add(Role::proxy, "proxy-" + number, "proxy",
         {"--address", addresses.proxy(index).get(), "--http", addresses.proxyDoor(index).get(), "--agent", addresses.agent(index).get()});
   }
   auto host = [&](const std::string& part, std::size_t first, std::size_t count) {
     auto arguments = shapeArguments();
     auto control = addresses.host(hosts_).get();
-    arguments.insert(arguments.end(), {"--part", part, "--first", std::to_string(first), "--count", std::to_string(count), "--control", control, "--real", std::to_string(settings_.real)});
+    arguments.insert(arguments.end(), {"--part", part, "--first", std::to_string(first), "--count", std::to_string(count), "--control",
+                                       control, "--real", std::to_string(settings_.real)});
     add(Role::hollow, part + "-" + std::to_string(++hosts_), "scale", arguments);
   };
   for (std::size_t zone = 0; settings_.light && zone < std::min(shape.zones, shape.nodes); ++zone) host("zone", zone, 0);
-  for (auto first = settings_.real; !settings_.light && first < shape.nodes; first += settings_.each) host("nodes", first, std::min(settings_.each, shape.nodes - first));
+  for (auto first = settings_.real; !settings_.light && first < shape.nodes; first += settings_.each)
+    host("nodes", first, std::min(settings_.each, shape.nodes - first));
   for (const auto& database : addresses.databases()) {
     if (database.service != ServiceName{"s1"}) continue;
     std::string heartbeatsTo;
@@ -94,8 +111,10 @@
   return found;
 }
 
-Task<std::optional<std::string>> ScaleRunner::ask(Address address, std::string method, std::string path, std::string body, Duration patience) {
-  auto outcome = co_await daemon_.web.call(std::move(address), std::move(method), std::move(path), std::move(body), daemon_.clock.now() + patience);
+Task<std::optional<std::string>> ScaleRunner::ask(Address address, std::string method, std::string path, std::string body,
+                                                  Duration patience) {
+  auto outcome =
+      co_await daemon_.web.call(std::move(address), std::move(method), std::move(path), std::move(body), daemon_.clock.now() + patience);
   if (!outcome || (outcome->status != 200 && outcome->status != 201)) co_return std::nullopt;
   co_return outcome->body;
 }
@@ -214,7 +233,8 @@
   perNode("node_inside_out", Traffic::sum(traffic.out, "inside/"));
   perNode("node_inside_in", Traffic::sum(traffic.in, "inside/"));
   note("inside_asks_s", static_cast<double>(traffic.in["inside/follow"].messages) / took / hollow);
-  note("replica_asks_per_zone_s", static_cast<double>(traffic.out["replica/follow"].messages) / took / hollow * static_cast<double>(shape.nodes) / static_cast<double>(std::min(shape.zones, shape.nodes)));
+  note("replica_asks_per_zone_s", static_cast<double>(traffic.out["replica/follow"].messages) / took / hollow *
+                                      static_cast<double>(shape.nodes) / static_cast<double>(std::min(shape.zones, shape.nodes)));
   perNode("node_report_out", traffic.out["replica/report"]);
   perNode("node_heartbeat_out", traffic.out["replica/heartbeat"]);
   perNode("node_replica_ask_out", traffic.out["replica/follow"]);
@@ -237,8 +257,12 @@
     for (auto value : values) all += value;
     return all;
   };
-  auto most = [](const std::vector<double>& values) { return values.empty() ? 0 : *std::max_element(values.begin(), values.end()); };
-  auto mean = [&](const std::vector<double>& values) { return values.empty() ? 0 : sum(values) / static_cast<double>(values.size()); };
+  auto most = [](const std::vector<double>& values) {
+    return values.empty() ? 0 : *std::max_element(values.begin(), values.end());
+  };
+  auto mean = [&](const std::vector<double>& values) {
+    return values.empty() ? 0 : sum(values) / static_cast<double>(values.size());
+  };
   note("node_core_percent", sum(processor[Role::hollow]) / hollow);
   note("agent_core_percent", mean(processor[Role::agent]));
   note("agent_most_core_percent", most(processor[Role::agent]));
--- a/src/scale/hollow_host.cpp
+++ b/src/scale/hollow_host.cpp
@@ -15,8 +15,14 @@
 std::optional<std::string> HollowHost::start() {
   const auto& addresses = settings_.addresses;
   for (auto index = settings_.first; index < settings_.first + settings_.count; ++index) {
-    HollowNodeSettings own{addresses.agent(index), addresses.proxy(index), addresses.shape.zone(index), addresses.seeds(), Timings{},
-                           [this](const Address& address) { return settings_.addresses.isReplica(address); }};
+    HollowNodeSettings own{addresses.agent(index),
+                           addresses.proxy(index),
+                           addresses.shape.zone(index),
+                           addresses.seeds(),
+                           Timings{},
+                           [this](const Address& address) {
+                             return settings_.addresses.isReplica(address);
+                           }};
     auto agentLink = std::make_unique<TcpLink>(daemon_.context, daemon_.clock, journal_, own.agent, Detours{});
     auto proxyLink = std::make_unique<TcpLink>(daemon_.context, daemon_.clock, journal_, own.proxy, Detours{});
     nodes_.push_back(std::make_unique<HollowNode>(daemon_.clock, journal_, *agentLink, *proxyLink, daemon_.web, own, freshEntropy()));
@@ -50,11 +56,15 @@
     std::fill(reachedAt_.begin(), reachedAt_.end(), std::nullopt);
     if (json.contains("mark")) {
       PlanMark mark{json["mark"].get<std::uint64_t>()};
-      watching_->spawn(watch([mark](const HollowNode& node) { return node.follows(mark); }));
+      watching_->spawn(watch([mark](const HollowNode& node) {
+        return node.follows(mark);
+      }));
     } else {
       ServiceName service{json.value("service", "")};
       Epoch epoch{json.value("epoch", std::uint64_t{0})};
-      watching_->spawn(watch([service, epoch](const HollowNode& node) { return node.servedUnder(service, epoch); }));
+      watching_->spawn(watch([service, epoch](const HollowNode& node) {
+        return node.servedUnder(service, epoch);
+      }));
     }
     co_return DoorReply{200, "{}", std::nullopt};
   }
--- a/src/scale/hollow_node.cpp
+++ b/src/scale/hollow_node.cpp
@@ -6,8 +6,16 @@
 
 HollowNode::HollowNode(Clock& clock, Journal& journal, PeerLink& agentLink, PeerLink& proxyLink, WebLink& databases,
                        const HollowNodeSettings& settings, std::uint64_t boot)
-    : settings_(settings), agentLink_(agentLink, traffic_, [this](const Address& peer) { return peerClass(peer); }), proxyLink_(proxyLink, proxyTraffic_, [](const Address&) { return "inside"; }) {
-  agent_ = std::make_unique<AgentNode>(clock, agentLink_, journal, AgentSettings{settings_.agent, settings_.zone, settings_.seeds, true, settings_.timings}, boot);
+    : settings_(settings),
+      agentLink_(agentLink, traffic_,
+                 [this](const Address& peer) {
+                   return peerClass(peer);
+                 }),
+      proxyLink_(proxyLink, proxyTraffic_, [](const Address&) {
+        return "inside";
+      }) {
+  agent_ = std::make_unique<AgentNode>(clock, agentLink_, journal,
+                                       AgentSettings{settings_.agent, settings_.zone, settings_.seeds, true, settings_.timings}, boot);
   ProxySettings proxy;
   proxy.agent = proxy.node = settings_.agent;
   proxy.timings = settings_.timings;
@@ -21,13 +29,17 @@
 
 bool HollowNode::leased() const {
   const auto& services = proxy_->guide().services();
-  return !services.empty() && std::all_of(services.begin(), services.end(), [&](const auto& each) { return proxy_->guide().leased(each.first); });
+  return !services.empty() && std::all_of(services.begin(), services.end(), [&](const auto& each) {
+    return proxy_->guide().leased(each.first);
+  });
 }
 
 bool HollowNode::follows(PlanMark mark) const {
   const auto& guide = proxy_->guide();
   if (guide.planMark() < mark) return false;
-  return std::all_of(guide.services().begin(), guide.services().end(), [&](const auto& each) { return each.second.plan && each.second.plan->mark >= mark; });
+  return std::all_of(guide.services().begin(), guide.services().end(), [&](const auto& each) {
+    return each.second.plan && each.second.plan->mark >= mark;
+  });
 }
 
 bool HollowNode::servedUnder(const ServiceName& service, Epoch epoch) const {
--- a/src/scale/light_host.cpp
+++ b/src/scale/light_host.cpp
@@ -32,11 +32,14 @@
     ServiceName service{json.value("service", "")};
     Epoch epoch{json.value("epoch", std::uint64_t{0})};
     bool plan = json.contains("mark");
-    watching_->spawn(watch([this, plan, mark, service, epoch] { return plan ? zone_.follows(mark) : zone_.servedUnder(service, epoch); }));
+    watching_->spawn(watch([this, plan, mark, service, epoch] {
+      return plan ? zone_.follows(mark) : zone_.servedUnder(service, epoch);
+    }));
     co_return DoorReply{200, "{}", std::nullopt};
   }
   if (request.path == "/watch")
-    co_return DoorReply{200, Json(std::vector<std::int64_t>(zone_.size(), reachedAt_ ? reachedAt_->time_since_epoch().count() : 0)).dump(), std::nullopt};
+    co_return DoorReply{200, Json(std::vector<std::int64_t>(zone_.size(), reachedAt_ ? reachedAt_->time_since_epoch().count() : 0)).dump(),
+                        std::nullopt};
   co_return refusal(404, "no such path");
 }
 
--- a/src/scale/light_host.hpp
+++ b/src/scale/light_host.hpp
@@ -11,7 +11,9 @@
 class LightHost : public DoorKeeper {
  public:
   LightHost(Daemon& daemon, const ScaleSettings& settings)
-      : daemon_(daemon), settings_(settings), zone_(daemon.context, daemon.clock, journal_, settings.addresses, settings.first, settings.real) {}
+      : daemon_(daemon),
+        settings_(settings),
+        zone_(daemon.context, daemon.clock, journal_, settings.addresses, settings.first, settings.real) {}
   std::optional<std::string> start();
   Task<DoorReply> serve(DoorRequest request) override;
   void gone(ConnectionId) override {}
--- a/src/scale/light_zone.cpp
+++ b/src/scale/light_zone.cpp
@@ -10,19 +10,30 @@
 namespace tamarindshift {
 
 LightZone::Node::Node(LightZone& zone, boost::asio::io_context& context, std::size_t index, bool follows)
-    : zone(zone), index(index), address(zone.addresses_.agent(index)), link(context, zone.clock_, zone.journal_, address, {}),
-      metered(link, traffic, [&zone](const Address& peer) { return zone.addresses_.isReplica(peer) ? "replica" : "agent"; }),
+    : zone(zone),
+      index(index),
+      address(zone.addresses_.agent(index)),
+      link(context, zone.clock_, zone.journal_, address, {}),
+      metered(link, traffic,
+              [&zone](const Address& peer) {
+                return zone.addresses_.isReplica(peer) ? "replica" : "agent";
+              }),
       desk(zone.clock_, metered, freshEntropy()) {
   for (std::size_t replica = 0; replica < zone.addresses_.shape.replicas; ++replica) replicas.push_back(zone.addresses_.replica(replica));
-  std::rotate(replicas.begin(), replicas.begin() + static_cast<std::ptrdiff_t>(ZoneHomes::spread(address.get()) % replicas.size()), replicas.end());
+  std::rotate(replicas.begin(), replicas.begin() + static_cast<std::ptrdiff_t>(ZoneHomes::spread(address.get()) % replicas.size()),
+              replicas.end());
   desk.serve("report-whole", [this](Address from, std::string) -> Task<std::optional<std::string>> {
     book.forget(from);
     if (book.last().boot != 0) tell(from);
     co_return std::nullopt;
   });
   if (!follows) return;
-  follower = std::make_unique<NewsFollower>(zone.clock_, desk, zone.journal_, [this](const Topic& topic) { return sources(topic); },
-                                            FollowTimings{zone.timings_.newsPatience});
+  follower = std::make_unique<NewsFollower>(
+      zone.clock_, desk, zone.journal_,
+      [this](const Topic& topic) {
+        return sources(topic);
+      },
+      FollowTimings{zone.timings_.newsPatience});
 }
 
 std::vector<Address> LightZone::Node::sources(const Topic& topic) const {
@@ -66,7 +77,8 @@
   }
 }
 
-LightZone::LightZone(boost::asio::io_context& context, Clock& clock, Journal& journal, const ScaleAddresses& addresses, std::size_t zone, std::size_t real)
+LightZone::LightZone(boost::asio::io_context& context, Clock& clock, Journal& journal, const ScaleAddresses& addresses, std::size_t zone,
+                     std::size_t real)
     : clock_(clock), journal_(journal), addresses_(addresses), zone_(zone) {
   std::vector<Address> agents;
   std::vector<std::size_t> light;
@@ -78,7 +90,8 @@
   homes_ = ZoneHomes{agents};
   bool allFollow = false;
   for (auto index = zone; index < real; index += addresses_.shape.zones) allFollow = allFollow || homes_.home(addresses_.agent(index));
-  for (auto index : light) nodes_.push_back(std::make_unique<Node>(*this, context, index, allFollow || homes_.home(addresses_.agent(index))));
+  for (auto index : light)
+    nodes_.push_back(std::make_unique<Node>(*this, context, index, allFollow || homes_.home(addresses_.agent(index))));
   for (const auto& node : nodes_)
     if (!shared_) shared_ = node->follower.get();
   for (auto& node : nodes_) {
@@ -131,13 +144,17 @@
 bool LightZone::leased() {
   if (!shared_) return false;
   const auto& topics = shared_->topics();
-  return topics.size() > 1 && std::all_of(topics.begin(), topics.end(), [this](const auto& each) { return shared_->leaseUntil(each.first).has_value(); });
+  return topics.size() > 1 && std::all_of(topics.begin(), topics.end(), [this](const auto& each) {
+           return shared_->leaseUntil(each.first).has_value();
+         });
 }
 
 bool LightZone::follows(PlanMark mark) {
   if (!shared_) return false;
   const auto& topics = shared_->topics();
-  return std::all_of(topics.begin(), topics.end(), [&](const auto& each) { return planMark(each.first) >= mark; });
+  return std::all_of(topics.begin(), topics.end(), [&](const auto& each) {
+    return planMark(each.first) >= mark;
+  });
 }
 
 PlanMark LightZone::planMark(const Topic& topic) const {
--- a/src/scale/light_zone.hpp
+++ b/src/scale/light_zone.hpp
@@ -17,7 +17,8 @@
 // real node see a zone of full size
 class LightZone {
  public:
-  LightZone(boost::asio::io_context& context, Clock& clock, Journal& journal, const ScaleAddresses& addresses, std::size_t zone, std::size_t real);
+  LightZone(boost::asio::io_context& context, Clock& clock, Journal& journal, const ScaleAddresses& addresses, std::size_t zone,
+            std::size_t real);
   std::optional<std::string> listen();
 
   std::size_t size() const { return nodes_.size(); }
--- a/src/scale/link_pieces.cpp
+++ b/src/scale/link_pieces.cpp
@@ -33,7 +33,13 @@
 class LinkPieces {
  public:
   explicit LinkPieces(const ScaleAddresses& addresses)
-      : clock_(context_), source_(clock_), near_(context_, clock_, journal_, addresses.agent(0), {}), far_(context_, clock_, journal_, addresses.replica(0), {}), nearDesk_(clock_, near_, 1), farDesk_(clock_, far_, 2), news_(clock_, farDesk_, board_, source_, 0ms) {
+      : clock_(context_),
+        source_(clock_),
+        near_(context_, clock_, journal_, addresses.agent(0), {}),
+        far_(context_, clock_, journal_, addresses.replica(0), {}),
+        nearDesk_(clock_, near_, 1),
+        farDesk_(clock_, far_, 2),
+        news_(clock_, farDesk_, board_, source_, 0ms) {
     for (std::size_t service = 1; service <= addresses.shape.services(); ++service) {
       auto topic = numbered("s", service);
       board_.publish(topic, 1000, {{"plan", "news"}});
--- a/src/scale/metered_link.cpp
+++ b/src/scale/metered_link.cpp
@@ -35,7 +35,9 @@
       return "group";
   }
   bool referenced = false;
-  auto reference = [](msgpack::type::object_type, std::size_t, void*) { return true; };
+  auto reference = [](msgpack::type::object_type, std::size_t, void*) {
+    return true;
+  };
   auto handle = msgpack::unpack(envelope.body.data(), envelope.body.size(), referenced, reference);
   const auto& object = handle.get();
   constexpr std::size_t subjectOfAsk = 2;  // as DeskAsk lays its fields
--- a/src/scale/pieces.cpp
+++ b/src/scale/pieces.cpp
@@ -33,11 +33,14 @@
   return (processorSeconds() - began) / static_cast<double>(calls) * 1e6;
 }
 
-std::string asked(std::string subject, std::string body) { return packed(DeskAsk{1u << 30, ~0ull, std::move(subject), std::move(body)}); }
+std::string asked(std::string subject, std::string body) {
+  return packed(DeskAsk{1u << 30, ~0ull, std::move(subject), std::move(body)});
+}
 
 class Pieces {
  public:
-  explicit Pieces(const ScaleShape& shape) : shape_(shape), addresses_{"127.64", shape}, state_(board_), planText_(scalePlan(addresses_, 1)) {}
+  explicit Pieces(const ScaleShape& shape)
+      : shape_(shape), addresses_{"127.64", shape}, state_(board_), planText_(scalePlan(addresses_, 1)) {}
 
   PieceFigures measure() {
     note("nodes", static_cast<double>(shape_.nodes));
@@ -68,7 +71,9 @@
   void planFigures() {
     note("plan_bytes", static_cast<double>(planText_.size()));
     PlanReader reader;
-    note("plan_read_us", cost([&] { reader.read(planText_); }));
+    note("plan_read_us", cost([&] {
+           reader.read(planText_);
+         }));
     plan_ = reader.read(planText_);
     note("plan_taken", plan_ ? 1 : 0);
     PlanUpdate update{planText_};
@@ -90,7 +95,9 @@
     Wanted idle;
     for (const auto& [node, weight] : weights_)
       for (const auto& [branch, planned] : service.branches) idle[node][branch] = 1;
-    note("share_cut_us", cost([&] { cutShares(service, idle, weights_); }));
+    note("share_cut_us", cost([&] {
+           cutShares(service, idle, weights_);
+         }));
     auto grants = cutShares(service, idle, weights_);
     std::size_t without = 0;
     for (const auto& [node, branches] : grants)
@@ -105,16 +112,22 @@
 
   void publishFigures() {
     NodeUpdate update{addresses_.agent(0), shape_.zone(0), 1};
-    note("action_us", cost([&] { apply(ControlMatter::enrolNode, packed(update)); }));
+    note("action_us", cost([&] {
+           apply(ControlMatter::enrolNode, packed(update));
+         }));
   }
 
   void snapshotFigures() {
     auto snapshot = state_.snapshot();
     note("snapshot_bytes", static_cast<double>(snapshot.size()));
-    note("snapshot_us", cost([&] { state_.snapshot(); }));
+    note("snapshot_us", cost([&] {
+           state_.snapshot();
+         }));
     NewsBoard board;
     ControlState joined(board);
-    note("snapshot_restore_us", cost([&] { joined.restore(snapshot); }));
+    note("snapshot_restore_us", cost([&] {
+           joined.restore(snapshot);
+         }));
   }
 
   std::size_t replyBytes(const std::map<Topic, std::uint64_t>& have, bool signs = true) {
@@ -147,7 +160,9 @@
     auto nothing = ask.have;
     for (auto& [topic, mark] : nothing) mark = 0;
     note("news_tables_bytes", static_cast<double>(replyBytes(nothing)));
-    note("quiet_reply_us", cost([&] { replyBytes(ask.have); }));
+    note("quiet_reply_us", cost([&] {
+           replyBytes(ask.have);
+         }));
     const auto* fleet = board_.find(fleetTopic);
     note("zone_agents_us", cost([&] {
            for (const auto& [key, value] : fleet->table)
@@ -158,7 +173,9 @@
   std::size_t newsBytesAfter(const std::function<void()>& change) {
     auto before = marks();
     change();
-    std::erase_if(before, [this](const auto& each) { return board_.mark(each.first) == each.second; });
+    std::erase_if(before, [this](const auto& each) {
+      return board_.mark(each.first) == each.second;
+    });
     return replyBytes(before);
   }
 
@@ -196,8 +213,11 @@
     note("quiet_report_bytes", static_cast<double>(asked("report", packed(quiet)).size()));
     AccessTables access;
     auto now = Instant{} + 1h;
-    note("report_taken_us", cost([&] { access.noteReport(*unpacked<NodeReport>(bytes), now); }));
-    DatabaseHeartbeat heartbeat{ServiceName{"s100"}, DatabaseName{"d1"}, 1ull << 40, 1000, "replica", Epoch{2}, Position{123456}, 100ms, false, {}, {}, 0};
+    note("report_taken_us", cost([&] {
+           access.noteReport(*unpacked<NodeReport>(bytes), now);
+         }));
+    DatabaseHeartbeat heartbeat{
+        ServiceName{"s100"}, DatabaseName{"d1"}, 1ull << 40, 1000, "replica", Epoch{2}, Position{123456}, 100ms, false, {}, {}, 0};
     note("heartbeat_bytes", static_cast<double>(asked("heartbeat", packed(heartbeat)).size()));
     note("heartbeat_json_bytes", static_cast<double>(heartbeatToJson(heartbeat).size()));
     for (const auto& settings : addresses_.databases()) {
@@ -205,7 +225,9 @@
       heartbeat.database = settings.name;
       access.noteHeartbeat(heartbeat, now, 1s);
     }
-    note("signs_us", cost([&] { access.signs(ServiceName{"s1"}, now); }));
+    note("signs_us", cost([&] {
+           access.signs(ServiceName{"s1"}, now);
+         }));
   }
 
   void groupFigures() {
@@ -234,6 +256,8 @@
 
 }  // namespace
 
-PieceFigures measurePieces(const ScaleShape& shape) { return Pieces(shape).measure(); }
+PieceFigures measurePieces(const ScaleShape& shape) {
+  return Pieces(shape).measure();
+}
 
 }  // namespace tamarindshift
--- a/src/scale/scale_addresses.hpp
+++ b/src/scale/scale_addresses.hpp
@@ -39,7 +39,7 @@
         own.cap = shape.connections + 20;
         own.primary = number == 1;
         own.heartbeatsTo = {replicaDoor((service + number) % shape.replicas), agentDoor((service * 7 + number) % shape.nodes),
-                       agentDoor((service * 7 + number + 1) % shape.nodes)};
+                            agentDoor((service * 7 + number + 1) % shape.nodes)};
         all.push_back(std::move(own));
       }
     return all;
--- a/src/scale/simulated_figures.cpp
+++ b/src/scale/simulated_figures.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
-double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+double seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
 
 // what a loss costs: the longest time without an order of actions, and without a lease at a node that is not cut off itself
 struct Gaps {
@@ -53,7 +55,8 @@
 Figures simulatedCounts(const ScaleSettings& settings) {
   const auto& shape = settings.addresses.shape;
   SimulatedScale scale(shape, settings.seed, 0ms);
-  Figures figures{{"started", scale.start() ? 1 : 0}, {"nodes", static_cast<double>(shape.nodes)}, {"services", static_cast<double>(shape.services())}};
+  Figures figures{
+      {"started", scale.start() ? 1 : 0}, {"nodes", static_cast<double>(shape.nodes)}, {"services", static_cast<double>(shape.services())}};
   auto nodes = scale.nodeTraffic();
   auto replicas = scale.replicaTraffic();
   std::vector<Traffic> before;
@@ -102,21 +105,25 @@
     figures.emplace_back("plan_held_s", seconds(heldAt - asked));
     std::vector<double> last(shape.regions, 0);
     for (std::size_t region = 0; region < shape.regions; ++region) {
-      scale->runUntil([&] {
-        for (std::size_t index = 0; index < scale->nodes().size(); ++index)
-          if (scale->regionOf(index) == region && !scale->nodes()[index]->follows(PlanMark{2})) return false;
-        return true;
-      }, 12s);
+      scale->runUntil(
+          [&] {
+            for (std::size_t index = 0; index < scale->nodes().size(); ++index)
+              if (scale->regionOf(index) == region && !scale->nodes()[index]->follows(PlanMark{2})) return false;
+            return true;
+          },
+          12s);
       figures.emplace_back("plan_followed_region_" + std::to_string(region + 1) + "_by_s", seconds(scale->now() - heldAt));
     }
     scale->crashDatabase(1, 1);
     auto crashedAt = scale->now();
     for (std::size_t region = 0; region < shape.regions; ++region) {
-      scale->runUntil([&] {
-        for (std::size_t index = 0; index < scale->nodes().size(); ++index)
-          if (scale->regionOf(index) == region && !scale->nodes()[index]->servedUnder(ServiceName{"s1"}, Epoch{2})) return false;
-        return true;
-      }, 20s);
+      scale->runUntil(
+          [&] {
+            for (std::size_t index = 0; index < scale->nodes().size(); ++index)
+              if (scale->regionOf(index) == region && !scale->nodes()[index]->servedUnder(ServiceName{"s1"}, Epoch{2})) return false;
+            return true;
+          },
+          20s);
       figures.emplace_back("primary_served_region_" + std::to_string(region + 1) + "_by_s", seconds(scale->now() - crashedAt));
     }
   }
@@ -132,8 +139,12 @@
     return found;
   };
   killed("rack", {0});
-  killed("zone", where([](std::size_t zone) { return zone == 0; }));
-  killed("region", where([&](std::size_t zone) { return shape.regionOfZone(zone) == 0; }));
+  killed("zone", where([](std::size_t zone) {
+           return zone == 0;
+         }));
+  killed("region", where([&](std::size_t zone) {
+           return shape.regionOfZone(zone) == 0;
+         }));
   if (shape.regions >= 3) {
     {
       auto scale = fresh();
--- a/src/scale/simulated_scale.cpp
+++ b/src/scale/simulated_scale.cpp
@@ -5,7 +5,15 @@
 namespace tamarindshift {
 
 SimulatedScale::SimulatedScale(ScaleShape shape, std::uint64_t seed, Duration betweenRegions)
-    : addresses_{"10.1", shape}, betweenRegions_(betweenRegions), world_(seed), network_(world_), web_(network_), clock_(world_), journal_("scale", [](const std::string&) {}), outside_(web_, clock_, Address{"10.9.0.1:1"}), databaseControl_(outside_, addresses_.platform()) {
+    : addresses_{"10.1", shape},
+      betweenRegions_(betweenRegions),
+      world_(seed),
+      network_(world_),
+      web_(network_),
+      clock_(world_),
+      journal_("scale", [](const std::string&) {}),
+      outside_(web_, clock_, Address{"10.9.0.1:1"}),
+      databaseControl_(outside_, addresses_.platform()) {
   for (std::size_t index = 0; index < shape.replicas; ++index) regions_[addresses_.replica(index)] = regionOf(index);
   for (std::size_t index = 0; index < shape.nodes; ++index)
     regions_[addresses_.agent(index)] = regions_[addresses_.proxy(index)] = regionOf(index);
@@ -15,7 +23,9 @@
     replicas_.push_back(std::make_unique<Replica>());
     auto& own = *replicas_.back();
     own.link = link(addresses_.replica(index));
-    own.metered = std::make_unique<MeteredLink>(*own.link, own.traffic, [this](const Address& peer) { return addresses_.isReplica(peer) ? "replica" : "agent"; });
+    own.metered = std::make_unique<MeteredLink>(*own.link, own.traffic, [this](const Address& peer) {
+      return addresses_.isReplica(peer) ? "replica" : "agent";
+    });
     own.store = std::make_unique<SimulatedStore>(clock_, own.disk, 3ms);
     ReplicaSettings settings;
     settings.address = addresses_.replica(index);
@@ -33,11 +43,14 @@
     web_.attach(settings.address, *database, clock_);
   }
   for (std::size_t index = 0; index < shape.nodes; ++index) {
-    HollowNodeSettings settings{addresses_.agent(index), addresses_.proxy(index), shape.zone(index), addresses_.seeds(), Timings{},
-                                [this](const Address& address) { return addresses_.isReplica(address); }};
+    HollowNodeSettings settings{
+        addresses_.agent(index), addresses_.proxy(index), shape.zone(index), addresses_.seeds(), Timings{}, [this](const Address& address) {
+          return addresses_.isReplica(address);
+        }};
     links_.push_back(link(settings.agent));
     links_.push_back(link(settings.proxy));
-    nodes_.push_back(std::make_unique<HollowNode>(clock_, journal_, *links_[2 * index], *links_[2 * index + 1], outside_, settings, world_.incarnation()));
+    nodes_.push_back(std::make_unique<HollowNode>(clock_, journal_, *links_[2 * index], *links_[2 * index + 1], outside_, settings,
+                                                  world_.incarnation()));
     web_.attach(addresses_.agentDoor(index), nodes_.back()->agent(), clock_);
   }
 }
@@ -62,7 +75,9 @@
 }
 
 std::unique_ptr<SimulatedLink> SimulatedScale::link(const Address& own) {
-  return std::make_unique<DistantLink>(network_, clock_, own, [this, own](const Address& peer) { return way(own, peer); });
+  return std::make_unique<DistantLink>(network_, clock_, own, [this, own](const Address& peer) {
+    return way(own, peer);
+  });
 }
 
 bool SimulatedScale::runUntil(const std::function<bool()>& reached, Duration patience) {
@@ -83,11 +98,21 @@
 bool SimulatedScale::sendPlan(std::uint64_t mark) {
   lastStatus_ = -1;
   scope_.spawn(send(scalePlan(addresses_, mark)));
-  return runUntil([this] { return lastStatus_ == 200; }, 10s);
+  return runUntil(
+      [this] {
+        return lastStatus_ == 200;
+      },
+      10s);
 }
 
 bool SimulatedScale::start() {
-  if (!runUntil([this] { return orders(); }, 20s) || !sendPlan(1)) return false;
+  if (!runUntil(
+          [this] {
+            return orders();
+          },
+          20s) ||
+      !sendPlan(1))
+    return false;
   auto settled = [this] {
     for (const auto& database : databases_)
       if (database.second->settings().primary && database.second->standing().epoch == Epoch{}) return false;
@@ -111,7 +136,9 @@
 }
 
 std::size_t SimulatedScale::leased() const {
-  return static_cast<std::size_t>(std::count_if(nodes_.begin(), nodes_.end(), [](const auto& node) { return node->leased(); }));
+  return static_cast<std::size_t>(std::count_if(nodes_.begin(), nodes_.end(), [](const auto& node) {
+    return node->leased();
+  }));
 }
 
 std::size_t SimulatedScale::leased(std::size_t region) const {
@@ -129,7 +156,9 @@
   return std::nullopt;
 }
 
-bool SimulatedScale::orders() const { return onDuty().has_value(); }
+bool SimulatedScale::orders() const {
+  return onDuty().has_value();
+}
 
 void SimulatedScale::killReplica(std::size_t index) {
   auto& own = *replicas_[index];
--- a/src/simulated/availability.cpp
+++ b/src/simulated/availability.cpp
@@ -4,7 +4,9 @@
 
 namespace tamarindshift {
 
-void Availability::disturbed(const ServiceName& service, Instant at) { calms_[service].push_back(Calm{at, at}); }
+void Availability::disturbed(const ServiceName& service, Instant at) {
+  calms_[service].push_back(Calm{at, at});
+}
 
 void Availability::disturbed(Instant at) {
   for (auto& [service, calms] : calms_) calms.push_back(Calm{at, at});
@@ -19,7 +21,9 @@
 
 void Availability::sample(const ServiceName& service, bool able, Instant at) {
   auto& calms = calms_[service];
-  bool troubled = std::any_of(troubles_.begin(), troubles_.end(), [&](const auto& name) { return name == "all" || name == service.get(); });
+  bool troubled = std::any_of(troubles_.begin(), troubles_.end(), [&](const auto& name) {
+    return name == "all" || name == service.get();
+  });
   if (calms.empty() || !able || troubled)
     calms.push_back(Calm{at, at});
   else
@@ -32,7 +36,8 @@
   });
 }
 
-std::size_t Availability::check(const std::vector<CallerOperation>& operations, const std::vector<CallerKind>& kinds, Instant start, const FaultSink& fault) const {
+std::size_t Availability::check(const std::vector<CallerOperation>& operations, const std::vector<CallerKind>& kinds, Instant start,
+                                const FaultSink& fault) const {
   std::size_t windows = 0;
   for (const auto& kind : kinds) {
     auto calms = calms_.find(kind.service);
@@ -50,7 +55,8 @@
         ++windows;
         if (asks >= fewAsks && done * 100 >= asks * leastDonePercent) continue;
         fault(kind.kind.get() + " was served " + std::to_string(done) + " of " + std::to_string(asks) + " asks from " +
-              std::to_string(milliseconds(from - start).count()) + "ms, calm since " + std::to_string(milliseconds(calm.from - start).count()) + "ms");
+              std::to_string(milliseconds(from - start).count()) + "ms, calm since " +
+              std::to_string(milliseconds(calm.from - start).count()) + "ms");
       }
   }
   return windows;
--- a/src/simulated/availability.hpp
+++ b/src/simulated/availability.hpp
@@ -16,7 +16,8 @@
   void trouble(const std::string& name, bool lasts);
   void excuse(const ServiceName& service, Instant from, Instant until) { excuses_.emplace_back(service, from, until); }
   void sample(const ServiceName& service, bool able, Instant at);
-  std::size_t check(const std::vector<CallerOperation>& operations, const std::vector<CallerKind>& kinds, Instant start, const FaultSink& fault) const;
+  std::size_t check(const std::vector<CallerOperation>& operations, const std::vector<CallerKind>& kinds, Instant start,
+                    const FaultSink& fault) const;
 
  private:
   struct Calm {
