--- a/src/simulated/day_generator.cpp
+++ b/src/simulated/day_generator.cpp
@@ -3,13 +3,24 @@
 namespace tamarindshift {
 
 DayGenerator::DayGenerator(std::uint64_t seed, std::string deployment)
-    : random_(seed), deployment_(std::move(deployment)), services_(deployment_ == "small" ? 1 : 3), machines_(deployment_ == "fes" ? 9 : deployment_ == "croatia" ? 7 : 3) {}
+    : random_(seed),
+      deployment_(std::move(deployment)),
+      services_(deployment_ == "small" ? 1 : 3),
+      machines_(deployment_ == "fes"       ? 9
+                : deployment_ == "croatia" ? 7
+                                           : 3) {}
 
-void DayGenerator::at(const std::string& event) { text_ += "at " + std::to_string(now_) + "ms " + event + "\n"; }
+void DayGenerator::at(const std::string& event) {
+  text_ += "at " + std::to_string(now_) + "ms " + event + "\n";
+}
 
-void DayGenerator::wait(std::uint64_t least, std::uint64_t most) { now_ += least + below(most - least + 1); }
+void DayGenerator::wait(std::uint64_t least, std::uint64_t most) {
+  now_ += least + below(most - least + 1);
+}
 
-std::string DayGenerator::database() { return std::to_string(1 + below(services_)) + "." + std::to_string(1 + below(3)); }
+std::string DayGenerator::database() {
+  return std::to_string(1 + below(services_)) + "." + std::to_string(1 + below(3));
+}
 
 std::string DayGenerator::day() {
   text_ = "fleet deployment=" + deployment_ + "\n";
@@ -76,7 +87,8 @@
     case 11:
       return pair("pace " + std::to_string(200 + below(200)), "pace 100", 5000, 10000);
     case 12:
-      return pair("slow database " + one + " work=" + std::to_string(100 + below(700)) + "ms", "slow database " + one + " work=2ms", 4000, 9000);
+      return pair("slow database " + one + " work=" + std::to_string(100 + below(700)) + "ms", "slow database " + one + " work=2ms", 4000,
+                  9000);
     case 13:
       return pair("faults database " + one + " request=15 reply=15 before=15", "faults database " + one, 4000, 9000);
     case 14:
--- a/src/simulated/history_checks.cpp
+++ b/src/simulated/history_checks.cpp
@@ -18,7 +18,8 @@
 
 }  // namespace
 
-HistoryChecks::HistoryChecks(const std::vector<CallerOperation>& operations, const std::vector<CallerKind>& kinds, Instant start, FaultSink fault)
+HistoryChecks::HistoryChecks(const std::vector<CallerOperation>& operations, const std::vector<CallerKind>& kinds, Instant start,
+                             FaultSink fault)
     : operations_(operations), kinds_(kinds), start_(start), fault_(std::move(fault)) {}
 
 void HistoryChecks::writesOnce(const KeptData& kept) const {
@@ -46,7 +47,9 @@
     if (operation.outcome == "done")
       for (const auto& token : operation.tokens) acknowledged[operation.key].emplace_back(operation.endedAt, token);
   auto bound = [](const KindName& kind) {
-    return stalenessBound(kind.get().starts_with("status") ? Consistency::status : kind.get().starts_with("lookup") ? Consistency::lookups : Consistency::primary);
+    return stalenessBound(kind.get().starts_with("status")   ? Consistency::status
+                          : kind.get().starts_with("lookup") ? Consistency::lookups
+                                                             : Consistency::primary);
   };
   for (const auto& operation : operations_) {
     if (!operation.reads || operation.outcome != "done" || operation.key.empty()) continue;
--- a/src/simulated/never_list.cpp
+++ b/src/simulated/never_list.cpp
@@ -9,7 +9,9 @@
 std::vector<std::string> NeverList::check() {
   gatherHistories();
   for (const auto& slip : fleet_.slips()) fault(slip);
-  HistoryChecks checks(fleet_.callers().operations(), fleet_.shape().callers, fleet_.start(), [this](std::string text) { fault(std::move(text)); });
+  HistoryChecks checks(fleet_.callers().operations(), fleet_.shape().callers, fleet_.start(), [this](std::string text) {
+    fault(std::move(text));
+  });
   checks.writesOnce(kept());
   checks.readsFresh();
   sessionsApart();
@@ -26,7 +28,9 @@
   if (++ofKind_[text.substr(0, 12)] <= 4) faults_.push_back(std::move(text));
 }
 
-std::string NeverList::clockText(Instant at) const { return std::to_string(milliseconds(at - fleet_.start()).count()) + "ms"; }
+std::string NeverList::clockText(Instant at) const {
+  return std::to_string(milliseconds(at - fleet_.start()).count()) + "ms";
+}
 
 void NeverList::gatherHistories() {
   for (const auto& database : fleet_.databases()) {
@@ -79,23 +83,28 @@
 }
 
 void NeverList::sessionsApart() {
-  SessionChecks checks(fleet_.callers().sent(), histories_, [this](std::string text) { fault(std::move(text)); });
+  SessionChecks checks(fleet_.callers().sent(), histories_, [this](std::string text) {
+    fault(std::move(text));
+  });
   checks.eachConnection();
   runs_ = checks.runs().size();
   if (runs_ == 0 && !fleet_.shape().callers.empty()) fault("nothing ran at any database");
   std::map<std::string, std::pair<ServiceName, DatabaseName>> names;
-  for (const auto& database : fleet_.databases()) names[database->settings.address.get()] = {database->settings.service, database->settings.name};
+  for (const auto& database : fleet_.databases())
+    names[database->settings.address.get()] = {database->settings.service, database->settings.name};
   for (const auto& run : checks.runs()) {
     const auto& [service, name] = names.at(run.database);
     Address machine{SimulatedNetwork::host(run.sent->proxy) + ":1"};
     if (!fleet_.plans().allows(run.sent->kind, service, name, Address{run.database}, machine, run.entry->at))
-      fault("no plan in force allows " + run.sent->kind.get() + " of " + machine.get() + " at " + service.get() + "/" + name.get() + " " + run.database + " at " +
-            clockText(run.entry->at) + ": " + requestToJson(run.sent->request));
+      fault("no plan in force allows " + run.sent->kind.get() + " of " + machine.get() + " at " + service.get() + "/" + name.get() + " " +
+            run.database + " at " + clockText(run.entry->at) + ": " + requestToJson(run.sent->request));
   }
 }
 
 void NeverList::backInTime() {
-  windows_ = fleet_.availability().check(fleet_.callers().operations(), fleet_.shape().callers, fleet_.start(), [this](std::string text) { fault(std::move(text)); });
+  windows_ = fleet_.availability().check(fleet_.callers().operations(), fleet_.shape().callers, fleet_.start(), [this](std::string text) {
+    fault(std::move(text));
+  });
 }
 
 void NeverList::leftAlone() {
@@ -119,8 +128,10 @@
   for (const auto& replica : fleet_.replicas()) {
     if (!replica->node || replica->clock->frozen() || !replica->node->engine().provedAt()) continue;
     const auto& state = replica->node->state();
-    if (!state.plan() || state.plan()->mark.get() < highest->mark) fault("acknowledged plan " + std::to_string(highest->mark) + " is gone at " + replica->host);
-    if (state.plan() && state.plan()->mark.get() == highest->mark && state.planText() != highest->text) fault("another plan is held under mark " + std::to_string(highest->mark));
+    if (!state.plan() || state.plan()->mark.get() < highest->mark)
+      fault("acknowledged plan " + std::to_string(highest->mark) + " is gone at " + replica->host);
+    if (state.plan() && state.plan()->mark.get() == highest->mark && state.planText() != highest->text)
+      fault("another plan is held under mark " + std::to_string(highest->mark));
   }
 }
 
@@ -128,13 +139,15 @@
   for (const auto& database : fleet_.databases()) {
     auto over = database->overCap;
     if (database->node)
-      if (auto found = database->journal->counters().find("connections.over_cap"); found != database->journal->counters().end()) over += found->second;
+      if (auto found = database->journal->counters().find("connections.over_cap"); found != database->journal->counters().end())
+        over += found->second;
     if (over > 0) fault("the cap of " + database->settings.name.get() + " was reached " + std::to_string(over) + " times");
     auto openings = database->openings;
     if (database->node) openings.insert(openings.end(), database->node->openings().begin(), database->node->openings().end());
     for (const auto& opening : openings)
       if (auto cap = fleet_.plans().cap(database->settings.service, opening.at); opening.connections > cap)
-        fault(database->settings.name.get() + " was opened connection " + std::to_string(opening.connections) + " at " + clockText(opening.at) + ", the plans in force allow " + std::to_string(cap));
+        fault(database->settings.name.get() + " was opened connection " + std::to_string(opening.connections) + " at " +
+              clockText(opening.at) + ", the plans in force allow " + std::to_string(cap));
   }
 }
 
--- a/src/simulated/scenario.cpp
+++ b/src/simulated/scenario.cpp
@@ -20,7 +20,9 @@
   return read;
 }
 
-std::size_t number(const std::string& text) { return text.empty() ? 0 : std::stoull(text); }
+std::size_t number(const std::string& text) {
+  return text.empty() ? 0 : std::stoull(text);
+}
 
 std::vector<std::string> list(const std::string& text) {
   std::vector<std::string> read;
@@ -54,9 +56,12 @@
     std::istringstream stream(text.substr(0, text.find('#')));
     Words words;
     for (std::string word; stream >> word;) words.push_back(word);
-    if (!words.empty() && !readLine(words, line)) return fail(path + ":" + std::to_string(line) + ": " + (reason_.empty() ? "not understood" : reason_));
+    if (!words.empty() && !readLine(words, line))
+      return fail(path + ":" + std::to_string(line) + ": " + (reason_.empty() ? "not understood" : reason_));
   }
-  std::stable_sort(events_.begin(), events_.end(), [](const Event& left, const Event& right) { return left.at < right.at; });
+  std::stable_sort(events_.begin(), events_.end(), [](const Event& left, const Event& right) {
+    return left.at < right.at;
+  });
   return true;
 }
 
@@ -67,18 +72,30 @@
         auto shape = deploymentNamed(value);
         if (!shape) return fail("unknown deployment " + value);
         shape_ = *shape;
-      } else if (key == "replicas") shape_.replicas = number(value);
-      else if (key == "machines") shape_.machines = number(value);
-      else if (key == "zones") shape_.zones = number(value);
-      else if (key == "services") shape_.services = number(value);
-      else if (key == "databases") shape_.databases = number(value);
-      else if (key == "heartbeat-targets") shape_.beatTargets = number(value);
-      else if (key == "cap") shape_.cap = static_cast<std::uint32_t>(number(value));
-      else if (key == "connections") shape_.connections = static_cast<std::uint32_t>(number(value));
-      else if (key == "work") shape_.work = durationText(value).value_or(shape_.work);
-      else if (key == "opens") shape_.opens = durationText(value).value_or(shape_.opens);
-      else if (key == "disk") shape_.diskSync = durationText(value).value_or(shape_.diskSync);
-      else return fail("unknown key " + key);
+      } else if (key == "replicas")
+        shape_.replicas = number(value);
+      else if (key == "machines")
+        shape_.machines = number(value);
+      else if (key == "zones")
+        shape_.zones = number(value);
+      else if (key == "services")
+        shape_.services = number(value);
+      else if (key == "databases")
+        shape_.databases = number(value);
+      else if (key == "heartbeat-targets")
+        shape_.beatTargets = number(value);
+      else if (key == "cap")
+        shape_.cap = static_cast<std::uint32_t>(number(value));
+      else if (key == "connections")
+        shape_.connections = static_cast<std::uint32_t>(number(value));
+      else if (key == "work")
+        shape_.work = durationText(value).value_or(shape_.work);
+      else if (key == "opens")
+        shape_.opens = durationText(value).value_or(shape_.opens);
+      else if (key == "disk")
+        shape_.diskSync = durationText(value).value_or(shape_.diskSync);
+      else
+        return fail("unknown key " + key);
     }
     return true;
   }
@@ -90,15 +107,24 @@
         kind.service = ServiceName{"s" + value.substr(value.find_first_of("0123456789"))};
         kind.primary = value.starts_with("counter");
         if (!kind.primary) kind.writes = kind.transactions = 0;
-      } else if (key == "count") kind.callers = number(value);
-      else if (key == "pause") kind.pause = durationText(value).value_or(kind.pause);
-      else if (key == "idle") kind.idle = durationText(value).value_or(kind.idle);
-      else if (key == "steps") kind.steps = number(value);
-      else if (key == "writes") kind.writes = static_cast<unsigned>(number(value));
-      else if (key == "transactions") kind.transactions = static_cast<unsigned>(number(value));
-      else if (key == "walks") kind.walksAway = static_cast<unsigned>(number(value));
-      else if (key == "stateful") kind.stateful = value == "yes";
-      else return fail("unknown key " + key);
+      } else if (key == "count")
+        kind.callers = number(value);
+      else if (key == "pause")
+        kind.pause = durationText(value).value_or(kind.pause);
+      else if (key == "idle")
+        kind.idle = durationText(value).value_or(kind.idle);
+      else if (key == "steps")
+        kind.steps = number(value);
+      else if (key == "writes")
+        kind.writes = static_cast<unsigned>(number(value));
+      else if (key == "transactions")
+        kind.transactions = static_cast<unsigned>(number(value));
+      else if (key == "walks")
+        kind.walksAway = static_cast<unsigned>(number(value));
+      else if (key == "stateful")
+        kind.stateful = value == "yes";
+      else
+        return fail("unknown key " + key);
     }
     shape_.callers.push_back(kind);
     return true;
@@ -155,12 +181,15 @@
 }
 
 void Scenario::noteDisturbance(SimulatedFleet& fleet, const Words& words) {
-  static const std::set<std::string> harmless{"plan", "pace", "add", "fast", "fast-disk", "hide-replication", "boast", "lag", "lie", "lie-in-heartbeats", "move"};
+  static const std::set<std::string> harmless{
+      "plan", "pace", "add", "fast", "fast-disk", "hide-replication", "boast", "lag", "lie", "lie-in-heartbeats", "move"};
   const auto& verb = words[0];
   auto& availability = fleet.availability();
   auto now = fleet.world().now();
   if (verb == "plan" && words.size() > 1 && words[1].starts_with("mark") && fleet.plans().all().empty()) return availability.disturbed(now);
-  bool retires = std::any_of(words.begin(), words.end(), [](const auto& word) { return word.starts_with("without-"); });
+  bool retires = std::any_of(words.begin(), words.end(), [](const auto& word) {
+    return word.starts_with("without-");
+  });
   if (harmless.contains(verb) && !retires) return;
   if (verb == "lose") availability.trouble("all", words.back() != "0");
   bool single = words.size() > 2 && words[1] == "database";
@@ -191,7 +220,9 @@
     auto left = machineOrHost(words[1]);
     auto right = machineOrHost(words[2]);
     bool cuts = verb.starts_with("cut");
-    auto change = [&](const std::string& from, const std::string& to) { cuts ? fleet.network().cut(from, to) : fleet.network().heal(from, to); };
+    auto change = [&](const std::string& from, const std::string& to) {
+      cuts ? fleet.network().cut(from, to) : fleet.network().heal(from, to);
+    };
     change(left, right);
     if (!verb.ends_with("-way")) change(right, left);
     return true;
@@ -230,29 +261,47 @@
 
 bool Scenario::actOnReplica(SimulatedFleet& fleet, const std::string& verb, std::size_t index) {
   auto& own = *fleet.replicas().at(index);
-  if (verb == "kill") fleet.killReplica(index);
-  else if (verb == "start") fleet.startReplica(index);
-  else if (verb == "stop") fleet.stopReplica(index);
-  else if (verb == "empty") own.disk.empty();
-  else if (verb == "freeze") own.clock->freeze();
-  else if (verb == "thaw") own.clock->thaw();
-  else if (verb == "slow-disk") own.store->slow(400ms);
-  else if (verb == "fast-disk") own.store->slow(fleet.shape().diskSync);
-  else return false;
+  if (verb == "kill")
+    fleet.killReplica(index);
+  else if (verb == "start")
+    fleet.startReplica(index);
+  else if (verb == "stop")
+    fleet.stopReplica(index);
+  else if (verb == "empty")
+    own.disk.empty();
+  else if (verb == "freeze")
+    own.clock->freeze();
+  else if (verb == "thaw")
+    own.clock->thaw();
+  else if (verb == "slow-disk")
+    own.store->slow(400ms);
+  else if (verb == "fast-disk")
+    own.store->slow(fleet.shape().diskSync);
+  else
+    return false;
   return true;
 }
 
 bool Scenario::actOnMachine(SimulatedFleet& fleet, const std::string& verb, std::size_t index) {
   auto& own = *fleet.machines().at(index);
-  if (verb == "kill") fleet.killMachine(index);
-  else if (verb == "start") fleet.startMachine(index);
-  else if (verb == "stop") fleet.stopMachine(index);
-  else if (verb == "freeze") own.clock->freeze();
-  else if (verb == "thaw") own.clock->thaw();
-  else if (verb == "slow") own.clock->slowBy(20ms);
-  else if (verb == "fast") own.clock->slowBy(0ms);
-  else if (verb == "break-clock") own.clock->runSlower(20);
-  else return false;
+  if (verb == "kill")
+    fleet.killMachine(index);
+  else if (verb == "start")
+    fleet.startMachine(index);
+  else if (verb == "stop")
+    fleet.stopMachine(index);
+  else if (verb == "freeze")
+    own.clock->freeze();
+  else if (verb == "thaw")
+    own.clock->thaw();
+  else if (verb == "slow")
+    own.clock->slowBy(20ms);
+  else if (verb == "fast")
+    own.clock->slowBy(0ms);
+  else if (verb == "break-clock")
+    own.clock->runSlower(20);
+  else
+    return false;
   return true;
 }
 
@@ -263,19 +312,32 @@
   auto& own = fleet.database(service, place);
   const auto& verb = words[0];
   auto options = pairs(words, 3);
-  if (verb == "kill") fleet.crashDatabase(own);
-  else if (verb == "start") fleet.startDatabase(own);
-  else if (verb == "leave") fleet.leaveDatabase(own);
-  else if (verb == "return") fleet.returnDatabase(own);
-  else if (verb == "freeze") own.clock->freeze();
-  else if (verb == "thaw") own.clock->thaw();
-  else if (verb == "slow") own.node->slow(durationText(options["work"]).value_or(500ms));
-  else if (verb == "replace") fleet.replaceDatabase(service, place);
-  else if (verb == "lag") own.node->lag(durationText(options["by"]).value_or(300ms));
-  else if (verb == "boast") own.node->boast(1'000'000);
-  else if (verb == "lie-in-heartbeats") own.node->lieInHeartbeats();
-  else if (verb == "lie") own.node->lieAboutContact();
-  else if (verb == "hide-replication") own.node->hideReplication();
+  if (verb == "kill")
+    fleet.crashDatabase(own);
+  else if (verb == "start")
+    fleet.startDatabase(own);
+  else if (verb == "leave")
+    fleet.leaveDatabase(own);
+  else if (verb == "return")
+    fleet.returnDatabase(own);
+  else if (verb == "freeze")
+    own.clock->freeze();
+  else if (verb == "thaw")
+    own.clock->thaw();
+  else if (verb == "slow")
+    own.node->slow(durationText(options["work"]).value_or(500ms));
+  else if (verb == "replace")
+    fleet.replaceDatabase(service, place);
+  else if (verb == "lag")
+    own.node->lag(durationText(options["by"]).value_or(300ms));
+  else if (verb == "boast")
+    own.node->boast(1'000'000);
+  else if (verb == "lie-in-heartbeats")
+    own.node->lieInHeartbeats();
+  else if (verb == "lie")
+    own.node->lieAboutContact();
+  else if (verb == "hide-replication")
+    own.node->hideReplication();
   else if (verb == "faults") {
     WebFaults faults;
     faults.loseRequest = static_cast<unsigned>(number(options["request"]));
@@ -286,7 +348,8 @@
     faults.cross = static_cast<unsigned>(number(options["cross"]));
     faults.insert = static_cast<unsigned>(number(options["insert"]));
     fleet.web().faults(own.settings.address, faults);
-  } else return false;
+  } else
+    return false;
   return true;
 }
 
@@ -310,18 +373,23 @@
   pair("branch", choice.branchOfKind);
   pair("machines", choice.machinesOfKind);
   pair("databases", choice.databasesOfKind);
-  for (const auto& each : list(options["label-machine"])) choice.labelOfMachine["10.1.0." + each.substr(0, each.find(':')) + ":1"] = each.substr(each.find(':') + 1);
-  for (const auto& each : list(options["label-database"])) choice.labelOfDatabase[databaseName(each.substr(0, each.find(':')))] = each.substr(each.find(':') + 1);
+  for (const auto& each : list(options["label-machine"]))
+    choice.labelOfMachine["10.1.0." + each.substr(0, each.find(':')) + ":1"] = each.substr(each.find(':') + 1);
+  for (const auto& each : list(options["label-database"]))
+    choice.labelOfDatabase[databaseName(each.substr(0, each.find(':')))] = each.substr(each.find(':') + 1);
   auto text = fleet.planText(choice);
   bool sound = !options.contains("broken");
   if (!sound) {
     const auto& how = options["broken"];
-    if (how == "cut") text = text.substr(0, text.size() / 2);
-    else if (how == "key") text.insert(1, "\"surprise\":1,");
+    if (how == "cut")
+      text = text.substr(0, text.size() / 2);
+    else if (how == "key")
+      text.insert(1, "\"surprise\":1,");
     else if (how == "sum") {
       choice.firstPart = 150;
       text = fleet.planText(choice);
-    } else return false;
+    } else
+      return false;
   }
   fleet.sendPlan(replica, choice.mark, text, sound);
   return true;
@@ -352,7 +420,8 @@
     Instant first = Instant::max();
     for (const auto& each : operations)
       if (each.kind.get() == words[1] && each.outcome == "done" && each.startedAt >= from) first = std::min(first, each.endedAt);
-    if (first == Instant::max() || first - from > *within) complain(first == Instant::max() ? "nothing served" : std::to_string(milliseconds(first - from).count()) + "ms");
+    if (first == Instant::max() || first - from > *within)
+      complain(first == Instant::max() ? "nothing served" : std::to_string(milliseconds(first - from).count()) + "ms");
   } else if (words[0] == "share" && words.size() == 5) {
     auto all = counted("any", words[2]);
     auto met = counted(words[1], words[2]) + (words[1] == "done" ? counted("rolled-back", words[2]) : 0);
@@ -392,7 +461,8 @@
     auto& times = taken[kind];
     std::sort(times.begin(), times.end());
     if (!times.empty())
-      text << " p50=" << static_cast<double>(times[times.size() / 2]) / 1000 << "ms p99=" << static_cast<double>(times[times.size() * 99 / 100]) / 1000 << "ms";
+      text << " p50=" << static_cast<double>(times[times.size() / 2]) / 1000
+           << "ms p99=" << static_cast<double>(times[times.size() * 99 / 100]) / 1000 << "ms";
     text << "\n";
   }
   text << "windows=" << windows_ << " runs=" << runs_ << "\n";
--- a/src/simulated/session_checks.cpp
+++ b/src/simulated/session_checks.cpp
@@ -29,7 +29,8 @@
 
 void SessionChecks::ran(const std::string& database, const StandinHistoryEntry& entry, const SentRequest& sent) {
   runs_.push_back(RunAtDatabase{database, &entry, &sent});
-  if (++times_[&sent] > 1 && !sent.request.reads) fault_("ran twice: " + requestToJson(sent.request) + " of session " + std::to_string(sent.session) + " at " + database);
+  if (++times_[&sent] > 1 && !sent.request.reads)
+    fault_("ran twice: " + requestToJson(sent.request) + " of session " + std::to_string(sent.session) + " at " + database);
 }
 
 void SessionChecks::walk(const std::string& database, Stretch& stretch, const StandinHistoryEntry& entry) {
@@ -49,7 +50,9 @@
 }
 
 bool SessionChecks::begunInTime(const StandinHistoryEntry& entry) const {
-  return std::any_of(begins_.begin(), begins_.end(), [&](const auto* sent) { return sent->sentAt <= entry.at && entry.at <= sent->endedAt; });
+  return std::any_of(begins_.begin(), begins_.end(), [&](const auto* sent) {
+    return sent->sentAt <= entry.at && entry.at <= sent->endedAt;
+  });
 }
 
 void SessionChecks::end(const std::string& database, Stretch& stretch, const StandinHistoryEntry& entry) {
@@ -73,7 +76,8 @@
   if (stretch.stateOf && *stretch.stateOf != sent.session) fault_("on a connection with another session's values or shapes: " + who);
   if (stretch.open) {
     const auto* before = stretch.last ? stretch.last : of(sent.session, sent.sequence - 1);
-    bool follows = before && before->session == sent.session && before->sequence + 1 == sent.sequence && sent.transaction != 0 && before->transaction == sent.transaction;
+    bool follows = before && before->session == sent.session && before->sequence + 1 == sent.sequence && sent.transaction != 0 &&
+                   before->transaction == sent.transaction;
     if (!stretch.last && follows) {
       follows = before->request.operation == Operation::begin;
       ran(database, entry, *before);
--- a/src/simulated/simulated_clock.cpp
+++ b/src/simulated/simulated_clock.cpp
@@ -29,17 +29,20 @@
     pending_.erase(found);
     return;
   }
-  std::erase_if(held_, [timer](const auto& each) { return each.first == timer; });
+  std::erase_if(held_, [timer](const auto& each) {
+    return each.first == timer;
+  });
 }
 
 void SimulatedClock::thaw() {
   frozen_ = false;
   auto held = std::move(held_);
   held_.clear();
-  for (auto& [own, timer] : held) pending_[own] = world_.at(world_.now(), [this, own = own, timer = std::move(timer)] {
-    pending_.erase(own);
-    timer();
-  });
+  for (auto& [own, timer] : held)
+    pending_[own] = world_.at(world_.now(), [this, own = own, timer = std::move(timer)] {
+      pending_.erase(own);
+      timer();
+    });
 }
 
 }  // namespace tamarindshift
--- a/src/simulated/simulated_fleet.cpp
+++ b/src/simulated/simulated_fleet.cpp
@@ -2,19 +2,27 @@
 
 #include <algorithm>
 
-
 namespace tamarindshift {
 
 namespace {
 
 const Address platformAddress{"10.3.0.1:1"};
 
-Address at(const std::string& host, int port) { return Address{host + ":" + std::to_string(port)}; }
+Address at(const std::string& host, int port) {
+  return Address{host + ":" + std::to_string(port)};
+}
 
 }  // namespace
 
 SimulatedFleet::SimulatedFleet(FleetShape shape, std::uint64_t seed)
-    : shape_(std::move(shape)), world_(seed), network_(world_), web_(network_), start_(world_.now()), clock_(world_), journal_("outside", sink()), outside_(web_, clock_, Address{"10.4.0.1:1"}) {
+    : shape_(std::move(shape)),
+      world_(seed),
+      network_(world_),
+      web_(network_),
+      start_(world_.now()),
+      clock_(world_),
+      journal_("outside", sink()),
+      outside_(web_, clock_, Address{"10.4.0.1:1"}) {
   platform_ = std::make_unique<StandinPlatform>(clock_, outside_, journal_);
   web_.attach(platformAddress, *platform_, clock_);
   for (std::size_t index = 0; index < shape_.replicas; ++index) {
@@ -49,7 +57,9 @@
   };
 }
 
-Address SimulatedFleet::seed(std::size_t index) const { return at("10.0.0." + std::to_string(index + 1), 1); }
+Address SimulatedFleet::seed(std::size_t index) const {
+  return at("10.0.0." + std::to_string(index + 1), 1);
+}
 
 void SimulatedFleet::startReplica(std::size_t index, std::size_t diskLatencyFactor) {
   auto& own = *replicas_[index];
@@ -109,7 +119,8 @@
   own.proxyLink = std::make_unique<SimulatedLink>(network_, *own.clock, at(own.host, 2));
   own.web = std::make_unique<SimulatedWebLink>(web_, *own.clock, at(own.host, 1));
   AgentSettings agent{at(own.host, 1), own.zone, {seed(0), seed(1), seed(2)}, true, shape_.timings};
-  own.agent = std::make_unique<AgentNode>(*own.clock, *own.agentLink, *own.journal, agent, static_cast<std::uint64_t>(world_.now().time_since_epoch().count()));
+  own.agent = std::make_unique<AgentNode>(*own.clock, *own.agentLink, *own.journal, agent,
+                                          static_cast<std::uint64_t>(world_.now().time_since_epoch().count()));
   ProxySettings proxy;
   proxy.agent = proxy.node = at(own.host, 1);
   proxy.timings = shape_.timings;
@@ -201,11 +212,15 @@
 }
 
 SimulatedFleet::Database& SimulatedFleet::database(std::size_t service, std::size_t number) {
-  auto found = std::find_if(databases_.rbegin(), databases_.rend(), [&](const auto& each) { return each->service == service && each->number == number; });
+  auto found = std::find_if(databases_.rbegin(), databases_.rend(), [&](const auto& each) {
+    return each->service == service && each->number == number;
+  });
   return **found;
 }
 
-bool SimulatedFleet::current(const Database& database) { return &this->database(database.service, database.number) == &database; }
+bool SimulatedFleet::current(const Database& database) {
+  return &this->database(database.service, database.number) == &database;
+}
 
 void SimulatedFleet::replaceDatabase(std::size_t service, std::size_t number) {
   auto host = database(service, number).host + std::to_string(number);
@@ -215,9 +230,11 @@
 void SimulatedFleet::startDatabase(Database& database) {
   if (database.node) return;
   database.clock = std::make_unique<SimulatedClock>(world_);
-  database.journal = std::make_unique<SimulatedJournal>("database " + database.settings.service.get() + "/" + database.settings.name.get(), sink());
+  database.journal =
+      std::make_unique<SimulatedJournal>("database " + database.settings.service.get() + "/" + database.settings.name.get(), sink());
   database.web = std::make_unique<SimulatedWebLink>(web_, *database.clock, database.settings.address);
-  database.node = std::make_unique<StandinDatabase>(*database.clock, *database.web, *database.journal, database.settings, world_.incarnation());
+  database.node =
+      std::make_unique<StandinDatabase>(*database.clock, *database.web, *database.journal, database.settings, world_.incarnation());
   database.node->restore(database.disk);
   web_.attach(database.settings.address, *database.node, *database.clock);
 }
@@ -228,7 +245,8 @@
   database.history.insert(database.history.end(), history.begin(), history.end());
   const auto& openings = database.node->openings();
   database.openings.insert(database.openings.end(), openings.begin(), openings.end());
-  if (auto over = database.journal->counters().find("connections.over_cap"); over != database.journal->counters().end()) database.overCap += over->second;
+  if (auto over = database.journal->counters().find("connections.over_cap"); over != database.journal->counters().end())
+    database.overCap += over->second;
 }
 
 void SimulatedFleet::crashDatabase(Database& database) {
@@ -309,7 +327,8 @@
     bool works = false;
     for (const auto& [name, view] : guide.services()) works = works || guide.leased(name);
     auto who = "machine " + std::to_string(index + 1) + " at " + std::to_string(milliseconds(world_.now() - start_).count()) + "ms";
-    if (works && mark.get() < required) slip(who + " works under plan " + std::to_string(mark.get()) + ", " + std::to_string(required) + " is older than 3 s");
+    if (works && mark.get() < required)
+      slip(who + " works under plan " + std::to_string(mark.get()) + ", " + std::to_string(required) + " is older than 3 s");
     if (mark < own.lastMark) slip(who + " slipped back to plan " + std::to_string(mark.get()));
     own.lastMark = mark;
   }
@@ -339,12 +358,18 @@
     if (2 * reached > replicas_.size()) core.push_back(replica->host);
   }
   if (2 * core.size() <= replicas_.size()) return false;
-  auto reaches = [&](const std::string& host) { return std::all_of(core.begin(), core.end(), [&](const auto& each) { return linked(host, each); }); };
+  auto reaches = [&](const std::string& host) {
+    return std::all_of(core.begin(), core.end(), [&](const auto& each) {
+      return linked(host, each);
+    });
+  };
   for (const auto& database : databases_) {
     if (database->service != service || !current(*database) || !database->node || database->clock->frozen()) continue;
     if (!reaches(database->host) || !linked(database->host, "10.3.0.1")) continue;
     for (const auto& machine : machines_)
-      if (machine->proxy && !machine->clock->frozen() && !machine->proxy->draining() && reaches(machine->host) && linked(machine->host, database->host)) return true;
+      if (machine->proxy && !machine->clock->frozen() && !machine->proxy->draining() && reaches(machine->host) &&
+          linked(machine->host, database->host))
+        return true;
   }
   return false;
 }
--- a/src/simulated/simulated_line_link.cpp
+++ b/src/simulated/simulated_line_link.cpp
@@ -6,7 +6,8 @@
 
 namespace tamarindshift {
 
-SimulatedLineLink::SimulatedLineLink(SimulatedLineNetwork& lines, Clock& clock, Address from) : lines_(lines), clock_(clock), from_(std::move(from)) {
+SimulatedLineLink::SimulatedLineLink(SimulatedLineNetwork& lines, Clock& clock, Address from)
+    : lines_(lines), clock_(clock), from_(std::move(from)) {
   lines_.links_.insert(this);
 }
 
@@ -48,14 +49,18 @@
 
 void SimulatedLineLink::hold(const std::shared_ptr<SimulatedLine>& line, std::size_t end) {
   if (held_.size() >= sweepAt_) {
-    std::erase_if(held_, [](const Held& held) { return !held.line->ends[held.end].open; });
+    std::erase_if(held_, [](const Held& held) {
+      return !held.line->ends[held.end].open;
+    });
     sweepAt_ = std::max<std::size_t>(16, held_.size() * 2);
   }
   held_.push_back(Held{line, end});
 }
 
 std::vector<SimulatedLineLink::Held> SimulatedLineLink::current() {
-  std::erase_if(held_, [](const Held& held) { return !held.line->ends[held.end].open; });
+  std::erase_if(held_, [](const Held& held) {
+    return !held.line->ends[held.end].open;
+  });
   return held_;
 }
 
--- a/src/simulated/simulated_line_network.cpp
+++ b/src/simulated/simulated_line_network.cpp
@@ -5,7 +5,8 @@
 namespace tamarindshift {
 
 bool SimulatedLineNetwork::reaches(const Address& from, const Address& to) const {
-  return network_.connected(from, to) && !unpowered_.contains(SimulatedNetwork::host(from)) && !unpowered_.contains(SimulatedNetwork::host(to));
+  return network_.connected(from, to) && !unpowered_.contains(SimulatedNetwork::host(from)) &&
+         !unpowered_.contains(SimulatedNetwork::host(to));
 }
 
 std::uint64_t SimulatedLineNetwork::opened(const Address& address) const {
@@ -21,7 +22,9 @@
 
 void SimulatedLineNetwork::write(const Line& line, std::size_t from, std::string bytes) {
   const auto* faults = faultsOf(line);
-  auto unlucky = [&](unsigned perThousand) { return perThousand > 0 && world().chance(perThousand); };
+  auto unlucky = [&](unsigned perThousand) {
+    return perThousand > 0 && world().chance(perThousand);
+  };
   if (faults && unlucky(faults->lose)) return reset(line, from);
   if (faults && unlucky(faults->breakOff)) {
     bytes.resize(world().below(bytes.size()));
@@ -43,7 +46,9 @@
   end.underway.push_back(SimulatedLine::Chunk{event, std::move(bytes), end.lastArrival});
   if (end.delivering) return;
   end.delivering = true;
-  world().at(end.lastArrival, [this, line, from] { deliver(line, from, 100ms); });
+  world().at(end.lastArrival, [this, line, from] {
+    deliver(line, from, 100ms);
+  });
 }
 
 void SimulatedLineNetwork::deliver(const Line& line, std::size_t from, Duration retry) {
@@ -54,7 +59,9 @@
     return;
   }
   if (!reaches(end.own, far.own)) {
-    world().at(world().now() + retry, [this, line, from, retry] { deliver(line, from, std::min<Duration>(2 * retry, 800ms)); });
+    world().at(world().now() + retry, [this, line, from, retry] {
+      deliver(line, from, std::min<Duration>(2 * retry, 800ms));
+    });
     return;
   }
   auto chunk = std::move(end.underway.front());
@@ -64,7 +71,9 @@
     end.delivering = false;
     return;
   }
-  world().at(end.underway.front().due, [this, line, from] { deliver(line, from, 100ms); });
+  world().at(end.underway.front().due, [this, line, from] {
+    deliver(line, from, 100ms);
+  });
 }
 
 void SimulatedLineNetwork::arrive(const Line& line, std::size_t from, SimulatedLine::Chunk chunk) {
--- a/src/simulated/simulated_link.hpp
+++ b/src/simulated/simulated_link.hpp
@@ -15,7 +15,9 @@
   const Address& own() const override { return own_; }
   void pass(const Address& peer, Envelope envelope) override { network_.pass(own_, peer, std::move(envelope)); }
   void arrive(const Address& from, Envelope envelope) {
-    clock_.after(Duration::zero(), [this, from, envelope = std::move(envelope)] { arrived(from, envelope); });
+    clock_.after(Duration::zero(), [this, from, envelope = std::move(envelope)] {
+      arrived(from, envelope);
+    });
   }
 
  private:
--- a/src/simulated/simulated_web.cpp
+++ b/src/simulated/simulated_web.cpp
@@ -85,7 +85,9 @@
   WebOutcome outcome{PassFate::replied, reply.status, std::move(reply.body)};
   auto& world = network_.world();
   if (unlucky(faults_[to].loseReply)) {
-    world.at(world.now() + network_.latency(), [this, line] { end(line); });
+    world.at(world.now() + network_.latency(), [this, line] {
+      end(line);
+    });
     co_return;
   }
   world.at(world.now() + network_.latency(), [this, line, exchange, outcome] {
@@ -141,7 +143,8 @@
 Task<std::unique_ptr<WebConnection>> SimulatedWebLink::open(Address address, Instant deadline) {
   Gate connected;
   auto latency = web_.network_.latency() + web_.network_.latency();
-  if (auto cost = web_.opens_.find(address); cost != web_.opens_.end()) latency += cost->second + Duration{web_.network_.world().below(static_cast<std::uint64_t>(3 * cost->second.count()) + 1)};
+  if (auto cost = web_.opens_.find(address); cost != web_.opens_.end())
+    latency += cost->second + Duration{web_.network_.world().below(static_cast<std::uint64_t>(3 * cost->second.count()) + 1)};
   co_await connected.wait(clock_, std::min(deadline, clock_.now() + latency));
   if (!web_.network_.connected(from_, address) || !web_.network_.connected(address, from_)) {
     co_await connected.wait(clock_, deadline);
--- a/src/simulated/standin_callers.cpp
+++ b/src/simulated/standin_callers.cpp
@@ -53,8 +53,10 @@
   std::vector<Address> own;
   std::vector<Address> others;
   auto zone = (caller.number + caller.moves) % settings_.zones;
-  for (std::size_t index = 0; index < settings_.proxies.size(); ++index) (index % settings_.zones == zone ? own : others).push_back(settings_.proxies[index]);
-  if (!own.empty()) std::rotate(own.begin(), own.begin() + static_cast<std::ptrdiff_t>(caller.number / settings_.zones % own.size()), own.end());
+  for (std::size_t index = 0; index < settings_.proxies.size(); ++index)
+    (index % settings_.zones == zone ? own : others).push_back(settings_.proxies[index]);
+  if (!own.empty())
+    std::rotate(own.begin(), own.begin() + static_cast<std::ptrdiff_t>(caller.number / settings_.zones % own.size()), own.end());
   own.insert(own.end(), others.begin(), others.end());
   return own;
 }
@@ -65,7 +67,8 @@
   auto turnedAway = [&](const std::string& body) {
     CallerOperation operation;
     operation.startedAt = began;
-    note(caller, std::move(operation), WebOutcome{body.empty() ? PassFate::unsent : PassFate::replied, 503, body}, "no-session", "no-session");
+    note(caller, std::move(operation), WebOutcome{body.empty() ? PassFate::unsent : PassFate::replied, 503, body}, "no-session",
+         "no-session");
     operations_.back().outcome = "no-session";
   };
   std::optional<WebOutcome> ready;
@@ -97,7 +100,8 @@
       caller.comeBack = {};
     }
   }
-  if (well && caller.connection->usable()) co_await caller.connection->exchange("DELETE", "/sessions/" + caller.session, {}, clock_.now() + 1s);
+  if (well && caller.connection->usable())
+    co_await caller.connection->exchange("DELETE", "/sessions/" + caller.session, {}, clock_.now() + 1s);
 }
 
 Task<bool> StandinCallers::act(Caller& caller) {
@@ -142,18 +146,22 @@
   auto operation = request.operation;
   if (operation == Operation::begin) caller.transaction = ++caller.transactions;
   auto place = sent_.size();
-  sent_.push_back(SentRequest{caller.sessionNumber, ++caller.sequence, caller.transaction, kind.value_or(caller.kind.kind), caller.at, request, clock_.now(), Instant::max()});
+  sent_.push_back(SentRequest{caller.sessionNumber, ++caller.sequence, caller.transaction, kind.value_or(caller.kind.kind), caller.at,
+                              request, clock_.now(), Instant::max()});
   auto body = Json::parse(requestToJson(request));
   if (request.text.empty()) body.erase("text");
   if (kind) body["kind"] = kind->get();
-  auto outcome = co_await caller.connection->exchange("POST", "/sessions/" + caller.session + "/run", body.dump(), clock_.now() + settings_.patience);
+  auto outcome =
+      co_await caller.connection->exchange("POST", "/sessions/" + caller.session + "/run", body.dump(), clock_.now() + settings_.patience);
   sent_[place].endedAt = clock_.now();
-  bool ended = operation == Operation::commit || operation == Operation::rollback || outcome.fate != PassFate::replied || outcome.status != 200;
+  bool ended =
+      operation == Operation::commit || operation == Operation::rollback || outcome.fate != PassFate::replied || outcome.status != 200;
   if (ended) caller.transaction = 0;
   co_return outcome;
 }
 
-bool StandinCallers::note(Caller& caller, CallerOperation operation, const WebOutcome& outcome, const std::string& whenLost, const std::string& whenDone) {
+bool StandinCallers::note(Caller& caller, CallerOperation operation, const WebOutcome& outcome, const std::string& whenLost,
+                          const std::string& whenDone) {
   operation.caller = caller.number;
   if (operation.kind.get().empty()) operation.kind = caller.kind.kind;
   operation.endedAt = clock_.now();
@@ -166,7 +174,8 @@
       operation.outcome = json.value("outcome", "refused");
       operation.reason = json.value("reason", "");
       operation.result = json.value("result", "");
-      stays = outcome.status != 404 && outcome.status != 410 && operation.reason != "this node is leaving" && operation.reason != "no current lease";
+      stays = outcome.status != 404 && outcome.status != 410 && operation.reason != "this node is leaving" &&
+              operation.reason != "no current lease";
       if (operation.outcome == "done") operation.outcome = whenDone;
       if (operation.outcome == "done") caller.position = std::max(caller.position, json.value("position", std::uint64_t{0}));
       caller.comeBack = std::chrono::milliseconds{json.value("come_back_ms", 0)};
--- a/src/simulated/standin_callers.hpp
+++ b/src/simulated/standin_callers.hpp
@@ -57,7 +57,8 @@
   Task<bool> read(Caller& caller);
   Task<bool> prepared(Caller& caller);
   Task<WebOutcome> run(Caller& caller, DatabaseRequest request, std::optional<KindName> kind = std::nullopt);
-  bool note(Caller& caller, CallerOperation operation, const WebOutcome& outcome, const std::string& whenLost, const std::string& whenDone = "done");
+  bool note(Caller& caller, CallerOperation operation, const WebOutcome& outcome, const std::string& whenLost,
+            const std::string& whenDone = "done");
   const CallerKind& writersOf(const ServiceName& service) const;
   static constexpr std::uint64_t tokensPerKey = 30;
   std::string key(const KindName& kind, std::size_t caller) const;
--- a/src/simulated/standin_database.cpp
+++ b/src/simulated/standin_database.cpp
@@ -14,7 +14,12 @@
 using Json = nlohmann::json;
 
 StandinDatabase::StandinDatabase(Clock& clock, WebLink& web, Journal& journal, StandinDatabaseSettings settings, std::uint64_t boot)
-    : clock_(clock), web_(web), journal_(journal), settings_(std::move(settings)), boot_(boot), role_(settings_.primary ? "primary" : "replica") {
+    : clock_(clock),
+      web_(web),
+      journal_(journal),
+      settings_(std::move(settings)),
+      boot_(boot),
+      role_(settings_.primary ? "primary" : "replica") {
   scope_.spawn(replicate());
   scope_.spawn(heartbeats());
 }
@@ -41,7 +46,9 @@
   return true;
 }
 
-void StandinDatabase::gone(ConnectionId connection) { connections_.erase(connection); }
+void StandinDatabase::gone(ConnectionId connection) {
+  connections_.erase(connection);
+}
 
 std::uint32_t StandinDatabase::mostConnections() const {
   std::uint32_t most = 0;
@@ -69,7 +76,13 @@
   }
   if (request.path == "/data") co_return DoorReply{200, Json(data_).dump(), std::nullopt};
   if (request.path == "/counters")
-    co_return DoorReply{200, Json{{"requests", history_.size()}, {"connections", connections_.size()}, {"most_connections", mostConnections()}, {"cap", settings_.cap}}.dump(), std::nullopt};
+    co_return DoorReply{200,
+                        Json{{"requests", history_.size()},
+                             {"connections", connections_.size()},
+                             {"most_connections", mostConnections()},
+                             {"cap", settings_.cap}}
+                            .dump(),
+                        std::nullopt};
   co_return refusal(404, "no such path");
 }
 
@@ -86,7 +99,9 @@
 
 Task<DatabaseReply> StandinDatabase::runRequest(ConnectionId key, DatabaseRequest request) {
   co_await sleep(clock_, settings_.work);
-  auto fail = [this](const std::string& reason) { return DatabaseReply{false, true, reason, {}, standing(), {}}; };
+  auto fail = [this](const std::string& reason) {
+    return DatabaseReply{false, true, reason, {}, standing(), {}};
+  };
   auto found = connections_.find(key);
   if (found == connections_.end()) co_return fail("connection is gone");
   auto& connection = found->second;
@@ -212,7 +227,9 @@
   co_return DoorReply{200, Json{{"epoch", epoch_.get()}, {"position", position_}, {"data", data_}}.dump(), std::nullopt};
 }
 
-std::string StandinDatabase::pullAsk() const { return Json{{"have", position_}, {"epoch", epoch_.get()}}.dump(); }
+std::string StandinDatabase::pullAsk() const {
+  return Json{{"have", position_}, {"epoch", epoch_.get()}}.dump();
+}
 
 Task<void> StandinDatabase::replicate() {
   for (;;) {
@@ -258,7 +275,8 @@
 DatabaseHeartbeat StandinDatabase::heartbeat() {
   auto own = standing();
   if (liesInHeartbeats_) own.contactAge = Duration::zero();
-  DatabaseHeartbeat heartbeat{settings_.service, settings_.name, boot_, ++heartbeatNumber_, own.role, own.epoch, own.position, own.contactAge, leaving_, {}, {}, 0};
+  DatabaseHeartbeat heartbeat{
+      settings_.service, settings_.name, boot_, ++heartbeatNumber_, own.role, own.epoch, own.position, own.contactAge, leaving_, {}, {}, 0};
   if (settings_.tellsAddress) {
     heartbeat.address = settings_.address;
     heartbeat.capacity = settings_.cap;
--- a/src/simulated/standin_plan.cpp
+++ b/src/simulated/standin_plan.cpp
@@ -30,7 +30,8 @@
       if (choice.withoutKinds.contains(name)) return;
       auto moved = choice.branchOfKind.find(name);
       auto& made = plan["kinds"][name];
-      made = {{"service", "s" + number}, {"branch", moved == choice.branchOfKind.end() ? branch : moved->second}, {"consistency", consistency}};
+      made = {
+          {"service", "s" + number}, {"branch", moved == choice.branchOfKind.end() ? branch : moved->second}, {"consistency", consistency}};
       if (auto label = choice.machinesOfKind.find(name); label != choice.machinesOfKind.end()) made["machines"] = {label->second};
       if (auto label = choice.databasesOfKind.find(name); label != choice.databasesOfKind.end()) made["databases"] = {label->second};
     };
--- a/src/wire/pack.hpp
+++ b/src/wire/pack.hpp
@@ -9,41 +9,41 @@
 
 namespace msgpack {
 MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {
-namespace adaptor {
+  namespace adaptor {
 
-template <class Tag, class Value>
-struct convert<tamarindshift::Strong<Tag, Value>> {
-  const msgpack::object& operator()(const msgpack::object& object, tamarindshift::Strong<Tag, Value>& strong) const {
-    strong = tamarindshift::Strong<Tag, Value>{object.as<Value>()};
-    return object;
-  }
-};
+  template <class Tag, class Value>
+  struct convert<tamarindshift::Strong<Tag, Value>> {
+    const msgpack::object& operator()(const msgpack::object& object, tamarindshift::Strong<Tag, Value>& strong) const {
+      strong = tamarindshift::Strong<Tag, Value>{object.as<Value>()};
+      return object;
+    }
+  };
 
-template <class Tag, class Value>
-struct pack<tamarindshift::Strong<Tag, Value>> {
-  template <class Stream>
-  packer<Stream>& operator()(packer<Stream>& packer, const tamarindshift::Strong<Tag, Value>& strong) const {
-    return packer.pack(strong.get());
-  }
-};
+  template <class Tag, class Value>
+  struct pack<tamarindshift::Strong<Tag, Value>> {
+    template <class Stream>
+    packer<Stream>& operator()(packer<Stream>& packer, const tamarindshift::Strong<Tag, Value>& strong) const {
+      return packer.pack(strong.get());
+    }
+  };
 
-template <>
-struct convert<tamarindshift::Duration> {
-  const msgpack::object& operator()(const msgpack::object& object, tamarindshift::Duration& duration) const {
-    duration = tamarindshift::Duration{object.as<std::int64_t>()};
-    return object;
-  }
-};
+  template <>
+  struct convert<tamarindshift::Duration> {
+    const msgpack::object& operator()(const msgpack::object& object, tamarindshift::Duration& duration) const {
+      duration = tamarindshift::Duration{object.as<std::int64_t>()};
+      return object;
+    }
+  };
 
-template <>
-struct pack<tamarindshift::Duration> {
-  template <class Stream>
-  packer<Stream>& operator()(packer<Stream>& packer, const tamarindshift::Duration& duration) const {
-    return packer.pack(static_cast<std::int64_t>(duration.count()));
-  }
-};
+  template <>
+  struct pack<tamarindshift::Duration> {
+    template <class Stream>
+    packer<Stream>& operator()(packer<Stream>& packer, const tamarindshift::Duration& duration) const {
+      return packer.pack(static_cast<std::int64_t>(duration.count()));
+    }
+  };
 
-}  // namespace adaptor
+  }  // namespace adaptor
 }
 }  // namespace msgpack
 
--- a/tests/checkers_test.cpp
+++ b/tests/checkers_test.cpp
@@ -15,8 +15,9 @@
   REQUIRE(scenario.load(std::string(BROKEN_FOLDER) + "/" + file));
   scenario.run(1);
   for (const auto& fault : scenario.faults()) UNSCOPED_INFO(fault);
-  return std::any_of(scenario.faults().begin(), scenario.faults().end(),
-                     [&](const auto& fault) { return fault.find(expected) != std::string::npos; });
+  return std::any_of(scenario.faults().begin(), scenario.faults().end(), [&](const auto& fault) {
+    return fault.find(expected) != std::string::npos;
+  });
 }
 
 class LyingStore : public SimulatedStore {
@@ -33,7 +34,9 @@
 
 std::size_t faultsWithLies(std::uint64_t seed) {
   EngineCluster cluster(3, seed);
-  cluster.makeStore = [](Clock& clock, SimulatedDisk& disk) { return std::make_unique<LyingStore>(clock, disk); };
+  cluster.makeStore = [](Clock& clock, SimulatedDisk& disk) {
+    return std::make_unique<LyingStore>(clock, disk);
+  };
   for (std::size_t index = 0; index < 3; ++index) cluster.start(index);
   cluster.run(3s);
   for (int round = 0; round < 6; ++round) {
@@ -54,13 +57,21 @@
   CHECK(notices("clock.txt", "missed"));
 }
 
-TEST_CASE("the checkers notice a write that ran twice") { CHECK(notices("twice.txt", "twice")); }
+TEST_CASE("the checkers notice a write that ran twice") {
+  CHECK(notices("twice.txt", "twice"));
+}
 
-TEST_CASE("the checkers notice a read that is too old") { CHECK(notices("stale.txt", "missed")); }
+TEST_CASE("the checkers notice a read that is too old") {
+  CHECK(notices("stale.txt", "missed"));
+}
 
-TEST_CASE("the checkers notice a read behind the session's own writes") { CHECK(notices("own-writes.txt", "missed its own")); }
+TEST_CASE("the checkers notice a read behind the session's own writes") {
+  CHECK(notices("own-writes.txt", "missed its own"));
+}
 
-TEST_CASE("the checkers notice a statement that was changed on its way") { CHECK(notices("altered.txt", "ran what no session sent")); }
+TEST_CASE("the checkers notice a statement that was changed on its way") {
+  CHECK(notices("altered.txt", "ran what no session sent"));
+}
 
 TEST_CASE("the checkers notice requests on the connections of other sessions") {
   CHECK(notices("crossed.txt", "not in its own transaction"));
@@ -68,9 +79,13 @@
   CHECK(notices("crossed.txt", "another session's values or shapes"));
 }
 
-TEST_CASE("the checkers notice a rollback that nobody sent") { CHECK(notices("inserted.txt", "rollback")); }
+TEST_CASE("the checkers notice a rollback that nobody sent") {
+  CHECK(notices("inserted.txt", "rollback"));
+}
 
-TEST_CASE("the checkers notice a service that could be back and is not") { CHECK(notices("never-back.txt", "was served 0 of")); }
+TEST_CASE("the checkers notice a service that could be back and is not") {
+  CHECK(notices("never-back.txt", "was served 0 of"));
+}
 
 TEST_CASE("the checkers notice more connections than the plans in force allow") {
   CHECK(notices("cap.txt", "connections at"));
--- a/tests/client_test.cpp
+++ b/tests/client_test.cpp
@@ -103,7 +103,9 @@
   trial.kept("replica", trial.replica(), "replacePlan", replica::replacePlan(trial.plan(1)));
   trial.fleet.run(4s);
   trial.body<Empty>(trial.kept("proxy", trial.proxy(), "ready", proxy::ready()), 200);
-  auto open = [&] { return trial.body<OpenedSession>(trial.kept("proxy", trial.proxy(), "openSession", proxy::openSession({"counter1", {}})), 201).session; };
+  auto open = [&] {
+    return trial.body<OpenedSession>(trial.kept("proxy", trial.proxy(), "openSession", proxy::openSession({"counter1", {}})), 201).session;
+  };
   auto run = [&](const std::string& session, const Run& asked, int status = 200) {
     CHECK(trial.check.faults("Run", Json(asked)).empty());
     return trial.body<RunReply>(trial.kept("proxy", trial.proxy(), "run", proxy::run(session, asked)), status);
@@ -174,7 +176,9 @@
 
 TEST_CASE("a reply that leaves the schema is noticed") {
   SchemaCheck check;
-  auto faults = [&](const std::string& body, int status = 200) { return check.faults("proxy", "run", DoorReply{status, body, std::nullopt}); };
+  auto faults = [&](const std::string& body, int status = 200) {
+    return check.faults("proxy", "run", DoorReply{status, body, std::nullopt});
+  };
   CHECK(faults(R"({"outcome":"done","position":3})").empty());
   CHECK(faults(R"({"outcome":"done","position":3})", 201).size() == 1);
   CHECK(faults(R"({"outcome":"done","position":"3"})").size() == 1);
--- a/tests/construct_test.cpp
+++ b/tests/construct_test.cpp
@@ -45,7 +45,8 @@
   for (std::size_t index = 0; index < 3; ++index) cluster.submit(index);
   cluster.run(2s);
   cluster.judge();
-  if (cluster.inPrimary() != 3) cluster.faults.push_back("only " + std::to_string(cluster.inPrimary()) + " are back in a primary component");
+  if (cluster.inPrimary() != 3)
+    cluster.faults.push_back("only " + std::to_string(cluster.inPrimary()) + " are back in a primary component");
   return cluster.faults;
 }
 
--- a/tests/control_cluster.cpp
+++ b/tests/control_cluster.cpp
@@ -6,12 +6,23 @@
 
 namespace {
 
-Address replicaAddress(std::size_t index) { return Address{"10.0.0." + std::to_string(index + 1) + ":1"}; }
+Address replicaAddress(std::size_t index) {
+  return Address{"10.0.0." + std::to_string(index + 1) + ":1"};
+}
 
 }  // namespace
 
 ControlCluster::ControlCluster(bool rations)
-    : world(7), network(world), outside(world), databases(outside, [this](DatabaseHeartbeat heartbeat) { return replica(heartbeat.number % 3).heartbeat(heartbeat); }), disks(3), nodeLink(network, outside, Address{"10.1.0.1:1"}), nodeDesk(outside, nodeLink, 1) {
+    : world(7),
+      network(world),
+      outside(world),
+      databases(outside,
+                [this](DatabaseHeartbeat heartbeat) {
+                  return replica(heartbeat.number % 3).heartbeat(heartbeat);
+                }),
+      disks(3),
+      nodeLink(network, outside, Address{"10.1.0.1:1"}),
+      nodeDesk(outside, nodeLink, 1) {
   for (std::size_t index = 0; index < 3; ++index) {
     ownClocks.push_back(std::make_unique<SimulatedClock>(world));
     auto& clock = *ownClocks.back();
@@ -24,7 +35,8 @@
     settings.seeds = {replicaAddress(0), replicaAddress(1), replicaAddress(2)};
     settings.timings.databaseHeartbeat = 1200ms;
     settings.rations = rations;
-    nodes.push_back(std::make_unique<ReplicaNode>(clock, *links.back(), *stores.back(), databases, *journals.back(), settings, world.incarnation()));
+    nodes.push_back(
+        std::make_unique<ReplicaNode>(clock, *links.back(), *stores.back(), databases, *journals.back(), settings, world.incarnation()));
     REQUIRE_FALSE(nodes.back()->start());
   }
   report.node = Address{"10.1.0.1:1"};
@@ -59,11 +71,19 @@
 }
 
 DoorReply ControlCluster::ask(Task<DoorReply> task) {
-  return answered(std::move(task), [this] { run(5ms); }, 2000);
+  return answered(
+      std::move(task),
+      [this] {
+        run(5ms);
+      },
+      2000);
 }
 
 std::string ControlCluster::discovered(std::uint32_t syncReplicas) const {
-  return nlohmann::json{{"discovery", "heartbeats"}, {"sync-replicas", syncReplicas}, {"quota", {{"connections", 10}, {"branches", {{"b", {{"connections", 10}}}}}}}}.dump();
+  return nlohmann::json{{"discovery", "heartbeats"},
+                        {"sync-replicas", syncReplicas},
+                        {"quota", {{"connections", 10}, {"branches", {{"b", {{"connections", 10}}}}}}}}
+      .dump();
 }
 
 void ControlCluster::plan(std::uint64_t mark, const std::string& service) {
--- a/tests/desk_test.cpp
+++ b/tests/desk_test.cpp
@@ -17,7 +17,8 @@
 
 /// One process that asks; its link hands what it sends to the test, which answers as it likes.
 struct Caller {
-  Caller(World& world, SimulatedNetwork& network, std::uint64_t boot) : clock(world), link(network, clock, callerAt), desk(clock, link, boot) {}
+  Caller(World& world, SimulatedNetwork& network, std::uint64_t boot)
+      : clock(world), link(network, clock, callerAt), desk(clock, link, boot) {}
   SimulatedClock clock;
   SimulatedLink link;
   Desk desk;
@@ -25,7 +26,9 @@
 
 struct Exchange {
   Exchange() : network(world), clock(world), server(network, clock, serverAt), stranger(network, clock, strangerAt) {
-    server.on(Matter::ask, [this](const Address&, const std::string& bytes) { asked.push_back(*unpacked<DeskAsk>(bytes)); });
+    server.on(Matter::ask, [this](const Address&, const std::string& bytes) {
+      asked.push_back(*unpacked<DeskAsk>(bytes));
+    });
     start(1);
   }
   ~Exchange() { scope.clear(); }
@@ -95,7 +98,8 @@
   Exchange exchange;
   for (const auto* body : {"a", "b", "c"}) exchange.ask(body);
   REQUIRE(exchange.asked.size() == 3);
-  for (auto index : {2, 0, 2, 1, 0}) exchange.reply(exchange.server, exchange.asked.at(index), exchange.asked.at(index).body + (exchange.replies[index] ? " again" : ""));
+  for (auto index : {2, 0, 2, 1, 0})
+    exchange.reply(exchange.server, exchange.asked.at(index), exchange.asked.at(index).body + (exchange.replies[index] ? " again" : ""));
   exchange.run(20ms);
   CHECK(exchange.replies[0] == "a");
   CHECK(exchange.replies[1] == "b");
--- a/tests/discovered_cluster.hpp
+++ b/tests/discovered_cluster.hpp
@@ -13,7 +13,9 @@
     start("d2", "replica", Position{98});
     start("d3", "replica", Position{95});
     plan(1, discovered(syncReplicas));
-    REQUIRE(runUntil(5s, [&] { return promoted("d1"); }));
+    REQUIRE(runUntil(5s, [&] {
+      return promoted("d1");
+    }));
     run(2s);
   }
   ServiceReport& own() { return report.services[ServiceName{"s1"}]; }
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -19,7 +19,9 @@
   const auto& state = cluster.replica(0).state();
   CHECK(state.databases(ServiceName{"s1"}).size() == 2);
   cluster.plan(1, cluster.discovered(0));
-  REQUIRE(cluster.runUntil(3s, [&] { return cluster.promoted("d2"); }));
+  REQUIRE(cluster.runUntil(3s, [&] {
+    return cluster.promoted("d2");
+  }));
   CHECK(cluster.databases.statusCalls() == 0);
   CHECK(cluster.databases.holders().empty());
   auto green = cluster.replica(0).engine().greenLine();
@@ -35,7 +37,9 @@
   cluster.start("d1", "replica", Position{90});
   cluster.start("d2", "replica", Position{100});
   cluster.plan(1, cluster.discovered(0));
-  REQUIRE(cluster.runUntil(6s, [&] { return cluster.promoted("d2"); }));
+  REQUIRE(cluster.runUntil(6s, [&] {
+    return cluster.promoted("d2");
+  }));
   CHECK(cluster.databases.at("d2").promoteCalls == 1);
 }
 
@@ -46,7 +50,9 @@
   cluster.start("d9", "replica", Position{0});
   cluster.databases.at("d9").heartbeat.address = address;
   cluster.databases.tell("d9");
-  REQUIRE(cluster.runUntil(2s, [&] { return cluster.enrolled("d9") && cluster.enrolled("d9")->address == address; }));
+  REQUIRE(cluster.runUntil(2s, [&] {
+    return cluster.enrolled("d9") && cluster.enrolled("d9")->address == address;
+  }));
   CHECK_FALSE(cluster.enrolled("d3"));
   CHECK(cluster.enrolled("d1"));
 }
@@ -80,7 +86,9 @@
   own.silent = true;
   ++own.heartbeat.number;
   CHECK(cluster.ask(cluster.replica(1).detach(own.heartbeat)).status == 200);
-  REQUIRE(cluster.runUntil(2s, [&] { return !cluster.enrolled("d3"); }));
+  REQUIRE(cluster.runUntil(2s, [&] {
+    return !cluster.enrolled("d3");
+  }));
   ++own.heartbeat.number;
   CHECK(cluster.ask(cluster.replica(1).detach(own.heartbeat)).status == 200);
   CHECK_FALSE(cluster.enrolled("d3"));
@@ -120,7 +128,9 @@
   cluster.own().working = true;
   cluster.own().suspects = {DatabaseName{"d1"}};
   auto since = cluster.world.now();
-  REQUIRE(cluster.runUntil(3s, [&] { return cluster.promoted("d2"); }));
+  REQUIRE(cluster.runUntil(3s, [&] {
+    return cluster.promoted("d2");
+  }));
   CHECK(cluster.world.now() - since < 1200ms);
   CHECK(cluster.databases.at("d1").statusCalls == 1);
   CHECK(cluster.databases.at("d2").promoteCalls == 1);
@@ -141,8 +151,12 @@
 TEST_CASE("a crashed primary that no one works at is replaced after its silence") {
   Discovered cluster;
   cluster.databases.at("d1").dark = true;
-  CHECK_FALSE(cluster.runUntil(700ms, [&] { return !cluster.promoted("d1"); }));
-  REQUIRE(cluster.runUntil(6s, [&] { return cluster.promoted("d2"); }));
+  CHECK_FALSE(cluster.runUntil(700ms, [&] {
+    return !cluster.promoted("d1");
+  }));
+  REQUIRE(cluster.runUntil(6s, [&] {
+    return cluster.promoted("d2");
+  }));
 }
 
 TEST_CASE("a node that has not reported the new epoch costs the lease") {
@@ -151,9 +165,13 @@
   cluster.databases.at("d1").up = false;
   cluster.own().working = true;
   cluster.own().suspects = {DatabaseName{"d1"}};
-  REQUIRE(cluster.runUntil(2s, [&] { return cluster.service().epoch == Epoch{2}; }));
+  REQUIRE(cluster.runUntil(2s, [&] {
+    return cluster.service().epoch == Epoch{2};
+  }));
   auto since = cluster.world.now();
-  REQUIRE(cluster.runUntil(5s, [&] { return cluster.databases.at("d2").promoteCalls > 0; }));
+  REQUIRE(cluster.runUntil(5s, [&] {
+    return cluster.databases.at("d2").promoteCalls > 0;
+  }));
   CHECK(cluster.world.now() - since > Timings{}.lease + Timings{}.leaseMargin);
 }
 
@@ -162,12 +180,16 @@
   cluster.databases.at("d1").up = false;
   cluster.own().working = true;
   cluster.own().suspects = {DatabaseName{"d1"}};
-  REQUIRE(cluster.runUntil(2s, [&] { return cluster.service().epoch == Epoch{2}; }));
+  REQUIRE(cluster.runUntil(2s, [&] {
+    return cluster.service().epoch == Epoch{2};
+  }));
   CHECK(cluster.databases.at("d2").promoteCalls == 0);
   cluster.follows = false;
   cluster.report.boot = 6;
   cluster.own().epoch = Epoch{1};
-  CHECK_FALSE(cluster.runUntil(1500ms, [&] { return cluster.databases.at("d2").promoteCalls > 0; }));
+  CHECK_FALSE(cluster.runUntil(1500ms, [&] {
+    return cluster.databases.at("d2").promoteCalls > 0;
+  }));
 }
 
 TEST_CASE("a planned change lets nodes finish, demotes, and promotes what holds the final position") {
@@ -176,19 +198,25 @@
   auto& former = cluster.databases.at("d1");
   former.heartbeat.leaving = true;
   cluster.databases.tell("d1");
-  REQUIRE(cluster.runUntil(2s, [&] { return cluster.service().epoch == Epoch{2}; }));
+  REQUIRE(cluster.runUntil(2s, [&] {
+    return cluster.service().epoch == Epoch{2};
+  }));
   CHECK(cluster.service().planned);
   cluster.run(600ms);
   CHECK(former.demotedWith.empty());
   former.place.position = Position{120};
   cluster.follows = true;
-  REQUIRE(cluster.runUntil(1s, [&] { return !former.demotedWith.empty(); }));
+  REQUIRE(cluster.runUntil(1s, [&] {
+    return !former.demotedWith.empty();
+  }));
   CHECK(former.demotedWith.front() == Epoch{4});
   cluster.run(400ms);
   CHECK(cluster.databases.at("d2").promoteCalls == 0);
   cluster.databases.at("d2").place.position = Position{120};
   auto since = cluster.world.now();
-  REQUIRE(cluster.runUntil(2s, [&] { return cluster.promoted("d2"); }));
+  REQUIRE(cluster.runUntil(2s, [&] {
+    return cluster.promoted("d2");
+  }));
   CHECK(cluster.world.now() - since < 900ms);
 }
 
@@ -199,10 +227,14 @@
   cluster.databases.at("d1").up = false;
   cluster.own().working = true;
   cluster.own().suspects = {DatabaseName{"d1"}};
-  REQUIRE(cluster.runUntil(8s, [&] { return cluster.databases.at("d3").promoteCalls >= 2; }));
+  REQUIRE(cluster.runUntil(8s, [&] {
+    return cluster.databases.at("d3").promoteCalls >= 2;
+  }));
   CHECK(cluster.databases.at("d2").promoteCalls == 1);
   cluster.databases.at("d3").promotion = PromotionOutcome::led;
-  REQUIRE(cluster.runUntil(8s, [&] { return cluster.promoted("d3"); }));
+  REQUIRE(cluster.runUntil(8s, [&] {
+    return cluster.promoted("d3");
+  }));
   CHECK(cluster.service().epoch == Epoch{3});
 }
 
@@ -212,12 +244,16 @@
   cluster.databases.at("d1").up = false;
   cluster.own().working = true;
   cluster.own().suspects = {DatabaseName{"d1"}};
-  REQUIRE(cluster.runUntil(3s, [&] { return cluster.databases.at("d2").promoteCalls > 0; }));
+  REQUIRE(cluster.runUntil(3s, [&] {
+    return cluster.databases.at("d2").promoteCalls > 0;
+  }));
   cluster.run(2s);
   CHECK_FALSE(cluster.service().promoted);
   cluster.databases.at("d2").silent = true;
   cluster.databases.at("d2").heartbeat.role = "primary";
-  REQUIRE(cluster.runUntil(3s, [&] { return cluster.promoted("d2"); }));
+  REQUIRE(cluster.runUntil(3s, [&] {
+    return cluster.promoted("d2");
+  }));
 }
 
 TEST_CASE("where commits are replicated, the chosen one must hold what was acknowledged") {
@@ -227,9 +263,13 @@
   cluster.own().suspects = {DatabaseName{"d1"}};
   cluster.run(200ms);
   cluster.databases.at("d1").up = false;
-  CHECK_FALSE(cluster.runUntil(5s, [&] { return cluster.databases.at("d2").promoteCalls + cluster.databases.at("d3").promoteCalls > 0; }));
+  CHECK_FALSE(cluster.runUntil(5s, [&] {
+    return cluster.databases.at("d2").promoteCalls + cluster.databases.at("d3").promoteCalls > 0;
+  }));
   cluster.databases.at("d3").place.position = Position{99};
-  REQUIRE(cluster.runUntil(8s, [&] { return cluster.promoted("d3"); }));
+  REQUIRE(cluster.runUntil(8s, [&] {
+    return cluster.promoted("d3");
+  }));
   CHECK(cluster.databases.at("d2").promoteCalls == 0);
 }
 
@@ -239,7 +279,9 @@
   cluster.own().working = true;
   cluster.own().suspects = {DatabaseName{"d1"}};
   cluster.databases.at("d1").up = false;
-  REQUIRE(cluster.runUntil(5s, [&] { return cluster.promoted("d2"); }));
+  REQUIRE(cluster.runUntil(5s, [&] {
+    return cluster.promoted("d2");
+  }));
   CHECK(cluster.databases.at("d2").statusCalls == 2);
   CHECK(cluster.databases.at("d3").statusCalls == 2);
 }
@@ -254,7 +296,8 @@
     return state.applyGreen(action, ++position);
   };
   auto enrol = [&](const char* service, const char* database, const char* address) {
-    return apply(ControlMatter::enrolDatabase, EnrolmentUpdate{ServiceName{service}, DatabaseName{database}, Address{address}, Zone{"z1"}, 10, 0, 1, "replica"});
+    return apply(ControlMatter::enrolDatabase,
+                 EnrolmentUpdate{ServiceName{service}, DatabaseName{database}, Address{address}, Zone{"z1"}, 10, 0, 1, "replica"});
   };
   CHECK(enrol("s1", "d1", "10.2.0.1:1") == "held");
   CHECK(enrol("s2", "d2", "10.2.0.2:1") == "held");
--- a/tests/door_asking.hpp
+++ b/tests/door_asking.hpp
@@ -10,7 +10,9 @@
 
 namespace tamarindshift {
 
-inline Task<void> answering(Task<DoorReply> task, std::optional<DoorReply>& reply) { reply = co_await std::move(task); }
+inline Task<void> answering(Task<DoorReply> task, std::optional<DoorReply>& reply) {
+  reply = co_await std::move(task);
+}
 
 // what a door answers, `step` moving simulated time on
 inline DoorReply answered(Task<DoorReply> task, const std::function<void()>& step, int most = 200) {
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -61,8 +61,13 @@
 TEST_CASE("texts and parameters reach the database byte for byte") {
   OneProxy proxy;
   auto session = proxy.open();
-  std::vector<std::string> texts{"", " ", "say \"it's\" \\ / \b\f\n\r\t", std::string("nul \0 inside", 12), "é ж 漢字 \U0001F98A \u202e",
-                                 "123456789012345678901234567890.000000000000000001e400", std::string(300000, 'q')};
+  std::vector<std::string> texts{"",
+                                 " ",
+                                 "say \"it's\" \\ / \b\f\n\r\t",
+                                 std::string("nul \0 inside", 12),
+                                 "é ж 漢字 \U0001F98A \u202e",
+                                 "123456789012345678901234567890.000000000000000001e400",
+                                 std::string(300000, 'q')};
   for (const auto& text : texts) proxy.run(session, Json{{"text", text}});
   std::vector<std::string> seen;
   for (const auto& database : proxy.fleet.databases())
--- a/tests/engine_cluster.cpp
+++ b/tests/engine_cluster.cpp
@@ -18,7 +18,9 @@
 }
 
 EngineCluster::EngineCluster(std::size_t size, std::uint64_t seed) : world(seed), network(world) {
-  makeStore = [](Clock& clock, SimulatedDisk& disk) { return std::make_unique<SimulatedStore>(clock, disk, Duration{3ms}); };
+  makeStore = [](Clock& clock, SimulatedDisk& disk) {
+    return std::make_unique<SimulatedStore>(clock, disk, Duration{3ms});
+  };
   for (std::size_t index = 0; index < size; ++index) {
     nodes.push_back(std::make_unique<Node>());
     scopes_.push_back(std::make_unique<TaskScope>());
@@ -34,13 +36,16 @@
   if (own.core) return;
   Address address{host(index) + ":1"};
   own.clock = std::make_unique<SimulatedClock>(world);
-  own.journal = std::make_unique<QuietJournal>([this, index](const std::string& text) { note("node " + std::to_string(index + 1) + ": " + text); });
+  own.journal = std::make_unique<QuietJournal>([this, index](const std::string& text) {
+    note("node " + std::to_string(index + 1) + ": " + text);
+  });
   own.link = std::make_unique<SimulatedLink>(network, *own.clock, address);
   own.store = makeStore(*own.clock, own.disk);
   own.application = std::make_unique<ObservedApplication>(*this, index);
   std::set<Address> seedAddresses;
   for (auto seed : seeds) seedAddresses.insert(Address{host(seed) + ":1"});
-  own.core = std::make_unique<Core>(*own.clock, *own.link, *own.store, *own.application, *own.journal, CoreSettings{address, seedAddresses, GroupTimings{}, bounds}, world.incarnation());
+  own.core = std::make_unique<Core>(*own.clock, *own.link, *own.store, *own.application, *own.journal,
+                                    CoreSettings{address, seedAddresses, GroupTimings{}, bounds}, world.incarnation());
   if (auto fault = own.core->start()) faults.push_back("did not start: " + *fault);
   own.replacement = std::make_unique<MemberReplacement>(*own.clock, *own.journal, own.core->engine(), losses, 1s);
   if (losses > 0) scopes_[index]->spawn(replacing(index));
@@ -80,7 +85,8 @@
     if (record->kind == EngineRecordKind::red || record->kind == EngineRecordKind::ongoing) add(record->body);
     if (record->kind == EngineRecordKind::received)
       if (auto delivery = unpacked<Delivery>(record->body))
-        if (auto message = unpacked<EngineMessage>(delivery->payload); message && message->matter == EngineMatter::action) add(message->body);
+        if (auto message = unpacked<EngineMessage>(delivery->payload); message && message->matter == EngineMatter::action)
+          add(message->body);
     if (record->kind == EngineRecordKind::snapshot)
       if (auto snapshot = unpacked<EngineSnapshot>(record->body))
         if (auto applied = unpacked<std::vector<std::string>>(snapshot->application)) held.insert(applied->begin(), applied->end());
@@ -121,7 +127,8 @@
   auto [found, fresh] = order.emplace(position, update);
   if (!fresh && found->second != update) note("the order breaks here");
   if (!fresh && found->second != update)
-    faults.push_back("node " + std::to_string(index + 1) + " has " + update + " green at " + std::to_string(position) + ", another had " + found->second);
+    faults.push_back("node " + std::to_string(index + 1) + " has " + update + " green at " + std::to_string(position) + ", another had " +
+                     found->second);
 }
 
 void EngineCluster::note(const std::string& text) {
@@ -134,14 +141,16 @@
     if (!seen.insert(update).second) faults.push_back(update + " is green twice");
   for (const auto& [update, position] : acknowledged) {
     auto found = order.find(position);
-    if (found == order.end() || found->second != update) faults.push_back(update + " was acknowledged at " + std::to_string(position) + " and is not there");
+    if (found == order.end() || found->second != update)
+      faults.push_back(update + " was acknowledged at " + std::to_string(position) + " and is not there");
   }
   for (std::size_t index = 0; index < nodes.size(); ++index) {
     if (!up(index)) continue;
     const auto& applied = nodes[index]->application->applied;
     for (const auto& [update, position] : acknowledged)
       if (std::find(applied.begin(), applied.end(), update) == applied.end()) {
-        faults.push_back("node " + std::to_string(index + 1) + " (" + text(nodes[index]->core->engine().state()) + ") lacks acknowledged " + update);
+        faults.push_back("node " + std::to_string(index + 1) + " (" + text(nodes[index]->core->engine().state()) + ") lacks acknowledged " +
+                         update);
         break;
       }
   }
--- a/tests/engine_replacement_test.cpp
+++ b/tests/engine_replacement_test.cpp
@@ -91,7 +91,8 @@
     run(1s);
     std::size_t primary = 0;
     for (auto index : serving) primary += up(index) && nodes[index]->core->engine().state() == EngineState::regPrim;
-    if (primary != serving.size()) faults.push_back("only " + std::to_string(primary) + " of " + std::to_string(serving.size()) + " are in the primary component");
+    if (primary != serving.size())
+      faults.push_back("only " + std::to_string(primary) + " of " + std::to_string(serving.size()) + " are in the primary component");
     if (group().size() != serving.size()) faults.push_back("the group has " + std::to_string(group().size()) + " members");
     auto before = acknowledged.size();
     work(500ms);
@@ -130,7 +131,8 @@
       if (second == gone) continue;
       for (auto offset = Duration::zero(); offset <= 5s; offset += 200ms) {
         bool losesDisk = offset >= catchUp;
-        INFO("member " << gone + 1 << " gone, then " << second + 1 << " after " << milliseconds(offset).count() << " ms, disk " << (losesDisk ? "lost" : "kept"));
+        INFO("member " << gone + 1 << " gone, then " << second + 1 << " after " << milliseconds(offset).count() << " ms, disk "
+                       << (losesDisk ? "lost" : "kept"));
         Replacement cluster(3, 4, 7 + second);
         cluster.goneForGood(gone);
         cluster.work(900ms);
@@ -161,7 +163,8 @@
     for (std::size_t second = 0; second < 4; ++second) {
       if (second == leaver) continue;
       for (auto offset = Duration::zero(); offset <= 2s; offset += 100ms) {
-        INFO("member " << leaver + 1 << " stopped, then " << second + 1 << " lost its disk after " << milliseconds(offset).count() << " ms");
+        INFO("member " << leaver + 1 << " stopped, then " << second + 1 << " lost its disk after " << milliseconds(offset).count()
+                       << " ms");
         Replacement cluster(3, 4, 11 + second);
         plannedReplacement(cluster, leaver, second, offset);
         require(cluster);
--- a/tests/engine_schedules_test.cpp
+++ b/tests/engine_schedules_test.cpp
@@ -93,8 +93,11 @@
   }
   schedule.finish();
   cluster.judge();
-  if (cluster.inPrimary() != size) cluster.faults.push_back("only " + std::to_string(cluster.inPrimary()) + " of " + std::to_string(size) + " are in a primary component at the end");
-  if (cluster.acknowledged.size() < 10) cluster.faults.push_back("only " + std::to_string(cluster.acknowledged.size()) + " actions were acknowledged");
+  if (cluster.inPrimary() != size)
+    cluster.faults.push_back("only " + std::to_string(cluster.inPrimary()) + " of " + std::to_string(size) +
+                             " are in a primary component at the end");
+  if (cluster.acknowledged.size() < 10)
+    cluster.faults.push_back("only " + std::to_string(cluster.acknowledged.size()) + " actions were acknowledged");
   if (std::getenv("ENGINE_LINES") && !cluster.faults.empty())
     for (const auto& line : cluster.lines) std::puts(line.c_str());
   return cluster.faults;
@@ -116,7 +119,15 @@
 
 }  // namespace
 
-TEST_CASE("three engines keep one order through crashes, cuts, losses and freezes") { runSeeds(3, false, 2000); }
-TEST_CASE("three engines keep one order and all acknowledged when disks are lost one at a time") { runSeeds(3, true, 2000); }
-TEST_CASE("five engines keep one order through crashes, cuts, losses and freezes") { runSeeds(5, false, 2000); }
-TEST_CASE("engines that discard early keep one order through snapshots") { runSeeds(3, true, 3); }
+TEST_CASE("three engines keep one order through crashes, cuts, losses and freezes") {
+  runSeeds(3, false, 2000);
+}
+TEST_CASE("three engines keep one order and all acknowledged when disks are lost one at a time") {
+  runSeeds(3, true, 2000);
+}
+TEST_CASE("five engines keep one order through crashes, cuts, losses and freezes") {
+  runSeeds(5, false, 2000);
+}
+TEST_CASE("engines that discard early keep one order through snapshots") {
+  runSeeds(3, true, 3);
+}
--- a/tests/fleet_trial.hpp
+++ b/tests/fleet_trial.hpp
@@ -13,7 +13,9 @@
     fleet.run(settles);
   }
   DoorReply ask(DoorKeeper& door, DoorRequest request) {
-    return answered(door.serve(std::move(request)), [this] { fleet.run(100ms); });
+    return answered(door.serve(std::move(request)), [this] {
+      fleet.run(100ms);
+    });
   }
   static FleetShape machines(std::size_t count) {
     FleetShape shape;
--- a/tests/given_up_test.cpp
+++ b/tests/given_up_test.cpp
@@ -9,7 +9,9 @@
 namespace {
 
 bool said(const SimulatedFleet& fleet, const std::string& text) {
-  return std::any_of(fleet.lines().begin(), fleet.lines().end(), [&](const auto& line) { return line.find(text) != std::string::npos; });
+  return std::any_of(fleet.lines().begin(), fleet.lines().end(), [&](const auto& line) {
+    return line.find(text) != std::string::npos;
+  });
 }
 
 }  // namespace
--- a/tests/group_history.cpp
+++ b/tests/group_history.cpp
@@ -85,9 +85,12 @@
   for (const auto& life : lives_)
     for (std::size_t index = 0; index + 1 < life.stretches.size(); ++index) {
       const auto& stretch = life.stretches[index];
-      if (stretch.delivered.size() < safeUpTo_[stretch.configuration.confId]) fault(text(life.server) + " lacks what another delivered as safe");
+      if (stretch.delivered.size() < safeUpTo_[stretch.configuration.confId])
+        fault(text(life.server) + " lacks what another delivered as safe");
       for (const auto& payload : stretch.own)
-        if (std::none_of(stretch.delivered.begin(), stretch.delivered.end(), [&](const auto& each) { return each.second == payload; }))
+        if (std::none_of(stretch.delivered.begin(), stretch.delivered.end(), [&](const auto& each) {
+              return each.second == payload;
+            }))
           fault(text(life.server) + " did not deliver its own " + payload);
     }
   for (std::size_t left = 0; left < lives_.size(); ++left)
--- a/tests/group_schedules_test.cpp
+++ b/tests/group_schedules_test.cpp
@@ -41,8 +41,14 @@
 class GroupProcess : public GroupListener {
  public:
   GroupProcess(World& world, SimulatedNetwork& network, GroupHistory& history, ServerId server, std::set<Address> seeds, Breach breach)
-      : world_(world), history_(history), life_(history.born(server)), breach_(breach), clock_(world), journal_("group", [](const std::string&) {}),
-        link_(network, clock_, server.address, breach), group_(clock_, link_, journal_, Member{server, Boot{world.incarnation()}}, std::move(seeds), GroupTimings{}) {
+      : world_(world),
+        history_(history),
+        life_(history.born(server)),
+        breach_(breach),
+        clock_(world),
+        journal_("group", [](const std::string&) {}),
+        link_(network, clock_, server.address, breach),
+        group_(clock_, link_, journal_, Member{server, Boot{world.incarnation()}}, std::move(seeds), GroupTimings{}) {
     group_.join(*this);
   }
   void submit(const std::string& payload) { group_.multicast(group_.view(), payload, true); }
@@ -58,7 +64,9 @@
   void received(const std::vector<Delivery>& deliveries, std::function<void()> stable) override {
     const auto& last = deliveries.back();
     for (const auto& delivery : deliveries) history_.received(life_, delivery);
-    auto synced = [this, view = last.view, upto = last.sequence] { history_.stable(life_, view, upto); };
+    auto synced = [this, view = last.view, upto = last.sequence] {
+      history_.stable(life_, view, upto);
+    };
     Duration latency{1000 + world_.below(6000)};
     if (breach_ == Breach::acknowledgesUnsynced) {
       clock_.after(latency, synced);
@@ -91,14 +99,18 @@
   GroupHistory history;
   std::vector<std::unique_ptr<GroupProcess>> processes(size);
   std::set<Address> seeds;
-  auto host = [](std::size_t index) { return "10.0.0." + std::to_string(index + 1); };
+  auto host = [](std::size_t index) {
+    return "10.0.0." + std::to_string(index + 1);
+  };
   for (std::size_t index = 0; index < size; ++index) seeds.insert(Address{host(index) + ":1"});
   auto start = [&](std::size_t index) {
     if (processes[index]) return;
     ServerId server{Address{host(index) + ":1"}, Incarnation{index + 1}};
     processes[index] = std::make_unique<GroupProcess>(world, network, history, server, seeds, breach);
   };
-  auto run = [&](Duration duration) { world.runUntil(world.now() + duration); };
+  auto run = [&](Duration duration) {
+    world.runUntil(world.now() + duration);
+  };
   std::size_t sent = 0;
   for (std::size_t index = 0; index < size; ++index) start(index);
   run(2s);
--- a/tests/news_desk_test.cpp
+++ b/tests/news_desk_test.cpp
@@ -18,7 +18,8 @@
 NewsTable planNews() {
   FleetPlanNews news;
   news.mark = PlanMark{1};
-  for (std::size_t number = 1; number <= services; ++number) news.kinds[KindName{"k" + std::to_string(number)}] = ServiceName{"s" + std::to_string(number)};
+  for (std::size_t number = 1; number <= services; ++number)
+    news.kinds[KindName{"k" + std::to_string(number)}] = ServiceName{"s" + std::to_string(number)};
   NewsTable table;
   layPlan(table, news);
   return table;
@@ -62,7 +63,23 @@
 
 struct Following {
   explicit Following(std::uint64_t seed = 1)
-      : world(seed), network(world), source(world, network), clock(world), link(network, clock, Address{"10.1.0.1:1"}), counted(link, traffic, [](const Address&) { return "source"; }), desk(clock, counted, 1), journal("node", [](const std::string&) {}), follower(clock, desk, journal, [](const Topic&) { return std::vector{sourceAt}; }, FollowTimings{350ms, 50ms}) {
+      : world(seed),
+        network(world),
+        source(world, network),
+        clock(world),
+        link(network, clock, Address{"10.1.0.1:1"}),
+        counted(link, traffic,
+                [](const Address&) {
+                  return "source";
+                }),
+        desk(clock, counted, 1),
+        journal("node", [](const std::string&) {}),
+        follower(
+            clock, desk, journal,
+            [](const Topic&) {
+              return std::vector{sourceAt};
+            },
+            FollowTimings{350ms, 50ms}) {
     source.tables[fleetTopic] = planNews();
     source.board.publish(fleetTopic, ++source.at, source.tables[fleetTopic]);
     for (const auto& topic : topics()) source.publish(topic, "a", "1");
@@ -172,7 +189,9 @@
     Following following(seed);
     following.run(1s);
     for (int step = 0; step < 200; ++step) {
-      auto below = [&](std::uint64_t bound) { return following.world.below(bound); };
+      auto below = [&](std::uint64_t bound) {
+        return following.world.below(bound);
+      };
       if (below(30) == 0) following.source.start();
       following.network.lose(below(4) == 0 ? 300 : 0);
       auto topic = "s" + std::to_string(1 + below(services));
@@ -197,10 +216,20 @@
   SimulatedLink link(following.network, clock, node);
   Desk desk(clock, link, 2);
   SimulatedJournal journal("node", [](const std::string&) {});
-  NewsFollower follower(clock, desk, journal, [](const Topic&) { return std::vector{sourceAt}; }, FollowTimings{350ms, 50ms}, [node] { return std::optional{node}; });
+  NewsFollower follower(
+      clock, desk, journal,
+      [](const Topic&) {
+        return std::vector{sourceAt};
+      },
+      FollowTimings{350ms, 50ms},
+      [node] {
+        return std::optional{node};
+      });
   following.run(2s);
   REQUIRE(follower.board().mark("s1") == following.source.board.mark("s1"));
-  auto asked = [&] { return journal.counters().at("news.asks"); };
+  auto asked = [&] {
+    return journal.counters().at("news.asks");
+  };
   auto before = asked();
   following.run(5s);
   auto quiet = asked() - before;
--- a/tests/news_own_test.cpp
+++ b/tests/news_own_test.cpp
@@ -11,7 +11,9 @@
 const std::optional<Address> a = Address{"10.1.0.1:1"};
 const std::optional<Address> b = Address{"10.1.0.2:1"};
 
-std::string shareOf(const std::optional<Address>& node) { return sharePrefix + node->get(); }
+std::string shareOf(const std::optional<Address>& node) {
+  return sharePrefix + node->get();
+}
 
 struct Boards {
   Boards() { publish("1", "1", "d1"); }
--- a/tests/news_restored_test.cpp
+++ b/tests/news_restored_test.cpp
@@ -20,15 +20,22 @@
     action.update = packed(ControlUpdate{matter, 0, std::move(body)});
     state.applyGreen(action, ++position);
   }
-  void enrol(const std::string& node, std::uint64_t boot) { take(ControlMatter::enrolNode, packed(NodeUpdate{Address{node}, Zone{"z1"}, boot})); }
-  void remove(const std::string& node, std::uint64_t boot) { take(ControlMatter::removeNode, packed(NodeUpdate{Address{node}, Zone{"z1"}, boot})); }
-  void drainOf(const std::string& node, std::uint64_t boot) { take(ControlMatter::drainNode, packed(NodeUpdate{Address{node}, Zone{"z1"}, boot})); }
+  void enrol(const std::string& node, std::uint64_t boot) {
+    take(ControlMatter::enrolNode, packed(NodeUpdate{Address{node}, Zone{"z1"}, boot}));
+  }
+  void remove(const std::string& node, std::uint64_t boot) {
+    take(ControlMatter::removeNode, packed(NodeUpdate{Address{node}, Zone{"z1"}, boot}));
+  }
+  void drainOf(const std::string& node, std::uint64_t boot) {
+    take(ControlMatter::drainNode, packed(NodeUpdate{Address{node}, Zone{"z1"}, boot}));
+  }
   NewsBoard board;
   ControlState state;
   std::uint64_t position = 0;
 };
 
-const std::string plan = R"({"mark":1,"services":{"s1":{"discovery":"heartbeats","quota":{"connections":10,"branches":{"work":{"connections":10,"order":1}}}}},
+const std::string plan =
+    R"({"mark":1,"services":{"s1":{"discovery":"heartbeats","quota":{"connections":10,"branches":{"work":{"connections":10,"order":1}}}}},
 "kinds":{"k1":{"service":"s1","branch":"work","consistency":"primary"}}})";
 
 void follow(NewsBoard& follower, const NewsBoard& source, const Topic& topic) {
@@ -91,15 +98,19 @@
     std::string kinds;
     for (int number = 1; number <= services; ++number) {
       auto name = std::to_string(number);
-      text += std::string(number > 1 ? "," : "") + "\"s" + name + "\":{\"discovery\":\"heartbeats\",\"quota\":{\"connections\":10,\"branches\":{\"work\":{\"connections\":10,\"order\":1}}}}";
-      kinds += std::string(number > 1 ? "," : "") + "\"k" + name + "\":{\"service\":\"s" + name + "\",\"branch\":\"work\",\"consistency\":\"primary\"}";
+      text += std::string(number > 1 ? "," : "") + "\"s" + name +
+              "\":{\"discovery\":\"heartbeats\",\"quota\":{\"connections\":10,\"branches\":{\"work\":{\"connections\":10,\"order\":1}}}}";
+      kinds += std::string(number > 1 ? "," : "") + "\"k" + name + "\":{\"service\":\"s" + name +
+               "\",\"branch\":\"work\",\"consistency\":\"primary\"}";
     }
     return text + "},\"kinds\":{" + kinds + "}}";
   };
   for (unsigned seed = 1; seed <= 40; ++seed) {
     CAPTURE(seed);
     std::mt19937 random(seed);
-    auto below = [&](unsigned bound) { return static_cast<unsigned>(random() % bound); };
+    auto below = [&](unsigned bound) {
+      return static_cast<unsigned>(random() % bound);
+    };
     Replica replica;
     std::uint64_t mark = 0;
     for (int step = 0; step < 120; ++step) {
@@ -112,14 +123,33 @@
       auto before = replica.board.mark(service.get());
       auto other = replica.board.mark(service == ServiceName{"s1"} ? "s2" : "s1");
       switch (below(9)) {
-        case 0: replica.offer(ControlMatter::plan, packed(PlanUpdate{planOf(++mark, 1 + static_cast<int>(below(3)))})); break;
-        case 1: replica.offer(ControlMatter::enrolNode, packed(NodeUpdate{node, Zone{"z1"}, below(3)})); break;
-        case 2: replica.offer(below(2) ? ControlMatter::drainNode : ControlMatter::removeNode, packed(NodeUpdate{node, Zone{"z1"}, below(3)})); break;
-        case 3: replica.offer(ControlMatter::enrolDatabase, packed(EnrolmentUpdate{service, database, Address{"10.2.0." + std::to_string(below(4)) + ":1"}, Zone{"z1"}, 5, 1, 1, "replica"})); break;
-        case 4: replica.offer(ControlMatter::removeDatabase, packed(DatabaseUpdate{service, database, 1, 1, true})); break;
-        case 5: replica.offer(below(2) ? ControlMatter::drainDatabase : ControlMatter::returnDatabase, packed(DatabaseUpdate{service, database, 1, 1, below(2) == 0})); break;
-        case 6: replica.offer(ControlMatter::recovery, packed(RecoveryUpdate{service, epoch, database, "lost", false})); break;
-        case 7: replica.offer(ControlMatter::promoted, packed(PromotedUpdate{service, epoch})); break;
+        case 0:
+          replica.offer(ControlMatter::plan, packed(PlanUpdate{planOf(++mark, 1 + static_cast<int>(below(3)))}));
+          break;
+        case 1:
+          replica.offer(ControlMatter::enrolNode, packed(NodeUpdate{node, Zone{"z1"}, below(3)}));
+          break;
+        case 2:
+          replica.offer(below(2) ? ControlMatter::drainNode : ControlMatter::removeNode, packed(NodeUpdate{node, Zone{"z1"}, below(3)}));
+          break;
+        case 3:
+          replica.offer(ControlMatter::enrolDatabase,
+                        packed(EnrolmentUpdate{service, database, Address{"10.2.0." + std::to_string(below(4)) + ":1"}, Zone{"z1"}, 5, 1, 1,
+                                               "replica"}));
+          break;
+        case 4:
+          replica.offer(ControlMatter::removeDatabase, packed(DatabaseUpdate{service, database, 1, 1, true}));
+          break;
+        case 5:
+          replica.offer(below(2) ? ControlMatter::drainDatabase : ControlMatter::returnDatabase,
+                        packed(DatabaseUpdate{service, database, 1, 1, below(2) == 0}));
+          break;
+        case 6:
+          replica.offer(ControlMatter::recovery, packed(RecoveryUpdate{service, epoch, database, "lost", false}));
+          break;
+        case 7:
+          replica.offer(ControlMatter::promoted, packed(PromotedUpdate{service, epoch}));
+          break;
         case 8: {
           replica.offer(ControlMatter::shares, packed(SharesUpdate{service, basis, {{node, {{BranchName{"work"}, below(11)}}}}, {}}));
           CHECK(replica.board.mark(service == ServiceName{"s1"} ? "s2" : "s1") == other);
--- a/tests/news_test.cpp
+++ b/tests/news_test.cpp
@@ -21,7 +21,9 @@
   }
   std::vector<DatabaseSign> signs(const Topic&) override { return {}; }
   std::uint64_t position(const Topic&) override { return at; }
-  void publish(const Topic& topic, const std::string& key, const std::string& value) { board.publish(topic, ++at, NewsTable{{key, value}}); }
+  void publish(const Topic& topic, const std::string& key, const std::string& value) {
+    board.publish(topic, ++at, NewsTable{{key, value}});
+  }
   SimulatedClock clock;
   SimulatedLink link;
   Desk desk;
@@ -42,7 +44,21 @@
 
 struct Following {
   Following()
-      : world(3), network(world), first(world, network, "10.0.0.1"), second(world, network, "10.0.0.2"), third(world, network, "10.0.0.3"), clock(world), link(network, clock, Address{"10.1.0.1:1"}), desk(clock, link, 2), journal("node", [](const std::string&) {}), follower(clock, desk, journal, [](const Topic&) { return std::vector{Address{"10.0.0.1:1"}, Address{"10.0.0.2:1"}, Address{"10.0.0.3:1"}}; }, FollowTimings{450ms, 50ms}) {
+      : world(3),
+        network(world),
+        first(world, network, "10.0.0.1"),
+        second(world, network, "10.0.0.2"),
+        third(world, network, "10.0.0.3"),
+        clock(world),
+        link(network, clock, Address{"10.1.0.1:1"}),
+        desk(clock, link, 2),
+        journal("node", [](const std::string&) {}),
+        follower(
+            clock, desk, journal,
+            [](const Topic&) {
+              return std::vector{Address{"10.0.0.1:1"}, Address{"10.0.0.2:1"}, Address{"10.0.0.3:1"}};
+            },
+            FollowTimings{450ms, 50ms}) {
     for (auto* source : {&first, &second, &third}) {
       source->board.publish(fleetTopic, ++source->at, planOf({"s1", "s2"}));
       source->publish("s1", "a", "1");
@@ -166,7 +182,8 @@
     guide.refresh();
   };
   ShareNews share{{{BranchName{"b"}, 4}}};
-  feed.own.publish("s1", 2, NewsTable{{"share/10.1.0.1:1", packed(share)}, {"database/d1", packed(DatabaseNews{Address{"10.2.0.1:1"}, Zone{"z1"}, 5})}});
+  feed.own.publish(
+      "s1", 2, NewsTable{{"share/10.1.0.1:1", packed(share)}, {"database/d1", packed(DatabaseNews{Address{"10.2.0.1:1"}, Zone{"z1"}, 5})}});
   feed.at = 3;
   fleet(3, 7, 1);
   CHECK(guide.service(ServiceName{"s1"})->share.most.empty());
--- a/tests/operator_door_test.cpp
+++ b/tests/operator_door_test.cpp
@@ -25,7 +25,8 @@
     return found == counters.end() ? 0 : found->second;
   }
   static std::string heartbeat(Json changes) {
-    Json heartbeat{{"service", "s1"}, {"database", "d2"}, {"boot", 5}, {"number", 1}, {"role", "replica"}, {"epoch", 1}, {"position", 0}, {"contact_age_ms", 0}};
+    Json heartbeat{{"service", "s1"},   {"database", "d2"}, {"boot", 5},     {"number", 1},
+                   {"role", "replica"}, {"epoch", 1},       {"position", 0}, {"contact_age_ms", 0}};
     heartbeat.update(changes);
     return heartbeat.dump();
   }
@@ -61,7 +62,8 @@
     CHECK(core.ask(0, "POST", path, core.heartbeat({{"service", "unheard-of"}})).status == 404);
     CHECK(core.ask(0, "POST", path, core.heartbeat({{"database", "unheard-of"}})).status == 404);
     CHECK(core.ask(0, "GET", path).status == 405);
-    for (const auto& [key, value] : std::map<std::string, Json>{{"number", -1}, {"epoch", -7}, {"position", 1.5}, {"boot", "x"}, {"contact_age_ms", -1000}, {"role", "king"}, {"service", 5}})
+    for (const auto& [key, value] : std::map<std::string, Json>{
+             {"number", -1}, {"epoch", -7}, {"position", 1.5}, {"boot", "x"}, {"contact_age_ms", -1000}, {"role", "king"}, {"service", 5}})
       CHECK(core.ask(0, "POST", path, core.heartbeat({{key, value}})).status == 400);
     CHECK(core.ask(0, "POST", path, "{").status == 400);
     CHECK(core.ask(0, "POST", path, "[]").status == 400);
@@ -74,7 +76,9 @@
   CHECK(core.ask(0, "POST", "/heartbeat", core.heartbeat({{"boot", held.boot}, {"number", held.number}, {"position", 999}})).status == 200);
   CHECK(core.counted(0, "heartbeats.older") >= 2);
   CHECK(core.fleet.replicas()[0]->node->access().database(ServiceName{"s1"}, DatabaseName{"d2"})->heartbeat.position < Position{999});
-  CHECK(core.ask(0, "POST", "/heartbeat", core.heartbeat({{"boot", ~0ull}, {"number", ~0ull}, {"epoch", ~0ull}, {"position", ~0ull}, {"contact_age_ms", ~0ull}})).status == 200);
+  CHECK(core.ask(0, "POST", "/heartbeat",
+                 core.heartbeat({{"boot", ~0ull}, {"number", ~0ull}, {"epoch", ~0ull}, {"position", ~0ull}, {"contact_age_ms", ~0ull}}))
+            .status == 200);
   core.fleet.run(5s);
   CHECK(core.fleet.replicas()[0]->node->state().services().at(ServiceName{"s1"}).primary == DatabaseName{"d1"});
   CHECK(core.ask(0, "DELETE", "/members/nowhere").status == 404);
@@ -92,8 +96,10 @@
     processes.push_back(Address{machine->host + ":1"});
     processes.push_back(Address{machine->host + ":2"});
   }
-  const std::vector<Matter> matters{Matter::groupHeartbeat, Matter::groupSubmit, Matter::groupOrdered, Matter::groupAcked, Matter::groupSafe, Matter::groupPrepare,
-                                    Matter::groupFlushed, Matter::groupInstall, Matter::joinAsk, Matter::joinSnapshot, Matter::leftNotice, Matter::ask, Matter::reply, Matter{99}};
+  const std::vector<Matter> matters{
+      Matter::groupHeartbeat, Matter::groupSubmit,  Matter::groupOrdered, Matter::groupAcked, Matter::groupSafe,
+      Matter::groupPrepare,   Matter::groupFlushed, Matter::groupInstall, Matter::joinAsk,    Matter::joinSnapshot,
+      Matter::leftNotice,     Matter::ask,          Matter::reply,        Matter{99}};
   auto whole = packed(std::tuple(std::string("follow"), std::uint64_t{7}, std::vector<std::string>{"a", "b"}));
   for (int round = 0; round < 4000; ++round) {
     const auto& from = processes[world.below(processes.size())];
--- a/tests/plan_news_test.cpp
+++ b/tests/plan_news_test.cpp
@@ -10,12 +10,13 @@
   return R"({"mark":)" + std::to_string(mark) + R"(,"services":{
 "s1":{"discovery":"heartbeats","quota":{"connections":10,"branches":{"work":{"connections":10,"order":1}}}},
 "s2":{"discovery":"heartbeats","quota":{"connections":10,"branches":{"work":{"connections":10,"order":1}}}}},
-"kinds":{)" + kinds + "}}";
+"kinds":{)" +
+         kinds + "}}";
 }
 
 std::string kind(const std::string& name, const std::string& service, int statement) {
-  return "\"" + name + R"(":{"service":")" + service + R"(","branch":"work","consistency":"primary","host":")" + name + R"(-of-the-counter","prefix":"/","statement-ms":)" +
-         std::to_string(statement) + "}";
+  return "\"" + name + R"(":{"service":")" + service + R"(","branch":"work","consistency":"primary","host":")" + name +
+         R"(-of-the-counter","prefix":"/","statement-ms":)" + std::to_string(statement) + "}";
 }
 
 struct Replica {
@@ -62,7 +63,8 @@
     return board.find(topic)->table;
   };
   int mark = 0;
-  for (const auto& kinds : {kind("k1", "s1", 800) + "," + kind("k2", "s2", 800), kind("k1", "s1", 800), kind("k1", "s2", 800), kind("k4", "s1", 1) + "," + kind("k1", "s2", 5)}) {
+  for (const auto& kinds : {kind("k1", "s1", 800) + "," + kind("k2", "s2", 800), kind("k1", "s1", 800), kind("k1", "s2", 800),
+                            kind("k4", "s1", 1) + "," + kind("k1", "s2", 5)}) {
     replica.take(planOf(++mark, kinds));
     for (const auto& topic : {fleetTopic, Topic{"s1"}, Topic{"s2"}}) {
       NewsBoard fresh;
--- a/tests/plan_test.cpp
+++ b/tests/plan_test.cpp
@@ -28,7 +28,9 @@
   PlanReader reader;
   auto read = reader.read(plan.dump());
   for (const auto& fault : reader.faults()) UNSCOPED_INFO(fault.path << ": " << fault.reason);
-  return !read && std::any_of(reader.faults().begin(), reader.faults().end(), [&](const auto& fault) { return fault.path == path; });
+  return !read && std::any_of(reader.faults().begin(), reader.faults().end(), [&](const auto& fault) {
+    return fault.path == path;
+  });
 }
 
 }  // namespace
@@ -52,28 +54,94 @@
     return plan;
   };
   auto& quota = "services.s1.quota";
-  CHECK(faulted(broken([](Json& plan) { plan["surprise"] = 1; }), "surprise"));
-  CHECK(faulted(broken([](Json& plan) { plan.erase("kinds"); }), "kinds"));
-  CHECK(faulted(broken([](Json& plan) { plan["mark"] = "four"; }), "mark"));
-  CHECK(faulted(broken([](Json& plan) { plan["mark"] = 0; }), "mark"));
-  CHECK(faulted(broken([](Json& plan) { plan["mark"] = "4"; }), "mark"));
-  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["databases"]["d1"]["cap"] = true; }), "services.s1.databases.d1.cap"));
-  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["service"] = 1; }), "kinds.lookup.service"));
-  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["quota"]["branches"]["counter"]["connections"] = 40; }), std::string(quota) + ".branches"));
-  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["quota"]["branches"]["low"]["branches"]["status"]["connections"] = 9; }), std::string(quota) + ".branches.low.branches"));
-  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["quota"]["connections"] = 61; }), std::string(quota) + ".connections"));
-  CHECK(faulted(broken([](Json& plan) { plan["weights"]["fast"] = 0; }), "weights.fast"));
-  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["databases"]["d1"]["cap"] = -1; }), "services.s1.databases.d1.cap"));
-  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["databases"]["d2"]["address"] = "10.0.0.1:1"; }), "services.s1.databases.d2.address"));
-  CHECK(faulted(broken([](Json& plan) { plan["services"]["s1"]["databases"]["d1"]["address"] = "nowhere"; }), "services.s1.databases.d1.address"));
-  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["machines"] = {"gone"}; }), "kinds.lookup.machines"));
-  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["databases"] = {"gone"}; }), "kinds.lookup.databases"));
-  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["branch"] = "low"; }), "kinds.lookup.branch"));
-  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["service"] = "s2"; }), "kinds.lookup.service"));
-  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["counter"].erase("branch"); }), "kinds.counter.branch"));
-  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"]["consistency"] = "soon"; }), "kinds.lookup.consistency"));
-  CHECK(faulted(broken([](Json& plan) { plan["weights"]["gone"] = 2; }), "weights.gone"));
-  CHECK(faulted(broken([](Json& plan) { plan["services"] = 7; }), "services"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["surprise"] = 1;
+                }),
+                "surprise"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan.erase("kinds");
+                }),
+                "kinds"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["mark"] = "four";
+                }),
+                "mark"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["mark"] = 0;
+                }),
+                "mark"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["mark"] = "4";
+                }),
+                "mark"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["services"]["s1"]["databases"]["d1"]["cap"] = true;
+                }),
+                "services.s1.databases.d1.cap"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["kinds"]["lookup"]["service"] = 1;
+                }),
+                "kinds.lookup.service"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["services"]["s1"]["quota"]["branches"]["counter"]["connections"] = 40;
+                }),
+                std::string(quota) + ".branches"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["services"]["s1"]["quota"]["branches"]["low"]["branches"]["status"]["connections"] = 9;
+                }),
+                std::string(quota) + ".branches.low.branches"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["services"]["s1"]["quota"]["connections"] = 61;
+                }),
+                std::string(quota) + ".connections"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["weights"]["fast"] = 0;
+                }),
+                "weights.fast"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["services"]["s1"]["databases"]["d1"]["cap"] = -1;
+                }),
+                "services.s1.databases.d1.cap"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["services"]["s1"]["databases"]["d2"]["address"] = "10.0.0.1:1";
+                }),
+                "services.s1.databases.d2.address"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["services"]["s1"]["databases"]["d1"]["address"] = "nowhere";
+                }),
+                "services.s1.databases.d1.address"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["kinds"]["lookup"]["machines"] = {"gone"};
+                }),
+                "kinds.lookup.machines"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["kinds"]["lookup"]["databases"] = {"gone"};
+                }),
+                "kinds.lookup.databases"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["kinds"]["lookup"]["branch"] = "low";
+                }),
+                "kinds.lookup.branch"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["kinds"]["lookup"]["service"] = "s2";
+                }),
+                "kinds.lookup.service"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["kinds"]["counter"].erase("branch");
+                }),
+                "kinds.counter.branch"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["kinds"]["lookup"]["consistency"] = "soon";
+                }),
+                "kinds.lookup.consistency"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["weights"]["gone"] = 2;
+                }),
+                "weights.gone"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["services"] = 7;
+                }),
+                "services"));
 }
 
 TEST_CASE("a kind without a branch goes to the one that takes its labels") {
@@ -111,7 +179,9 @@
   wanted[Address{"b:1"}][BranchName{"b"}] = 3;
   wanted[Address{"c:1"}][BranchName{"b"}] = 0;
   auto grants = cutShares(service, wanted, {});
-  auto given = [&](const char* node) { return grants[Address{node}][BranchName{"b"}]; };
+  auto given = [&](const char* node) {
+    return grants[Address{node}][BranchName{"b"}];
+  };
   CHECK(given("a:1") + given("b:1") + given("c:1") == 20);
   CHECK(given("c:1") == 2);
   CHECK(given("b:1") == 3);
@@ -132,7 +202,9 @@
   auto status = Json::parse(R"({"nodes":{"10.1.0.1:1":{"draining":false}},"services":{"s1":{"primary":"d9","databases":{"d1":{}}}}})");
   auto check = checkPlan(plan, plan, status);
   auto has = [](const std::vector<std::string>& lines, const std::string& part) {
-    return std::any_of(lines.begin(), lines.end(), [&](const auto& line) { return line.find(part) != std::string::npos; });
+    return std::any_of(lines.begin(), lines.end(), [&](const auto& line) {
+      return line.find(part) != std::string::npos;
+    });
   };
   CHECK(check.changes.empty());
   CHECK(has(check.misfits, "kind lookup selects no machine"));
@@ -212,15 +284,40 @@
     change(other);
     return other;
   };
-  CHECK(faulted(broken([](Json& plan) { plan["annotation"] = std::string(PlanReader::mostAnnotation + 1, 'x'); }), "annotation"));
-  CHECK(faulted(broken([](Json& plan) { plan["limits"]["message-bytes"] = -1; }), "limits.message-bytes"));
-  CHECK(faulted(broken([](Json& plan) { plan["limits"]["message-bytes"] = "many"; }), "limits.message-bytes"));
-  CHECK(faulted(broken([](Json& plan) { plan["limits"] = 3; }), "limits"));
-  CHECK(faulted(broken([&](Json& plan) { plan["kinds"][name]["statement-ms"] = 0; }), "kinds." + name + ".statement-ms"));
-  CHECK(faulted(broken([&](Json& plan) { plan["kinds"][name]["staleness-ms"] = "1"; }), "kinds." + name + ".staleness-ms"));
-  CHECK(faulted(broken([](Json& plan) { plan["kinds"]["lookup"].update(Json{{"host", "records"}, {"prefix", "/"}}); }), "kinds.lookup.host") !=
-        faulted(broken([](Json& plan) { plan["kinds"]["lookup"].update(Json{{"host", "records"}, {"prefix", "/"}}); }), "kinds." + name + ".host"));
-  CHECK(PlanReader{}.read(broken([](Json& plan) { plan["kinds"]["lookup"].update(Json{{"host", "records"}, {"prefix", "/b"}}); }).dump()));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["annotation"] = std::string(PlanReader::mostAnnotation + 1, 'x');
+                }),
+                "annotation"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["limits"]["message-bytes"] = -1;
+                }),
+                "limits.message-bytes"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["limits"]["message-bytes"] = "many";
+                }),
+                "limits.message-bytes"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["limits"] = 3;
+                }),
+                "limits"));
+  CHECK(faulted(broken([&](Json& plan) {
+                  plan["kinds"][name]["statement-ms"] = 0;
+                }),
+                "kinds." + name + ".statement-ms"));
+  CHECK(faulted(broken([&](Json& plan) {
+                  plan["kinds"][name]["staleness-ms"] = "1";
+                }),
+                "kinds." + name + ".staleness-ms"));
+  CHECK(faulted(broken([](Json& plan) {
+                  plan["kinds"]["lookup"].update(Json{{"host", "records"}, {"prefix", "/"}});
+                }),
+                "kinds.lookup.host") != faulted(broken([](Json& plan) {
+                                                  plan["kinds"]["lookup"].update(Json{{"host", "records"}, {"prefix", "/"}});
+                                                }),
+                                                "kinds." + name + ".host"));
+  CHECK(PlanReader{}.read(broken([](Json& plan) {
+                            plan["kinds"]["lookup"].update(Json{{"host", "records"}, {"prefix", "/b"}});
+                          }).dump()));
   json["kinds"][name + "k"] = kind;
   CHECK(faulted(json, "kinds." + name + "k"));
 }
--- a/tests/platform/adapter_days_test.cpp
+++ b/tests/platform/adapter_days_test.cpp
@@ -16,14 +16,18 @@
   return shape;
 }
 
-ViewId viewOf(PlatformWorld& world, const std::string& name) { return dynamic_cast<CoreProgram&>(world.process(name)->program()).replica().group().view(); }
+ViewId viewOf(PlatformWorld& world, const std::string& name) {
+  return dynamic_cast<CoreProgram&>(world.process(name)->program()).replica().group().view();
+}
 
 }  // namespace
 
 TEST_CASE("a complete group stays in the view it formed, also where heartbeats take long") {
   auto delay = GENERATE(Duration{500}, Duration{5ms}, Duration{20ms});
   CAPTURE(delay.count());
-  PlatformWorld world(usual(), 1, [](PlatformProcess& process) { return adapterProgram(process); });
+  PlatformWorld world(usual(), 1, [](PlatformProcess& process) {
+    return adapterProgram(process);
+  });
   world.network().delay(delay);
   world.runUntil(3s);
   auto formed = viewOf(world, "core-1");
@@ -33,7 +37,9 @@
 }
 
 TEST_CASE("a killed member that comes back costs two views and not views without end") {
-  PlatformWorld world(usual(), 1, [](PlatformProcess& process) { return adapterProgram(process); });
+  PlatformWorld world(usual(), 1, [](PlatformProcess& process) {
+    return adapterProgram(process);
+  });
   world.runUntil(5s);
   auto before = viewOf(world, "core-1");
   world.killProcess("core-3");
@@ -45,7 +51,9 @@
 }
 
 TEST_CASE("a replaced member is let go through the log and its vote with it") {
-  PlatformWorld world(usual(), 1, [](PlatformProcess& process) { return adapterProgram(process); });
+  PlatformWorld world(usual(), 1, [](PlatformProcess& process) {
+    return adapterProgram(process);
+  });
   world.runUntil(5s);
   world.replaceCore("core-2", false, 2s);
   world.runUntil(12s);
@@ -57,7 +65,9 @@
 TEST_CASE("where only databases that leave are there, a service waits and is not given to one after the other") {
   auto shape = usual();
   shape.services = 1;
-  PlatformWorld world(shape, GENERATE(1, 2, 3), [](PlatformProcess& process) { return adapterProgram(process); });
+  PlatformWorld world(shape, GENERATE(1, 2, 3), [](PlatformProcess& process) {
+    return adapterProgram(process);
+  });
   world.runUntil(12s);
   auto replicas = world.replicas(1);
   REQUIRE(replicas.size() == 2);
@@ -77,14 +87,18 @@
 TEST_CASE("a promotion is seen soon, also where the new primary tells it to a dead core machine first") {
   auto shape = usual();
   shape.services = 1;
-  PlatformWorld world(shape, GENERATE(1, 2, 3, 4, 5, 6, 7, 8), [](PlatformProcess& process) { return adapterProgram(process); });
+  PlatformWorld world(shape, GENERATE(1, 2, 3, 4, 5, 6, 7, 8), [](PlatformProcess& process) {
+    return adapterProgram(process);
+  });
   world.runUntil(12s);
   auto promotions = world.history().promotions.size();
   world.primary(1)->crash();
   world.losePower("core-2");
   world.losePower("core-3");
   world.startMachine("core-3");
-  auto called = [&] { return world.history().promotions.size() > promotions; };
+  auto called = [&] {
+    return world.history().promotions.size() > promotions;
+  };
   for (int step = 0; step < 400 && !called(); ++step) world.run(10ms);
   REQUIRE(called());
   world.run(950ms);
--- a/tests/platform/adapter_programs.cpp
+++ b/tests/platform/adapter_programs.cpp
@@ -12,8 +12,11 @@
       agent_(process.clock(), link_, process.journal(), agentSettings(process), boot_),
       guide_(process.clock(), wrapped<NewsFeed>(wraps_.feed, agent_, feed_), process.machine().internal(), boot_),
       wireBackEnds_(process.lines(), "pooler"),
-      pooler_(process.clock(), guide_, wrapped<BackEnds>(wraps_.backEnds, wireBackEnds_, backEnds_), process.journal(), poolerSettings(process), boot_,
-              [this](NodeReport report) { agent_.report(std::move(report)); }),
+      pooler_(process.clock(), guide_, wrapped<BackEnds>(wraps_.backEnds, wireBackEnds_, backEnds_), process.journal(),
+              poolerSettings(process), boot_,
+              [this](NodeReport report) {
+                agent_.report(std::move(report));
+              }),
       frontDoor_(process.clock(), pooler_),
       readinessDoor_(pooler_, agent_, process.journal()) {
   process.listen(process.machine().front(), frontDoor_);
@@ -37,8 +40,9 @@
       link_(process.network(), process.clock(), process.machine().internal()),
       disk_(process.clock(), process.machine().disk, process.shape().diskSync),
       wireDatabases_(process.lines(), process.web(), process.platformApi, process.machine().name),
-      replica_(process.clock(), link_, wrapped<StableStore>(wraps_.store, disk_, store_), wrapped<DatabaseControl>(wraps_.databases, wireDatabases_, databases_),
-               process.journal(), replicaSettings(process), process.world().incarnation()),
+      replica_(process.clock(), link_, wrapped<StableStore>(wraps_.store, disk_, store_),
+               wrapped<DatabaseControl>(wraps_.databases, wireDatabases_, databases_), process.journal(), replicaSettings(process),
+               process.world().incarnation()),
       controlDoor_(replica_, process.clock()) {
   if (auto fault = replica_.start()) {
     process.journal().line("did not start: " + *fault);
--- a/tests/platform/broken_adapters.cpp
+++ b/tests/platform/broken_adapters.cpp
@@ -11,7 +11,9 @@
 class OtherConnection : public BackEndConnection {
  public:
   OtherConnection(std::unique_ptr<BackEndConnection> own, BackEndRun run) : own_(std::move(own)), run_(run) {}
-  Task<BackEndReply> run(Statement statement, std::optional<Place> after, Instant deadline) override { return run_(*own_, std::move(statement), after, deadline); }
+  Task<BackEndReply> run(Statement statement, std::optional<Place> after, Instant deadline) override {
+    return run_(*own_, std::move(statement), after, deadline);
+  }
   bool usable() const override { return own_->usable(); }
   void close() override { own_->close(); }
 
@@ -112,8 +114,12 @@
 class DatabasesMisled : public DatabaseControl {
  public:
   explicit DatabasesMisled(DatabaseControl& own) : own_(own) {}
-  Task<std::optional<DatabaseStanding>> status(DatabaseTarget target, Instant deadline) override { return own_.status(std::move(target), deadline); }
-  Task<std::optional<DatabaseStanding>> demote(DatabaseTarget target, Epoch epoch, Instant deadline) override { return own_.demote(std::move(target), epoch, deadline); }
+  Task<std::optional<DatabaseStanding>> status(DatabaseTarget target, Instant deadline) override {
+    return own_.status(std::move(target), deadline);
+  }
+  Task<std::optional<DatabaseStanding>> demote(DatabaseTarget target, Epoch epoch, Instant deadline) override {
+    return own_.demote(std::move(target), epoch, deadline);
+  }
   Task<PromotionOutcome> promote(DatabaseTarget target, Epoch epoch, DutyHolder holder, Instant deadline) override {
     return own_.promote(std::move(target), epoch, std::move(holder), deadline);
   }
@@ -163,55 +169,73 @@
 
 AdapterWraps runsOtherwise(BackEndRun run) {
   AdapterWraps wraps;
-  wraps.backEnds = [run](BackEnds& own) { return std::make_unique<OtherRuns>(own, run); };
+  wraps.backEnds = [run](BackEnds& own) {
+    return std::make_unique<OtherRuns>(own, run);
+  };
   return wraps;
 }
 
 AdapterWraps sendsToAnotherService() {
   AdapterWraps wraps;
-  wraps.backEnds = [](BackEnds& own) { return std::make_unique<AnotherService>(own); };
+  wraps.backEnds = [](BackEnds& own) {
+    return std::make_unique<AnotherService>(own);
+  };
   return wraps;
 }
 
 AdapterWraps checksNoLease(Clock& clock) {
   AdapterWraps wraps;
-  wraps.feed = [&clock](NewsFeed& own) { return std::make_unique<EndlessLeases>(own, clock); };
+  wraps.feed = [&clock](NewsFeed& own) {
+    return std::make_unique<EndlessLeases>(own, clock);
+  };
   return wraps;
 }
 
 AdapterWraps ignoresLeaves() {
   AdapterWraps wraps;
-  wraps.control = [](DoorKeeper& own) { return std::make_unique<LeavesIgnored>(own); };
+  wraps.control = [](DoorKeeper& own) {
+    return std::make_unique<LeavesIgnored>(own);
+  };
   return wraps;
 }
 
 AdapterWraps keepsFirstConfiguration() {
   AdapterWraps wraps;
-  wraps.control = [](DoorKeeper& own) { return std::make_unique<FirstConfigurationKept>(own); };
+  wraps.control = [](DoorKeeper& own) {
+    return std::make_unique<FirstConfigurationKept>(own);
+  };
   return wraps;
 }
 
 AdapterWraps acknowledgesAnything() {
   AdapterWraps wraps;
-  wraps.control = [](DoorKeeper& own) { return std::make_unique<AnythingAcknowledged>(own); };
+  wraps.control = [](DoorKeeper& own) {
+    return std::make_unique<AnythingAcknowledged>(own);
+  };
   return wraps;
 }
 
 AdapterWraps promotesTheEmptiest() {
   AdapterWraps wraps;
-  wraps.databases = [](DatabaseControl& own) { return std::make_unique<EmptiestChosen>(own); };
+  wraps.databases = [](DatabaseControl& own) {
+    return std::make_unique<EmptiestChosen>(own);
+  };
   return wraps;
 }
 
 AdapterWraps lowersItsFence() {
   AdapterWraps wraps;
-  wraps.databases = [](DatabaseControl& own) { return std::make_unique<FenceLowered>(own); };
+  wraps.databases = [](DatabaseControl& own) {
+    return std::make_unique<FenceLowered>(own);
+  };
   return wraps;
 }
 
 AdapterWraps keepsNothing(Clock& clock) {
   AdapterWraps wraps;
-  wraps.store = [&clock](StableStore& own) { return std::make_unique<NothingSynced>(own, clock); };
+  wraps.store = [&clock](StableStore& own) {
+    return std::make_unique<NothingSynced>(own, clock);
+  };
   return wraps;
 }
 
--- a/tests/platform/broken_adapters_test.cpp
+++ b/tests/platform/broken_adapters_test.cpp
@@ -31,10 +31,14 @@
 }
 
 std::set<std::string> broken(const std::string& text, AdapterWraps wraps = {}) {
-  return broken(text, [wraps](PlatformProcess& process) { return adapterProgram(process, wraps); });
+  return broken(text, [wraps](PlatformProcess& process) {
+    return adapterProgram(process, wraps);
+  });
 }
 
-std::set<std::string> brokenBy(BackEndRun run, const std::string& text = "until 14s\n") { return broken(text, runsOtherwise(run)); }
+std::set<std::string> brokenBy(BackEndRun run, const std::string& text = "until 14s\n") {
+  return broken(text, runsOtherwise(run));
+}
 
 // what the core says reaches no access node any more, and nothing of its own reaches the first primary of service 1
 std::string unheard() {
@@ -94,11 +98,17 @@
 TEST_CASE("STALE speaks when AFTER is left out") {
   const std::string lagging = "shape lag=300ms\nuntil 16s\nexpect served 0.9 from 10s until 16s\n";
   CHECK(broken(lagging).empty());
-  CHECK(brokenBy([](BackEndConnection& own, Statement statement, std::optional<Place>, Instant deadline) { return own.run(std::move(statement), std::nullopt, deadline); }, lagging)
+  CHECK(brokenBy(
+            [](BackEndConnection& own, Statement statement, std::optional<Place>, Instant deadline) {
+              return own.run(std::move(statement), std::nullopt, deadline);
+            },
+            lagging)
             .contains("STALE"));
 }
 
-TEST_CASE("ROUTE speaks when statements go to another service") { CHECK(broken("until 14s\n", sendsToAnotherService()).contains("ROUTE")); }
+TEST_CASE("ROUTE speaks when statements go to another service") {
+  CHECK(broken("until 14s\n", sendsToAnotherService()).contains("ROUTE"));
+}
 
 TEST_CASE("DRAIN speaks when leaves are ignored") {
   const std::string leaves = "shape databases=2\nat 11s release replica 1\nuntil 24s\nexpect served 0.9 from 10s until 24s\n";
@@ -113,20 +123,31 @@
 
 TEST_CASE("ONE speaks when no lease is checked, and leases keep it") {
   CHECK(broken(unheard()).empty());
-  CHECK(broken(unheard(), [](PlatformProcess& process) { return adapterProgram(process, checksNoLease(process.clock())); }).contains("ONE"));
+  CHECK(broken(unheard(), [](PlatformProcess& process) {
+          return adapterProgram(process, checksNoLease(process.clock()));
+        }).contains("ONE"));
 }
 
 TEST_CASE("LOST speaks when a process ends at SIGTERM, and drains keep it") {
-  const std::string stops = "kind class=primary sessions=20 pause=20ms step=30ms\nat 12s terminate access-2\nat 14s terminate access-3\nuntil 22s\nexpect served 0.9 from 10s until 20s\n";
+  const std::string stops =
+      "kind class=primary sessions=20 pause=20ms step=30ms\nat 12s terminate access-2\nat 14s terminate access-3\nuntil 22s\nexpect served "
+      "0.9 from 10s until 20s\n";
   AdapterWraps wraps;
   wraps.stopsAtOnce = true;
   CHECK(broken(stops).empty());
   // what is lost is a run that ended just before the process, so not every seed has one
-  CHECK(broken(stops, [wraps](PlatformProcess& process) { return adapterProgram(process, wraps); }, 12).contains("LOST"));
+  CHECK(broken(
+            stops,
+            [wraps](PlatformProcess& process) {
+              return adapterProgram(process, wraps);
+            },
+            12)
+            .contains("LOST"));
 }
 
 TEST_CASE("LOST speaks when a database that lacks acknowledged commits is promoted") {
-  const std::string crash = "shape sync=1\nat 11s receive-nothing replica 1 for 20s\nat 15s crash primary 1\nuntil 26s\nexpect served 0.8 from 10s until 26s\n";
+  const std::string crash =
+      "shape sync=1\nat 11s receive-nothing replica 1 for 20s\nat 15s crash primary 1\nuntil 26s\nexpect served 0.8 from 10s until 26s\n";
   CHECK(broken(crash).empty());
   CHECK(broken(crash, promotesTheEmptiest()).contains("LOST"));
 }
@@ -134,7 +155,9 @@
 TEST_CASE("LOST and RECOVER speak when the core keeps nothing on its disks") {
   const std::string fault = "at 13s after-ack closing-fault power 0 for 1500ms\nuntil 38s\nexpect served 0.9 from 27s until 38s\n";
   CHECK(broken(fault).empty());
-  auto rules = broken(fault, [](PlatformProcess& process) { return adapterProgram(process, keepsNothing(process.clock())); });
+  auto rules = broken(fault, [](PlatformProcess& process) {
+    return adapterProgram(process, keepsNothing(process.clock()));
+  });
   CHECK((rules.contains("LOST") || rules.contains("CONFIG")));
   CHECK(rules.contains("RECOVER"));
 }
--- a/tests/platform/configuration_checks.cpp
+++ b/tests/platform/configuration_checks.cpp
@@ -36,14 +36,19 @@
   for (const auto& run : history_.services.runs) {
     auto asked = index_.askedBy(run);
     if (!asked || !run.ran) continue;
-    all.push_back(Handled{asked->attempt->node, asksAt(*asked), run.arrivedAt, "'" + run.id + " " + run.text + "' for " + asked->attempt->hostName + " at " + run.service,
-                          [hostName = asked->attempt->hostName, service = run.service](const auto& configuration) { return leads(configuration, hostName, service); }});
+    all.push_back(Handled{asked->attempt->node, asksAt(*asked), run.arrivedAt,
+                          "'" + run.id + " " + run.text + "' for " + asked->attempt->hostName + " at " + run.service,
+                          [hostName = asked->attempt->hostName, service = run.service](const auto& configuration) {
+                            return leads(configuration, hostName, service);
+                          }});
   }
   for (const auto& attempt : history_.clients.tries)
     for (const auto& statement : attempt.statements)
       if (statement.reply.end == WireEnd::error && statement.reply.code == "NODATABASE")
         all.push_back(Handled{attempt.node, statement.sentAt, statement.reply.at, "NODATABASE for " + attempt.hostName,
-                              [hostName = attempt.hostName](const auto& configuration) { return configuration.route(hostName) == nullptr; }});
+                              [hostName = attempt.hostName](const auto& configuration) {
+                                return configuration.route(hostName) == nullptr;
+                              }});
   return all;
 }
 
@@ -66,36 +71,43 @@
 std::uint64_t ConfigurationChecks::acknowledgedBy(Instant at) const {
   std::uint64_t revision = 0;
   for (const auto& each : history_.operators.sent)
-    if (each.valid && each.configuration && each.acknowledgedAt && *each.acknowledgedAt <= at) revision = std::max(revision, each.configuration->revision);
+    if (each.valid && each.configuration && each.acknowledgedAt && *each.acknowledgedAt <= at)
+      revision = std::max(revision, each.configuration->revision);
   return revision;
 }
 
 std::vector<std::uint64_t> ConfigurationChecks::revisionsAllowing(const Handled& handled) const {
   std::vector<std::uint64_t> revisions;
   for (const auto& each : history_.operators.sent)
-    if (each.valid && each.configuration && each.sentAt <= handled.seenAt && handled.allows(*each.configuration)) revisions.push_back(each.configuration->revision);
+    if (each.valid && each.configuration && each.sentAt <= handled.seenAt && handled.allows(*each.configuration))
+      revisions.push_back(each.configuration->revision);
   return revisions;
 }
 
 void ConfigurationChecks::inTime(const Handled& handled) {
   auto allowing = revisionsAllowing(handled);
-  bool anySent = std::any_of(history_.operators.sent.begin(), history_.operators.sent.end(),
-                             [&](const auto& each) { return !each.valid && each.configuration && handled.allows(*each.configuration); });
+  bool anySent = std::any_of(history_.operators.sent.begin(), history_.operators.sent.end(), [&](const auto& each) {
+    return !each.valid && each.configuration && handled.allows(*each.configuration);
+  });
   auto acknowledged = acknowledgedBy(handled.sentAt - history_.bounds.configApply);
   if (allowing.empty()) {
-    if (anySent) broke("CONFIG", handled.text + " is allowed by an invalid configuration only");
-    else if (acknowledged > 0 && history_.troubles.inTouch(handled.node, handled.sentAt - history_.bounds.configApply - history_.bounds.contact, handled.seenAt))
+    if (anySent)
+      broke("CONFIG", handled.text + " is allowed by an invalid configuration only");
+    else if (acknowledged > 0 && history_.troubles.inTouch(
+                                     handled.node, handled.sentAt - history_.bounds.configApply - history_.bounds.contact, handled.seenAt))
       broke("CONFIG", handled.text + " is allowed by no configuration sent");
     return;
   }
   if (*std::max_element(allowing.begin(), allowing.end()) >= acknowledged) return;
-  if (!history_.troubles.inTouch(handled.node, handled.sentAt - history_.bounds.configApply - history_.bounds.contact, handled.sentAt)) return;
+  if (!history_.troubles.inTouch(handled.node, handled.sentAt - history_.bounds.configApply - history_.bounds.contact, handled.sentAt))
+    return;
   broke("CONFIG", handled.text + " is allowed by versions older than " + std::to_string(acknowledged) + " only");
 }
 
 bool ConfigurationChecks::restartedBetween(const Address& node, Instant from, Instant until) const {
-  return std::any_of(history_.troubles.starts.begin(), history_.troubles.starts.end(),
-                     [&](const auto& start) { return start.host == SimulatedNetwork::host(node) && start.at >= from && start.at <= until; });
+  return std::any_of(history_.troubles.starts.begin(), history_.troubles.starts.end(), [&](const auto& start) {
+    return start.host == SimulatedNetwork::host(node) && start.at >= from && start.at <= until;
+  });
 }
 
 void ConfigurationChecks::neverBack(std::vector<Handled> all) {
@@ -109,7 +121,9 @@
     if (allowing.empty()) continue;
     auto lowest = *std::min_element(allowing.begin(), allowing.end());
     auto& known = proofs[each.node];
-    bool news = std::none_of(known.begin(), known.end(), [&](const auto& proof) { return proof.revision >= lowest && proof.at <= each.seenAt; });
+    bool news = std::none_of(known.begin(), known.end(), [&](const auto& proof) {
+      return proof.revision >= lowest && proof.at <= each.seenAt;
+    });
     if (news) known.push_back(Proof{lowest, each.seenAt});
   }
   for (const auto& each : all) {
@@ -138,8 +152,11 @@
   }
   auto read = parseConfiguration(*last.body);
   if (!read) return broke("CONFIG", "the configuration read back can't be read");
-  if (read->revision < acknowledged) broke(rule, "version " + std::to_string(read->revision) + " came back although " + std::to_string(acknowledged) + " was acknowledged");
-  bool sent = std::any_of(history_.operators.sent.begin(), history_.operators.sent.end(), [&](const auto& each) { return each.valid && each.configuration == read; });
+  if (read->revision < acknowledged)
+    broke(rule, "version " + std::to_string(read->revision) + " came back although " + std::to_string(acknowledged) + " was acknowledged");
+  bool sent = std::any_of(history_.operators.sent.begin(), history_.operators.sent.end(), [&](const auto& each) {
+    return each.valid && each.configuration == read;
+  });
   if (!sent) broke("CONFIG", "version " + std::to_string(read->revision) + " came back otherwise than it was sent");
 }
 
--- a/tests/platform/configuration_translation_test.cpp
+++ b/tests/platform/configuration_translation_test.cpp
@@ -79,8 +79,12 @@
 
 TEST_CASE("configuration: the annotation is the text byte for byte", "[configuration]") {
   std::vector<std::string> texts{example, "  \n\t" + example + "\r\n ", Json::parse(example).dump(3)};
-  texts.push_back(changed([](Json& json) { json["note"] = "é 漢字 \U0001F98A \" \\ / \b\f\n\r\t \u0001"; }).dump());
-  texts.push_back(changed([](Json& json) { json["note"] = "é 漢字 \U0001F98A"; }).dump(-1, ' ', true));
+  texts.push_back(changed([](Json& json) {
+                    json["note"] = "é 漢字 \U0001F98A \" \\ / \b\f\n\r\t \u0001";
+                  }).dump());
+  texts.push_back(changed([](Json& json) {
+                    json["note"] = "é 漢字 \U0001F98A";
+                  }).dump(-1, ' ', true));
   auto escaped = example;
   escaped.insert(1, R"("note":"\u0000 \u2028 \/ \ud83e\udd8a","exact":1.0000000000000000001e5,)");
   texts.push_back(escaped);
@@ -113,8 +117,11 @@
 }
 
 TEST_CASE("configuration: versions", "[configuration]") {
-  for (std::uint64_t revision : {std::uint64_t{1}, std::uint64_t{4294967296}, std::uint64_t{9007199254740993}, std::uint64_t{18446744073709551615u}}) {
-    auto plan = planOf(changed([&](Json& json) { json["revision"] = revision; }).dump());
+  for (std::uint64_t revision :
+       {std::uint64_t{1}, std::uint64_t{4294967296}, std::uint64_t{9007199254740993}, std::uint64_t{18446744073709551615u}}) {
+    auto plan = planOf(changed([&](Json& json) {
+                         json["revision"] = revision;
+                       }).dump());
     REQUIRE(plan);
     CHECK(plan->mark == PlanMark{revision});
   }
@@ -128,38 +135,58 @@
 
 TEST_CASE("configuration: limits", "[configuration]") {
   SECTION("left out or empty") {
-    for (const auto& text : {changed([](Json& json) { json.erase("limits"); }).dump(), changed([](Json& json) { json["limits"] = Json::object(); }).dump()}) {
+    for (const auto& text : {changed([](Json& json) {
+                               json.erase("limits");
+                             }).dump(),
+                             changed([](Json& json) {
+                               json["limits"] = Json::object();
+                             }).dump()}) {
       auto plan = planOf(text);
       REQUIRE(plan);
       CHECK(plan->limits.empty());
     }
   }
   SECTION("txIdleMs") {
-    auto plan = planOf(changed([](Json& json) { json["limits"]["txIdleMs"] = 1234; }).dump());
+    auto plan = planOf(changed([](Json& json) {
+                         json["limits"]["txIdleMs"] = 1234;
+                       }).dump());
     REQUIRE(plan);
     CHECK(plan->limits.at("idle-transaction-ms") == 1234);
   }
   SECTION("no object") {
-    for (const char* limits : {"5", "[]", "\"x\"", "null", "true"}) CHECK(reasonOf(changed([&](Json& json) { json["limits"] = Json::parse(limits); }).dump()).find("limits") != std::string::npos);
+    for (const char* limits : {"5", "[]", "\"x\"", "null", "true"})
+      CHECK(reasonOf(changed([&](Json& json) {
+                       json["limits"] = Json::parse(limits);
+                     }).dump())
+                .find("limits") != std::string::npos);
   }
 }
 
 TEST_CASE("configuration: what is optional may be missing", "[configuration]") {
   for (const char* key : {"pathPrefix", "targetMs", "precedence", "attemptLimit"}) {
     INFO(key);
-    CHECK(planOf(changed([&](Json& json) { json["routeTable"][0].erase(key); }).dump()));
+    CHECK(planOf(changed([&](Json& json) {
+                   json["routeTable"][0].erase(key);
+                 }).dump()));
   }
   for (const char* key : {"healthPath", "protocol", "tls", "syncReplicas"}) {
     INFO(key);
-    CHECK(planOf(changed([&](Json& json) { json["serviceTable"][0].erase(key); }).dump()));
+    CHECK(planOf(changed([&](Json& json) {
+                   json["serviceTable"][0].erase(key);
+                 }).dump()));
   }
-  CHECK(planOf(changed([](Json& json) { json["more"] = {{"of", {1, 2, 3}}}; }).dump()));
-  CHECK(planOf(changed([](Json& json) { json["routeTable"] = Json::array(); }).dump()));
+  CHECK(planOf(changed([](Json& json) {
+                 json["more"] = {{"of", {1, 2, 3}}};
+               }).dump()));
+  CHECK(planOf(changed([](Json& json) {
+                 json["routeTable"] = Json::array();
+               }).dump()));
 }
 
 TEST_CASE("configuration: one that cannot be read whole is refused", "[configuration]") {
-  auto text = GENERATE(as<std::string>{}, "", "{", "[]", "5", "null", "\"x\"", "{}", example.substr(0, example.size() - 1), example + "x", example + example, example.substr(1),
-                       "{\"revision\":7,}", std::string("\0", 1), "\xff" + example, std::string(100000, '['));
+  auto text =
+      GENERATE(as<std::string>{}, "", "{", "[]", "5", "null", "\"x\"", "{}", example.substr(0, example.size() - 1), example + "x",
+               example + example, example.substr(1), "{\"revision\":7,}", std::string("\0", 1), "\xff" + example, std::string(100000, '['));
   INFO(text.substr(0, 40));
   CHECK_FALSE(reasonOf(text).empty());
 }
@@ -173,21 +200,47 @@
 TEST_CASE("configuration: tables that are no lists of objects are refused", "[configuration]") {
   for (const char* table : {"routeTable", "serviceTable"}) {
     INFO(table);
-    CHECK(reasonOf(changed([&](Json& json) { json.erase(table); }).dump()).find(table) != std::string::npos);
-    for (const char* value : {"{}", "5", "null", "\"x\""}) CHECK(reasonOf(changed([&](Json& json) { json[table] = Json::parse(value); }).dump()).find(table) != std::string::npos);
-    for (const char* value : {"5", "null", "\"x\"", "[]"}) CHECK(reasonOf(changed([&](Json& json) { json[table].push_back(Json::parse(value)); }).dump()).find("must be an object") != std::string::npos);
+    CHECK(reasonOf(changed([&](Json& json) {
+                     json.erase(table);
+                   }).dump())
+              .find(table) != std::string::npos);
+    for (const char* value : {"{}", "5", "null", "\"x\""})
+      CHECK(reasonOf(changed([&](Json& json) {
+                       json[table] = Json::parse(value);
+                     }).dump())
+                .find(table) != std::string::npos);
+    for (const char* value : {"5", "null", "\"x\"", "[]"})
+      CHECK(reasonOf(changed([&](Json& json) {
+                       json[table].push_back(Json::parse(value));
+                     }).dump())
+                .find("must be an object") != std::string::npos);
   }
 }
 
 TEST_CASE("configuration: a route that names an unknown service is refused", "[configuration]") {
-  CHECK(reasonOf(changed([](Json& json) { json["routeTable"][1]["targetService"] = "nothing"; }).dump()).find("unknown service") != std::string::npos);
-  CHECK(reasonOf(changed([](Json& json) { json["routeTable"][1].erase("targetService"); }).dump()).find("unknown service") != std::string::npos);
-  CHECK(reasonOf(changed([](Json& json) { json["routeTable"][1]["targetService"] = 5; }).dump()).find("unknown service") != std::string::npos);
-  CHECK(reasonOf(changed([](Json& json) { json["serviceTable"].erase(0); }).dump()).find("unknown service") != std::string::npos);
+  CHECK(reasonOf(changed([](Json& json) {
+                   json["routeTable"][1]["targetService"] = "nothing";
+                 }).dump())
+            .find("unknown service") != std::string::npos);
+  CHECK(reasonOf(changed([](Json& json) {
+                   json["routeTable"][1].erase("targetService");
+                 }).dump())
+            .find("unknown service") != std::string::npos);
+  CHECK(reasonOf(changed([](Json& json) {
+                   json["routeTable"][1]["targetService"] = 5;
+                 }).dump())
+            .find("unknown service") != std::string::npos);
+  CHECK(reasonOf(changed([](Json& json) {
+                   json["serviceTable"].erase(0);
+                 }).dump())
+            .find("unknown service") != std::string::npos);
 }
 
 TEST_CASE("configuration: routes that share host and prefix are refused, those that share one of them are not", "[configuration]") {
-  CHECK(reasonOf(changed([](Json& json) { json["routeTable"][1]["hostName"] = "lepu270"; }).dump()).find("share host and prefix") != std::string::npos);
+  CHECK(reasonOf(changed([](Json& json) {
+                   json["routeTable"][1]["hostName"] = "lepu270";
+                 }).dump())
+            .find("share host and prefix") != std::string::npos);
   CHECK(planOf(changed([](Json& json) {
                  json["routeTable"][1]["hostName"] = "lepu270";
                  json["routeTable"][1]["pathPrefix"] = "/more";
@@ -197,52 +250,93 @@
 TEST_CASE("configuration: a guardMs of 0 or of another kind is refused", "[configuration]") {
   for (const char* value : {"0", "-5", "1.5", "\"800\"", "null", "[]"}) {
     INFO(value);
-    CHECK(reasonOf(changed([&](Json& json) { json["routeTable"][2]["guardMs"] = Json::parse(value); }).dump()).find("guardMs") != std::string::npos);
+    CHECK(reasonOf(changed([&](Json& json) {
+                     json["routeTable"][2]["guardMs"] = Json::parse(value);
+                   }).dump())
+              .find("guardMs") != std::string::npos);
   }
-  CHECK(reasonOf(changed([](Json& json) { json["routeTable"][2].erase("guardMs"); }).dump()).find("guardMs") != std::string::npos);
-  CHECK(planOf(changed([](Json& json) { json["routeTable"][2]["guardMs"] = 1; }).dump()));
+  CHECK(reasonOf(changed([](Json& json) {
+                   json["routeTable"][2].erase("guardMs");
+                 }).dump())
+            .find("guardMs") != std::string::npos);
+  CHECK(planOf(changed([](Json& json) {
+                 json["routeTable"][2]["guardMs"] = 1;
+               }).dump()));
 }
 
 TEST_CASE("configuration: routes without name, host or a known class are refused", "[configuration]") {
   for (const char* key : {"name", "hostName", "routeClass"})
     for (const char* value : {"5", "null", "\"\"", "[]"}) {
       INFO(key << " " << value);
-      CHECK_FALSE(reasonOf(changed([&](Json& json) { json["routeTable"][0][key] = Json::parse(value); }).dump()).empty());
+      CHECK_FALSE(reasonOf(changed([&](Json& json) {
+                             json["routeTable"][0][key] = Json::parse(value);
+                           }).dump())
+                      .empty());
     }
-  CHECK(reasonOf(changed([](Json& json) { json["routeTable"][0]["routeClass"] = "other"; }).dump()).find("routeClass") != std::string::npos);
-  CHECK(reasonOf(changed([](Json& json) { json["routeTable"][1].erase("stalenessMs"); }).dump()).find("stalenessMs") != std::string::npos);
-  CHECK(reasonOf(changed([](Json& json) { json["routeTable"][1]["stalenessMs"] = -1; }).dump()).find("stalenessMs") != std::string::npos);
+  CHECK(reasonOf(changed([](Json& json) {
+                   json["routeTable"][0]["routeClass"] = "other";
+                 }).dump())
+            .find("routeClass") != std::string::npos);
+  CHECK(reasonOf(changed([](Json& json) {
+                   json["routeTable"][1].erase("stalenessMs");
+                 }).dump())
+            .find("stalenessMs") != std::string::npos);
+  CHECK(reasonOf(changed([](Json& json) {
+                   json["routeTable"][1]["stalenessMs"] = -1;
+                 }).dump())
+            .find("stalenessMs") != std::string::npos);
 }
 
 TEST_CASE("configuration: services without a name or with a trunkLimit of 0 are refused", "[configuration]") {
   for (const char* value : {"0", "-5", "null", "\"68\"", "1.5"}) {
     INFO(value);
-    CHECK(reasonOf(changed([&](Json& json) { json["serviceTable"][0]["trunkLimit"] = Json::parse(value); }).dump()).find("trunkLimit") != std::string::npos);
+    CHECK(reasonOf(changed([&](Json& json) {
+                     json["serviceTable"][0]["trunkLimit"] = Json::parse(value);
+                   }).dump())
+              .find("trunkLimit") != std::string::npos);
   }
-  CHECK_FALSE(reasonOf(changed([](Json& json) { json["serviceTable"][0].erase("name"); }).dump()).empty());
-  CHECK_FALSE(reasonOf(changed([](Json& json) { json["serviceTable"].push_back(json["serviceTable"][0]); }).dump()).empty());
+  CHECK_FALSE(reasonOf(changed([](Json& json) {
+                         json["serviceTable"][0].erase("name");
+                       }).dump())
+                  .empty());
+  CHECK_FALSE(reasonOf(changed([](Json& json) {
+                         json["serviceTable"].push_back(json["serviceTable"][0]);
+                       }).dump())
+                  .empty());
 }
 
 TEST_CASE("configuration: a staleness of 0 is taken", "[configuration]") {
-  auto plan = planOf(changed([](Json& json) { json["routeTable"][1]["stalenessMs"] = 0; }).dump());
+  auto plan = planOf(changed([](Json& json) {
+                       json["routeTable"][1]["stalenessMs"] = 0;
+                     }).dump());
   REQUIRE(plan);
   CHECK(plan->kinds.at(KindName{"r-qasnmgk"}).stalenessBound() == 0ms);
 }
 
 TEST_CASE("configuration: what is not forbidden is taken", "[configuration][mended]") {
   SECTION("no services and no routes") {
-    CHECK(planOf(changed([](Json& json) { json["routeTable"] = json["serviceTable"] = Json::array(); }).dump()));
+    CHECK(planOf(changed([](Json& json) {
+                   json["routeTable"] = json["serviceTable"] = Json::array();
+                 }).dump()));
   }
   SECTION("a high precedence") {
-    CHECK(planOf(changed([](Json& json) { json["routeTable"][0]["precedence"] = 5000; }).dump()));
+    CHECK(planOf(changed([](Json& json) {
+                   json["routeTable"][0]["precedence"] = 5000;
+                 }).dump()));
   }
   SECTION("a large trunkLimit") {
-    CHECK(planOf(changed([](Json& json) { json["serviceTable"][0]["trunkLimit"] = 200000; }).dump()));
+    CHECK(planOf(changed([](Json& json) {
+                   json["serviceTable"][0]["trunkLimit"] = 200000;
+                 }).dump()));
   }
   SECTION("two routes of one name") {
-    CHECK(planOf(changed([](Json& json) { json["routeTable"][1]["name"] = json["routeTable"][0]["name"]; }).dump()));
+    CHECK(planOf(changed([](Json& json) {
+                   json["routeTable"][1]["name"] = json["routeTable"][0]["name"];
+                 }).dump()));
   }
   SECTION("a name with a blank") {
-    CHECK(planOf(changed([](Json& json) { json["routeTable"][0]["name"] = "r one"; }).dump()));
+    CHECK(planOf(changed([](Json& json) {
+                   json["routeTable"][0]["name"] = "r one";
+                 }).dump()));
   }
 }
--- a/tests/platform/control_door_test.cpp
+++ b/tests/platform/control_door_test.cpp
@@ -12,11 +12,14 @@
 
 namespace {
 
-std::pair<int, int> lowerFirst(int one, int other) { return {std::min(one, other), std::max(one, other)}; }
+std::pair<int, int> lowerFirst(int one, int other) {
+  return {std::min(one, other), std::max(one, other)};
+}
 
 struct ControlDoors : DiscoveredCluster {
   ControlDoors() {
-    for (std::size_t index = 0; index < 3; ++index) doors.push_back(std::make_unique<platform::ControlDoor>(replica(index), *ownClocks[index]));
+    for (std::size_t index = 0; index < 3; ++index)
+      doors.push_back(std::make_unique<platform::ControlDoor>(replica(index), *ownClocks[index]));
   }
 
   static std::string configuration(std::uint64_t revision, unsigned guard = 800) {
@@ -39,13 +42,17 @@
   int detach(std::size_t index, const std::string& id) { return ask(call(index, "POST", "/api/Instances.Detach/" + id)).status; }
   DoorReply retrieve(std::size_t index) { return ask(call(index, "GET", "/api/Configuration.Retrieve")); }
   int beat(std::size_t index, const std::string& id, std::uint64_t number, const std::string& condition = "in_service") {
-    nlohmann::json body{{"targetService", "s1"}, {"address", "10.2.0." + id.substr(1) + ":1"}, {"zone", "z1"},      {"capacity", 5},
-                        {"condition", condition}, {"callCount", number},                        {"dbRole", "replica"}};
+    nlohmann::json body{{"targetService", "s1"},  {"address", "10.2.0." + id.substr(1) + ":1"},
+                        {"zone", "z1"},           {"capacity", 5},
+                        {"condition", condition}, {"callCount", number},
+                        {"dbRole", "replica"}};
     return ask(call(index, "POST", "/api/Instances.Heartbeat/" + id, body.dump())).status;
   }
 
   /// Sends two configurations at the same instant to two members and says which statuses came.
-  std::pair<int, int> race(std::size_t first, const std::string& one, std::size_t second, const std::string& other, const std::function<void()>& between = [] {}) {
+  std::pair<int, int> race(
+      std::size_t first, const std::string& one, std::size_t second, const std::string& other,
+      const std::function<void()>& between = [] {}) {
     std::optional<DoorReply> replies[2];
     TaskScope tasks;
     tasks.spawn(answering(call(first, "POST", "/api/Configuration.Replace", one), replies[0]));
@@ -65,7 +72,9 @@
     }
   }
   static std::string host(std::size_t index) { return "10.0.0." + std::to_string(index + 1); }
-  bool enrolledAt(std::size_t index, const std::string& id) { return replica(index).state().enrolled(ServiceName{"s1"}, DatabaseName{id}) != nullptr; }
+  bool enrolledAt(std::size_t index, const std::string& id) {
+    return replica(index).state().enrolled(ServiceName{"s1"}, DatabaseName{id}) != nullptr;
+  }
 
   std::vector<std::unique_ptr<platform::ControlDoor>> doors;
 };
@@ -91,7 +100,9 @@
   }
   REQUIRE(cluster.replace(0, cluster.configuration(11)) == 200);
   cluster.network.healAll();
-  REQUIRE(cluster.runUntil(4s, [&] { return cluster.retrieve(2).status == 200; }));
+  REQUIRE(cluster.runUntil(4s, [&] {
+    return cluster.retrieve(2).status == 200;
+  }));
   CHECK(nlohmann::json::parse(cluster.retrieve(2).body).at("revision") == 11);
   CHECK(cluster.replace(2, cluster.configuration(11)) == 200);
 }
@@ -115,7 +126,8 @@
   // orders that are sent again after newer ones end as they did the first time
   CHECK(cluster.race(0, cluster.configuration(12, 700), 1, cluster.configuration(12, 900)) != std::pair{409, 409});
   auto held = cluster.retrieve(0).body;
-  CHECK(lowerFirst(cluster.replace(2, cluster.configuration(12, 700)), cluster.replace(1, cluster.configuration(12, 900))) == std::pair{200, 409});
+  CHECK(lowerFirst(cluster.replace(2, cluster.configuration(12, 700)), cluster.replace(1, cluster.configuration(12, 900))) ==
+        std::pair{200, 409});
   CHECK(cluster.retrieve(1).body == held);
 }
 
@@ -178,7 +190,8 @@
   // the first member hears it, relays it and loses the group before it could order the drain
   TaskScope tasks;
   std::optional<DoorReply> first;
-  nlohmann::json body{{"targetService", "s1"}, {"address", "10.2.0.3:1"}, {"zone", "z1"}, {"capacity", 5}, {"condition", "quiescing"}, {"callCount", 900}, {"dbRole", "replica"}};
+  nlohmann::json body{{"targetService", "s1"},    {"address", "10.2.0.3:1"}, {"zone", "z1"},       {"capacity", 5},
+                      {"condition", "quiescing"}, {"callCount", 900},        {"dbRole", "replica"}};
   tasks.spawn(answering(cluster.call(2, "POST", "/api/Instances.Heartbeat/d3", body.dump()), first));
   cluster.run(1ms);
   cluster.cutOff(2);
--- a/tests/platform/duty_checks.hpp
+++ b/tests/platform/duty_checks.hpp
@@ -17,7 +17,9 @@
     std::uint64_t fence = 0;
   };
   void next(const PromotionCall& call, Newest& newest);
-  void broke(const PromotionCall& call, const std::string& text) { broken_.push_back(BrokenRule{"DUTY", "the promotion of " + call.service + "/" + call.database + " " + text}); }
+  void broke(const PromotionCall& call, const std::string& text) {
+    broken_.push_back(BrokenRule{"DUTY", "the promotion of " + call.service + "/" + call.database + " " + text});
+  }
 
   const PlatformHistory& history_;
   std::vector<BrokenRule>& broken_;
--- a/tests/platform/front_door_leaving_test.cpp
+++ b/tests/platform/front_door_leaving_test.cpp
@@ -13,7 +13,10 @@
  public:
   Task<std::optional<std::string>> readLine(std::optional<Instant>) override {
     if (!held_.empty()) co_return std::exchange(held_, {});
-    if (open_) co_await Completion<>([this](auto done) { reader_ = done; });
+    if (open_)
+      co_await Completion<>([this](auto done) {
+        reader_ = done;
+      });
     co_return std::nullopt;
   }
   bool write(std::string) override { return open_; }
--- a/tests/platform/history_index.cpp
+++ b/tests/platform/history_index.cpp
@@ -16,7 +16,8 @@
 
 HistoryIndex::HistoryIndex(const PlatformHistory& history) {
   for (const auto& attempt : history.clients.tries)
-    for (const auto& statement : attempt.statements) asked_[{statement.id, asked(statement.text)}].push_back(AskedStatement{&attempt, &statement});
+    for (const auto& statement : attempt.statements)
+      asked_[{statement.id, asked(statement.text)}].push_back(AskedStatement{&attempt, &statement});
   std::map<std::pair<std::string, std::string>, std::size_t> times;
   for (const auto& run : history.services.runs) {
     if (!run.stamp.empty() && run.stamp != "-") byStamp_[run.stamp] = &run;
--- a/tests/platform/line_door_trial.hpp
+++ b/tests/platform/line_door_trial.hpp
@@ -58,7 +58,9 @@
   // whether the client has read `wanted`, or a close where nothing is wanted
   bool awaits(const std::string& wanted) {
     auto until = std::chrono::steady_clock::now() + 10s;
-    auto reached = [&] { return wanted.empty() ? closed : received.find(wanted) != std::string::npos; };
+    auto reached = [&] {
+      return wanted.empty() ? closed : received.find(wanted) != std::string::npos;
+    };
     while (!reached() && std::chrono::steady_clock::now() < until) context.run_one_for(50ms);
     return reached();
   }
--- a/tests/platform/lineage.hpp
+++ b/tests/platform/lineage.hpp
@@ -14,7 +14,9 @@
   explicit Lineage(const std::vector<TermStart>& terms) : terms_(terms) {}
   bool cutBack(const std::string& service, const WirePosition& position) const;
   // of positions that were not cut back
-  static bool contains(const WirePosition& log, const WirePosition& position) { return position.term <= log.term && position.number <= log.number; }
+  static bool contains(const WirePosition& log, const WirePosition& position) {
+    return position.term <= log.term && position.number <= log.number;
+  }
 
  private:
   const std::vector<TermStart>& terms_;
--- a/tests/platform/order_checks.cpp
+++ b/tests/platform/order_checks.cpp
@@ -23,7 +23,9 @@
       if (leave.service != run.service || leave.database != run.database) continue;
       if (run.arrivedAt <= leave.acknowledgedAt + history_.bounds.drain) continue;
       auto from = leave.acknowledgedAt - history_.bounds.contact;
-      if (!history_.troubles.inTouch(asked->attempt->node, from, run.arrivedAt) || !history_.troubles.inTouch(leave.node, from, leave.acknowledgedAt)) continue;
+      if (!history_.troubles.inTouch(asked->attempt->node, from, run.arrivedAt) ||
+          !history_.troubles.inTouch(leave.node, from, leave.acknowledgedAt))
+        continue;
       broke("DRAIN", "'" + run.id + " " + run.text + "' reached " + run.database + " after it had left");
       break;
     }
@@ -49,7 +51,8 @@
     for (const auto& attempt : history_.clients.tries) {
       if (SimulatedNetwork::host(attempt.node) != stop.host) continue;
       for (const auto& statement : attempt.statements)
-        if (lost(stop, attempt, statement)) broke("LOST", "'" + statement.id + " " + statement.text + "' was cut off while " + stop.host + " was being stopped");
+        if (lost(stop, attempt, statement))
+          broke("LOST", "'" + statement.id + " " + statement.text + "' was cut off while " + stop.host + " was being stopped");
     }
 }
 
--- a/tests/platform/order_checks.hpp
+++ b/tests/platform/order_checks.hpp
@@ -8,7 +8,8 @@
 // DRAIN, RECOVER and what LOST says of planned stops
 class OrderChecks {
  public:
-  OrderChecks(const PlatformHistory& history, const HistoryIndex& index, std::vector<BrokenRule>& broken) : history_(history), index_(index), broken_(broken) {}
+  OrderChecks(const PlatformHistory& history, const HistoryIndex& index, std::vector<BrokenRule>& broken)
+      : history_(history), index_(index), broken_(broken) {}
   void check();
 
  private:
--- a/tests/platform/platform_configuration.cpp
+++ b/tests/platform/platform_configuration.cpp
@@ -10,7 +10,9 @@
 using Json = nlohmann::json;
 
 const PlatformRoute* PlatformConfiguration::route(const std::string& hostName) const {
-  auto found = std::find_if(routes.begin(), routes.end(), [&](const auto& route) { return route.hostName == hostName; });
+  auto found = std::find_if(routes.begin(), routes.end(), [&](const auto& route) {
+    return route.hostName == hostName;
+  });
   return found == routes.end() ? nullptr : &*found;
 }
 
@@ -26,16 +28,31 @@
 std::string configurationJson(const PlatformConfiguration& configuration) {
   Json routes = Json::array();
   for (const auto& route : configuration.routes) {
-    Json json{{"name", route.name},           {"hostName", route.hostName},         {"pathPrefix", "/"},
-              {"routeClass", wireText(route.routeClass)}, {"guardMs", route.guard.count()},     {"targetMs", route.target.count()},
-              {"precedence", route.precedence}, {"targetService", route.targetService}, {"attemptLimit", 2}};
+    Json json{{"name", route.name},
+              {"hostName", route.hostName},
+              {"pathPrefix", "/"},
+              {"routeClass", wireText(route.routeClass)},
+              {"guardMs", route.guard.count()},
+              {"targetMs", route.target.count()},
+              {"precedence", route.precedence},
+              {"targetService", route.targetService},
+              {"attemptLimit", 2}};
     if (route.routeClass != RouteClass::primary) json["stalenessMs"] = route.staleness.count();
     routes.push_back(std::move(json));
   }
   Json services = Json::array();
   for (const auto& service : configuration.services)
-    services.push_back(Json{{"name", service.name}, {"healthPath", "/health"}, {"trunkLimit", service.trunkLimit}, {"protocol", "h1"}, {"tls", false}, {"syncReplicas", service.syncReplicas}});
-  Json limits{{"headerBytes", 16384}, {"bodyBytes", 262144}, {"headerGuardMs", 3000}, {"idleGuardMs", 15000}, {"txIdleMs", configuration.txIdle.count()}};
+    services.push_back(Json{{"name", service.name},
+                            {"healthPath", "/health"},
+                            {"trunkLimit", service.trunkLimit},
+                            {"protocol", "h1"},
+                            {"tls", false},
+                            {"syncReplicas", service.syncReplicas}});
+  Json limits{{"headerBytes", 16384},
+              {"bodyBytes", 262144},
+              {"headerGuardMs", 3000},
+              {"idleGuardMs", 15000},
+              {"txIdleMs", configuration.txIdle.count()}};
   return Json{{"revision", configuration.revision}, {"routeTable", routes}, {"serviceTable", services}, {"limits", limits}}.dump();
 }
 
@@ -60,7 +77,8 @@
       configuration.routes.push_back(std::move(route));
     }
     for (const auto& each : json.at("serviceTable"))
-      configuration.services.push_back(PlatformService{each.at("name").get<std::string>(), each.at("trunkLimit").get<unsigned>(), each.at("syncReplicas").get<unsigned>()});
+      configuration.services.push_back(PlatformService{each.at("name").get<std::string>(), each.at("trunkLimit").get<unsigned>(),
+                                                       each.at("syncReplicas").get<unsigned>()});
     return configuration;
   } catch (const Json::exception&) {
     return std::nullopt;
--- a/tests/platform/platform_events.cpp
+++ b/tests/platform/platform_events.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
-std::size_t number(const std::string& text) { return static_cast<std::size_t>(wholeWireNumber(text).value_or(0)); }
+std::size_t number(const std::string& text) {
+  return static_cast<std::size_t>(wholeWireNumber(text).value_or(0));
+}
 
 }  // namespace
 
@@ -24,7 +26,9 @@
   return durationText(*std::next(found));
 }
 
-void PlatformEvents::later(Duration after, std::function<void()> undo) { world_.world().at(world_.world().now() + after, std::move(undo)); }
+void PlatformEvents::later(Duration after, std::function<void()> undo) {
+  world_.world().at(world_.world().now() + after, std::move(undo));
+}
 
 bool PlatformEvents::happen(const Words& words) {
   auto event = events_.find(words.front());
@@ -46,7 +50,10 @@
   auto down = [this, named](void (PlatformWorld::*event)(const std::string&)) {
     return [this, first = named(event)](const Words& words) {
       if (!first(words)) return false;
-      if (auto lasting = lasts(words)) later(*lasting, [this, name = words[1]] { world_.startMachine(name); });
+      if (auto lasting = lasts(words))
+        later(*lasting, [this, name = words[1]] {
+          world_.startMachine(name);
+        });
       return true;
     };
   };
@@ -56,7 +63,9 @@
     auto lasting = lasts(words);
     if (words.size() < 2 || !lasting) return false;
     world_.freeze(words[1], true);
-    later(*lasting, [this, name = words[1]] { world_.freeze(name, false); });
+    later(*lasting, [this, name = words[1]] {
+      world_.freeze(name, false);
+    });
     return true;
   };
   events_["slow"] = [this](const Words& words) {
@@ -64,7 +73,9 @@
     auto delay = words.size() > 2 ? durationText(words[2]) : std::nullopt;
     if (!lasting || !delay) return false;
     world_.slow(words[1], *delay);
-    later(*lasting, [this, name = words[1]] { world_.slow(name, Duration::zero()); });
+    later(*lasting, [this, name = words[1]] {
+      world_.slow(name, Duration::zero());
+    });
     return true;
   };
   events_["reset"] = [this](const Words& words) {
@@ -76,7 +87,10 @@
     auto lasting = lasts(words);
     if (words.size() < 3) return false;
     world_.cut(words[1], words[2]);
-    if (lasting) later(*lasting, [this, left = words[1], right = words[2]] { world_.heal(left, right); });
+    if (lasting)
+      later(*lasting, [this, left = words[1], right = words[2]] {
+        world_.heal(left, right);
+      });
     return true;
   };
   events_["replace-core"] = [this](const Words& words) {
@@ -91,7 +105,9 @@
     auto sync = words.size() > 2 ? durationText(words[2]) : std::nullopt;
     if (!lasting || !sync || !world_.machines().contains(words[1])) return false;
     world_.slowDisk(words[1], *sync);
-    later(*lasting, [this, name = words[1]] { world_.slowDisk(name, Duration::zero()); });
+    later(*lasting, [this, name = words[1]] {
+      world_.slowDisk(name, Duration::zero());
+    });
     return true;
   };
   events_["ready"] = [this](const Words& words) {
@@ -133,7 +149,10 @@
 
 void PlatformEvents::crash(StandinDatabaseHost& database, std::optional<Duration> down) {
   database.crash();
-  if (down) later(*down, [&database] { database.start(); });
+  if (down)
+    later(*down, [&database] {
+      database.start();
+    });
 }
 
 bool PlatformEvents::disturb(const Words& words, std::function<void(WireTroubles&)> trouble) {
@@ -160,14 +179,19 @@
     if (other.starts_with("10.")) hosts.push_back(other);
   for (const auto& other : hosts) {
     world_.cut(host, other);
-    later(lasting, [this, host, other] { world_.heal(host, other); });
+    later(lasting, [this, host, other] {
+      world_.heal(host, other);
+    });
   }
 }
 
 void PlatformEvents::afterAcknowledgement(std::size_t place, const Words& words) {
   const auto& sent = world_.history().operators.sent[place];
   if (sent.refusedAt) return;
-  if (!sent.acknowledgedAt) return later(1ms, [this, place, words] { afterAcknowledgement(place, words); });
+  if (!sent.acknowledgedAt)
+    return later(1ms, [this, place, words] {
+      afterAcknowledgement(place, words);
+    });
   auto resolved = words;
   for (auto& word : resolved)
     for (const auto& [name, machine] : world_.machines())
@@ -178,7 +202,9 @@
 void PlatformEvents::releaseAll(std::size_t service, std::size_t index) {
   if (index > world_.shape().databases) return;
   world_.release(world_.database(service, index));
-  later(world_.shape().bounds.drain + 3s, [this, service, index] { releaseAll(service, index + 1); });
+  later(world_.shape().bounds.drain + 3s, [this, service, index] {
+    releaseAll(service, index + 1);
+  });
 }
 
 void PlatformEvents::databases() {
@@ -191,7 +217,9 @@
     if (!lasting) return false;
     for (auto* database : databasesNamed(words)) {
       world_.dark(*database, true);
-      later(*lasting, [this, database] { world_.dark(*database, false); });
+      later(*lasting, [this, database] {
+        world_.dark(*database, false);
+      });
     }
     return true;
   };
@@ -219,14 +247,20 @@
   auto disturbs = [this](unsigned WireTroubles::*field) {
     return [this, field](const Words& words) {
       auto strength = static_cast<unsigned>(words.size() > 3 ? number(words[3]) : 0);
-      return disturb(words, [field, strength](WireTroubles& troubles) { troubles.*field = strength; });
+      return disturb(words, [field, strength](WireTroubles& troubles) {
+        troubles.*field = strength;
+      });
     };
   };
   events_["slow-database"] = disturbs(&WireTroubles::slowness);
   events_["lag"] = disturbs(&WireTroubles::lagFactor);
   events_["lose-answers"] = disturbs(&WireTroubles::loseAnswer);
   events_["fail"] = disturbs(&WireTroubles::fail);
-  events_["receive-nothing"] = [this](const Words& words) { return disturb(words, [](WireTroubles& troubles) { troubles.receivesNothing = true; }); };
+  events_["receive-nothing"] = [this](const Words& words) {
+    return disturb(words, [](WireTroubles& troubles) {
+      troubles.receivesNothing = true;
+    });
+  };
 }
 
 // one route goes and one of another service, where there are two, comes in the same version
@@ -236,7 +270,9 @@
   auto victim = routes.begin() + static_cast<std::ptrdiff_t>(world_.world().below(routes.size()));
   auto removed = *victim;
   routes.erase(victim);
-  auto other = std::find_if(routes.begin(), routes.end(), [&](const auto& route) { return route.targetService != removed.targetService; });
+  auto other = std::find_if(routes.begin(), routes.end(), [&](const auto& route) {
+    return route.targetService != removed.targetService;
+  });
   auto added = other == routes.end() ? removed : *other;
   auto mark = "-" + std::to_string(++swaps_);
   added.name += mark;
@@ -250,14 +286,18 @@
     auto lasting = lasts(words);
     if (words.size() < 2 || !lasting) return false;
     world_.clients().press(static_cast<unsigned>(number(words[1])));
-    later(*lasting, [this] { world_.clients().press(1); });
+    later(*lasting, [this] {
+      world_.clients().press(1);
+    });
     return true;
   };
   events_["shift"] = [this](const Words& words) {
     auto lasting = lasts(words);
     if (words.size() < 2 || !lasting) return false;
     world_.clients().move(words[1]);
-    later(*lasting, [this] { world_.clients().stay(); });
+    later(*lasting, [this] {
+      world_.clients().stay();
+    });
     return true;
   };
   events_["configure"] = [this](const Words& words) {
--- a/tests/platform/platform_process.cpp
+++ b/tests/platform/platform_process.cpp
@@ -2,8 +2,8 @@
 
 namespace tamarindshift::testing {
 
-PlatformProcess::PlatformProcess(World& world, SimulatedNetwork& network, SimulatedLineNetwork& lines, SimulatedWeb& web, PlatformMachine& machine, const PlatformShape& shape,
-                                 std::function<void(const std::string&)> sink)
+PlatformProcess::PlatformProcess(World& world, SimulatedNetwork& network, SimulatedLineNetwork& lines, SimulatedWeb& web,
+                                 PlatformMachine& machine, const PlatformShape& shape, std::function<void(const std::string&)> sink)
     : world_(world),
       network_(network),
       webServer_(web),
@@ -19,7 +19,9 @@
   webServer_.attach(address, keeper, clock_);
 }
 
-void PlatformProcess::terminate(std::function<void()> ended) { scope_.spawn(stopping(std::move(ended))); }
+void PlatformProcess::terminate(std::function<void()> ended) {
+  scope_.spawn(stopping(std::move(ended)));
+}
 
 Task<void> PlatformProcess::stopping(std::function<void()> ended) {
   co_await program_->stop();
--- a/tests/platform/platform_process.hpp
+++ b/tests/platform/platform_process.hpp
@@ -13,8 +13,8 @@
 // one life of a process: the seams a program is built on
 class PlatformProcess {
  public:
-  PlatformProcess(World& world, SimulatedNetwork& network, SimulatedLineNetwork& lines, SimulatedWeb& web, PlatformMachine& machine, const PlatformShape& shape,
-                  std::function<void(const std::string&)> sink);
+  PlatformProcess(World& world, SimulatedNetwork& network, SimulatedLineNetwork& lines, SimulatedWeb& web, PlatformMachine& machine,
+                  const PlatformShape& shape, std::function<void(const std::string&)> sink);
   ~PlatformProcess() { end(false); }
   PlatformProcess(const PlatformProcess&) = delete;
 
--- a/tests/platform/platform_script.cpp
+++ b/tests/platform/platform_script.cpp
@@ -77,33 +77,34 @@
   if (words[0] != "expect" || (words.size() != 7 && !ofKind) || words[1] != "served") return false;
   Expectation expectation;
   expectation.share = std::stod(words[2]);
-  bool read = take(words[4], expectation.from) && take(words[6], expectation.until) && (!ofKind || take(words[8], expectation.kind.emplace()));
+  bool read =
+      take(words[4], expectation.from) && take(words[6], expectation.until) && (!ofKind || take(words[8], expectation.kind.emplace()));
   expectations_.push_back(expectation);
   return read;
 }
 
 bool PlatformScript::readShape(const Words& words) {
   for (const auto& [key, value] : pairs(words)) {
-    bool read = key == "zones"        ? take(value, shape_.zones)
-                : key == "access"     ? take(value, shape_.access)
-                : key == "core"       ? take(value, shape_.core)
-                : key == "services"   ? take(value, shape_.services)
-                : key == "databases"  ? take(value, shape_.databases)
-                : key == "losses"     ? take(value, shape_.losses)
-                : key == "sync"       ? take(value, shape_.syncReplicas)
-                : key == "slots"      ? take(value, shape_.database.slots)
-                : key == "queue"      ? take(value, shape_.database.queue)
-                : key == "trunks"     ? take(value, shape_.database.trunkLimit)
-                : key == "opens"      ? take(value, shape_.database.newConnection)
-                : key == "read"       ? take(value, shape_.database.read)
-                : key == "write"      ? take(value, shape_.database.write)
-                : key == "commit"     ? take(value, shape_.database.commit)
-                : key == "lag"        ? take(value, shape_.database.lag)
-                : key == "disk"       ? take(value, shape_.diskSync)
-                : key == "fence"      ? take(value, shape_.bounds.fenceChecked)
-                : key == "forgets"    ? take(value, shape_.database.rollbackForgets)
-                : key == "lead"       ? take(value, shape_.lead)
-                                      : false;
+    bool read = key == "zones"       ? take(value, shape_.zones)
+                : key == "access"    ? take(value, shape_.access)
+                : key == "core"      ? take(value, shape_.core)
+                : key == "services"  ? take(value, shape_.services)
+                : key == "databases" ? take(value, shape_.databases)
+                : key == "losses"    ? take(value, shape_.losses)
+                : key == "sync"      ? take(value, shape_.syncReplicas)
+                : key == "slots"     ? take(value, shape_.database.slots)
+                : key == "queue"     ? take(value, shape_.database.queue)
+                : key == "trunks"    ? take(value, shape_.database.trunkLimit)
+                : key == "opens"     ? take(value, shape_.database.newConnection)
+                : key == "read"      ? take(value, shape_.database.read)
+                : key == "write"     ? take(value, shape_.database.write)
+                : key == "commit"    ? take(value, shape_.database.commit)
+                : key == "lag"       ? take(value, shape_.database.lag)
+                : key == "disk"      ? take(value, shape_.diskSync)
+                : key == "fence"     ? take(value, shape_.bounds.fenceChecked)
+                : key == "forgets"   ? take(value, shape_.database.rollbackForgets)
+                : key == "lead"      ? take(value, shape_.lead)
+                                     : false;
     if (!read) return false;
   }
   return true;
@@ -140,7 +141,9 @@
   std::vector<std::string> faults;
   PlatformWorld world(shape_, seed, std::move(factory));
   PlatformEvents events(world);
-  std::stable_sort(events_.begin(), events_.end(), [](const auto& left, const auto& right) { return left.at < right.at; });
+  std::stable_sort(events_.begin(), events_.end(), [](const auto& left, const auto& right) {
+    return left.at < right.at;
+  });
   for (const auto& event : events_) {
     world.runUntil(event.at);
     if (!events.happen(event.words)) faults.push_back("no such event: " + event.words.front());
@@ -151,12 +154,16 @@
   for (const auto& fault : world.history().clients.faults) faults.push_back("client: " + fault);
   for (const auto& expectation : expectations_) {
     auto served = world.served(expectation.from, expectation.until, expectation.kind);
-    if (served < expectation.share) faults.push_back("served " + std::to_string(served) + " and not " + std::to_string(expectation.share) + (expectation.kind ? " of kind " + std::to_string(*expectation.kind) : ""));
+    if (served < expectation.share)
+      faults.push_back("served " + std::to_string(served) + " and not " + std::to_string(expectation.share) +
+                       (expectation.kind ? " of kind " + std::to_string(*expectation.kind) : ""));
   }
-  if (noOverload_ && world.history().services.overloads > 0) faults.push_back("databases refused " + std::to_string(world.history().services.overloads) + " connections beyond the limit");
+  if (noOverload_ && world.history().services.overloads > 0)
+    faults.push_back("databases refused " + std::to_string(world.history().services.overloads) + " connections beyond the limit");
   lines_ = world.lines();
-  summary_ = std::to_string(world.history().clients.operations.size()) + " operations, " + std::to_string(world.history().services.runs.size()) +
-             " runs at databases, served " + std::to_string(world.served(shape_.lead, until_));
+  summary_ = std::to_string(world.history().clients.operations.size()) + " operations, " +
+             std::to_string(world.history().services.runs.size()) + " runs at databases, served " +
+             std::to_string(world.served(shape_.lead, until_));
   return faults;
 }
 
--- a/tests/platform/platform_settings_test.cpp
+++ b/tests/platform/platform_settings_test.cpp
@@ -12,9 +12,10 @@
 
 using Values = std::map<std::string, std::string>;
 
-const Values access{{"address", "10.1.0.1:7440"}, {"front", "10.1.0.1:80"}, {"readiness", "10.1.0.1:81"}, {"zone", "z1"}, {"seeds", "10.1.0.9:82,10.2.0.9:82"}, {"peer-port", "7440"}};
-const Values core{{"node", "core-1"}, {"address", "10.1.0.9:7440"}, {"control", "10.1.0.9:82"}, {"zone", "z1"}, {"seeds", "10.1.0.9:82"}, {"peer-port", "7440"},
-                  {"data", "data"}, {"platform", "10.200.0.1:83"}};
+const Values access{{"address", "10.1.0.1:7440"},         {"front", "10.1.0.1:80"}, {"readiness", "10.1.0.1:81"}, {"zone", "z1"},
+                    {"seeds", "10.1.0.9:82,10.2.0.9:82"}, {"peer-port", "7440"}};
+const Values core{{"node", "core-1"},       {"address", "10.1.0.9:7440"}, {"control", "10.1.0.9:82"}, {"zone", "z1"},
+                  {"seeds", "10.1.0.9:82"}, {"peer-port", "7440"},        {"data", "data"},           {"platform", "10.200.0.1:83"}};
 
 std::string outcome(const std::vector<Setting>& settings, const Values& values) {
   for (const auto& setting : settings) {
@@ -36,8 +37,12 @@
   return settings.settle().value_or("");
 }
 
-std::string accessOutcome(const Values& changes) { return outcome<platform::AccessSettings>(access, changes); }
-std::string coreOutcome(const Values& changes) { return outcome<platform::CoreSettings>(core, changes); }
+std::string accessOutcome(const Values& changes) {
+  return outcome<platform::AccessSettings>(access, changes);
+}
+std::string coreOutcome(const Values& changes) {
+  return outcome<platform::CoreSettings>(core, changes);
+}
 
 void checkDescribed(const std::vector<Setting>& settings) {
   std::set<std::string> keys;
@@ -101,6 +106,7 @@
   CHECK(accessOutcome({{"detach", "2000"}}) == "news of a Detach must arrive before its bound");
   CHECK(coreOutcome({{"control", "10.1.0.9:7440"}}) == "address and control must be different addresses");
   CHECK(coreOutcome({{"group-suspicion", "60"}, {"group-heartbeat", "50"}}) == "suspicion must be at least three heartbeats");
-  CHECK(coreOutcome({{"lease", "2800"}, {"plan-followed", "2900"}}) == "the lease and its margin must end within the time a plan is followed");
+  CHECK(coreOutcome({{"lease", "2800"}, {"plan-followed", "2900"}}) ==
+        "the lease and its margin must end within the time a plan is followed");
   CHECK(coreOutcome({{"lease", "2600"}}) == "a node may be given up only after its lease");
 }
--- a/tests/platform/platform_shape.hpp
+++ b/tests/platform/platform_shape.hpp
@@ -16,7 +16,7 @@
   std::size_t databases = 3;
   bool syncReplicas = false;
   StandinWireDatabaseSettings database;  // slots, work, lag and bounds of each
-  std::vector<ClientKind> kinds;  // for each service; hostName and zone are filled in
+  std::vector<ClientKind> kinds;         // for each service; hostName and zone are filled in
   Duration lead = 10s;
   Duration diskSync = 2ms;
   Duration restart = 500ms;
--- a/tests/platform/platform_wire_test.cpp
+++ b/tests/platform/platform_wire_test.cpp
@@ -34,7 +34,9 @@
   TaskScope scope;
 };
 
-bool endsWith(const std::string& text, const std::string& end) { return text.ends_with(end); }
+bool endsWith(const std::string& text, const std::string& end) {
+  return text.ends_with(end);
+}
 
 struct BackTrial {
   BackTrial() : world(1), clock(world) {}
@@ -61,7 +63,8 @@
     world.runUntil(world.now() + 1ms);
     return line;
   }
-  std::optional<BackEndReply> ask(ScriptedLine& line, const std::string& text, const std::string& answer, std::optional<Place> after = std::nullopt) {
+  std::optional<BackEndReply> ask(ScriptedLine& line, const std::string& text, const std::string& answer,
+                                  std::optional<Place> after = std::nullopt) {
     std::optional<BackEndReply> reply;
     scope.spawn(running(*opened->connection, *clientStatement("i1", text), after, reply));
     line.arrive(answer);
@@ -113,10 +116,11 @@
 }
 
 TEST_CASE("wire: what is no statement of clients is refused", "[wire]") {
-  auto text = GENERATE(as<std::string>{}, "", " ", "READ", "READ ", "WRITE", "WRITE ", "SET", "SET ", "SET  x", "PREPARE", "PREPARE s1", "PREPARE s1 READ",
-                       "PREPARE s1 READ ", "PREPARE s1 OTHER q", "PREPARE s1 q2c", "EXECUTE", "EXECUTE s1", "EXECUTE s1 ", "DISCARD", "DISCARD ", "BEGIN WRITE",
-                       "BEGIN READ x", "BEGIN  READ", "COMMIT now", "ROLLBACK x", "begin", "read a", "Read a", " READ a", "READ\ta", "STATUS", "RESET", "SUSPEND 4",
-                       "RESUME", "DEMOTE 4", "AFTER 3.1 READ a", "AFTER 3.1 BEGIN", "QUERY i READ a", "RELEASE", "SETUP a b");
+  auto text = GENERATE(as<std::string>{}, "", " ", "READ", "READ ", "WRITE", "WRITE ", "SET", "SET ", "SET  x", "PREPARE", "PREPARE s1",
+                       "PREPARE s1 READ", "PREPARE s1 READ ", "PREPARE s1 OTHER q", "PREPARE s1 q2c", "EXECUTE", "EXECUTE s1",
+                       "EXECUTE s1 ", "DISCARD", "DISCARD ", "BEGIN WRITE", "BEGIN READ x", "BEGIN  READ", "COMMIT now", "ROLLBACK x",
+                       "begin", "read a", "Read a", " READ a", "READ\ta", "STATUS", "RESET", "SUSPEND 4", "RESUME", "DEMOTE 4",
+                       "AFTER 3.1 READ a", "AFTER 3.1 BEGIN", "QUERY i READ a", "RELEASE", "SETUP a b");
   INFO(text);
   CHECK_FALSE(clientStatement("5c0e", text));
 }
@@ -128,7 +132,9 @@
 }
 
 TEST_CASE("wire: our own statements have texts", "[wire]") {
-  auto text = [](StatementKind kind, const char* name, const char* value) { return statementText(Statement{kind, {}, {}, name, value}); };
+  auto text = [](StatementKind kind, const char* name, const char* value) {
+    return statementText(Statement{kind, {}, {}, name, value});
+  };
   CHECK(text(StatementKind::rollback, "", "") == "ROLLBACK");
   CHECK(text(StatementKind::reset, "", "") == "RESET");
   CHECK(text(StatementKind::set, "v1", "some value") == "SET v1 some value");
@@ -142,7 +148,8 @@
   CHECK(placeNamed("0.0") == Place{Epoch{0}, Position{0}});
   CHECK(placeNamed("18446744073709551615.1") == Place{Epoch{18446744073709551615u}, Position{1}});
   CHECK(placeText(Place{Epoch{3}, Position{1207}}) == "3.1207");
-  for (const char* text : {"", "-", "3", "3.", ".7", "3.x", "x.7", "3.7.1", "-3.7", "+3.7", " 3.7", "3.7 ", "3. 7", "18446744073709551616.1", "0x3.7"}) {
+  for (const char* text :
+       {"", "-", "3", "3.", ".7", "3.x", "x.7", "3.7.1", "-3.7", "+3.7", " 3.7", "3.7 ", "3. 7", "18446744073709551616.1", "0x3.7"}) {
     INFO(text);
     CHECK_FALSE(placeNamed(text));
   }
@@ -150,7 +157,8 @@
 
 TEST_CASE("wire: each word of a fault has its own meaning and is said again", "[wire]") {
   std::set<StatementFault> seen;
-  for (const char* word : {"CONGESTED", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD", "UNRESOLVED", "EXPIRED", "FAILED", "UNKNOWN", "MALFORMED", "NODATABASE"}) {
+  for (const char* word : {"CONGESTED", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD", "UNRESOLVED", "EXPIRED", "FAILED",
+                           "UNKNOWN", "MALFORMED", "NODATABASE"}) {
     auto fault = faultNamed(word);
     CHECK(fault != StatementFault::none);
     CHECK(fault != StatementFault::other);
@@ -162,7 +170,8 @@
 }
 
 TEST_CASE("wire: states", "[wire]") {
-  for (auto state : {TransactionState::idle, TransactionState::open, TransactionState::failed}) CHECK(stateNamed(std::string(1, stateLetter(state))) == state);
+  for (auto state : {TransactionState::idle, TransactionState::open, TransactionState::failed})
+    CHECK(stateNamed(std::string(1, stateLetter(state))) == state);
   for (const char* word : {"", "i", "X", "IT"}) CHECK_FALSE(stateNamed(word));
 }
 
@@ -184,7 +193,8 @@
 
 TEST_CASE("front: a session that does not begin with SETUP is refused and closed", "[front]") {
   FrontTrial trial;
-  auto text = GENERATE(as<std::string>{}, "QUERY u.1 READ a\r\n", "SETUP\r\n", "SETUP \r\n", "setup strict u1\r\n", "\r\n", "GET / HTTP/1.1\r\n", "RELEASE\r\n", std::string("\0\1\2\r\n", 5));
+  auto text = GENERATE(as<std::string>{}, "QUERY u.1 READ a\r\n", "SETUP\r\n", "SETUP \r\n", "setup strict u1\r\n", "\r\n",
+                       "GET / HTTP/1.1\r\n", "RELEASE\r\n", std::string("\0\1\2\r\n", 5));
   INFO(text);
   auto line = trial.guest();
   auto answer = trial.say(*line, text);
@@ -223,10 +233,11 @@
 
 TEST_CASE("front: unknown words get MALFORMED, the session goes on and no database sees them", "[front]") {
   FrontTrial trial;
-  auto text = GENERATE(as<std::string>{}, "\r\n", " \r\n", "QUERY\r\n", "QUERY \r\n", "QUERY u.1\r\n", "QUERY u.1 \r\n", "query i1 READ a\r\n", "QUERY - READ a\r\n",
-                       "QUERY  READ a\r\n", "QUERY u.1 STATUS\r\n", "QUERY - STATUS\r\n", "QUERY u.1 RESET\r\n", "QUERY - RESET\r\n", "QUERY u.1 AFTER 3.1 READ a\r\n",
-                       "QUERY u.1 AFTER 3.1 BEGIN\r\n", "QUERY u.1 SUSPEND 9\r\n", "QUERY u.1 RESUME\r\n", "QUERY u.1 DEMOTE 9\r\n", "QUERY u.1 read a\r\n", "SETUP strict u1\r\n",
-                       "IDLE I -\r\n", "COMPLETE -\r\n", "QUERY u.1 DROP TABLE\r\n");
+  auto text = GENERATE(as<std::string>{}, "\r\n", " \r\n", "QUERY\r\n", "QUERY \r\n", "QUERY u.1\r\n", "QUERY u.1 \r\n",
+                       "query i1 READ a\r\n", "QUERY - READ a\r\n", "QUERY  READ a\r\n", "QUERY u.1 STATUS\r\n", "QUERY - STATUS\r\n",
+                       "QUERY u.1 RESET\r\n", "QUERY - RESET\r\n", "QUERY u.1 AFTER 3.1 READ a\r\n", "QUERY u.1 AFTER 3.1 BEGIN\r\n",
+                       "QUERY u.1 SUSPEND 9\r\n", "QUERY u.1 RESUME\r\n", "QUERY u.1 DEMOTE 9\r\n", "QUERY u.1 read a\r\n",
+                       "SETUP strict u1\r\n", "IDLE I -\r\n", "COMPLETE -\r\n", "QUERY u.1 DROP TABLE\r\n");
   INFO(text);
   auto line = trial.session();
   auto answer = trial.say(*line, text);
@@ -388,7 +399,8 @@
   BackTrial trial;
   auto& line = trial.open();
   line.taken();
-  auto reply = trial.ask(line, "READ 1a4", "ROW qhzk  wmt\r\nROW\r\nCOMPLETE 7.1f3.c\r\nIDLE I 3.1209\r\n", Place{Epoch{3}, Position{1207}});
+  auto reply =
+      trial.ask(line, "READ 1a4", "ROW qhzk  wmt\r\nROW\r\nCOMPLETE 7.1f3.c\r\nIDLE I 3.1209\r\n", Place{Epoch{3}, Position{1207}});
   CHECK(line.taken() == "QUERY i1 AFTER 3.1207 READ 1a4\r\n");
   REQUIRE(reply);
   CHECK(reply->fate == BackEndFate::replied);
@@ -409,7 +421,8 @@
 TEST_CASE("back: a reply that breaks off, is late or is none of the wire's is lost and the connection closed", "[back]") {
   BackTrial trial;
   auto& line = trial.open();
-  auto answer = GENERATE(as<std::string>{}, "", "ROW x\r\n", "COMPLETE 7.1\r\n", "COMPLETE 7.1\r\nIDLE I 3.7", "COMPLETE 7.1\r\nIDLE X 3.7\r\n", "HELLO\r\n", "IDLE\r\n");
+  auto answer = GENERATE(as<std::string>{}, "", "ROW x\r\n", "COMPLETE 7.1\r\n", "COMPLETE 7.1\r\nIDLE I 3.7",
+                         "COMPLETE 7.1\r\nIDLE X 3.7\r\n", "HELLO\r\n", "IDLE\r\n");
   INFO(answer);
   auto reply = trial.ask(line, "READ a", answer);
   REQUIRE(reply);
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -11,7 +11,9 @@
 
 const Address platformApi{"10.200.0.1:8783"};
 
-std::string zoneName(std::size_t index) { return "zone-" + std::to_string(index + 1); }
+std::string zoneName(std::size_t index) {
+  return "zone-" + std::to_string(index + 1);
+}
 
 }  // namespace
 
@@ -29,9 +31,13 @@
   for (const auto& [name, machine] : machines_) startMachine(name);
   clients_ = std::make_unique<StandinWireClients>(clock_, clientLines_, world_, entry_, history_.clients);
   for (std::size_t index = 0; index < 2; ++index)
-    operators_.push_back(std::make_unique<StandinOperator>(clock_, operatorWeb_, world_, history_.operators, [this] { return controlNodes(); }));
+    operators_.push_back(std::make_unique<StandinOperator>(clock_, operatorWeb_, world_, history_.operators, [this] {
+      return controlNodes();
+    }));
   for (std::size_t number = 1; number <= shape_.services; ++number) addService(number);
-  world_.at(start_ + 1s, [this] { configure(); });
+  world_.at(start_ + 1s, [this] {
+    configure();
+  });
 }
 
 PlatformWorld::~PlatformWorld() {
@@ -45,7 +51,9 @@
 }
 
 std::function<void(const std::string&)> PlatformWorld::sink() {
-  return [this](const std::string& text) { lines_.push_back(std::to_string(milliseconds(world_.now() - start_).count()) + "ms " + text); };
+  return [this](const std::string& text) {
+    lines_.push_back(std::to_string(milliseconds(world_.now() - start_).count()) + "ms " + text);
+  };
 }
 
 void PlatformWorld::addMachine(const std::string& name, bool core, std::size_t index) {
@@ -59,7 +67,9 @@
 }
 
 void PlatformWorld::addAccess() {
-  auto index = static_cast<std::size_t>(std::count_if(machines_.begin(), machines_.end(), [](const auto& each) { return !each.second.core; }));
+  auto index = static_cast<std::size_t>(std::count_if(machines_.begin(), machines_.end(), [](const auto& each) {
+    return !each.second.core;
+  }));
   auto name = "access-" + std::to_string(index + 1);
   addMachine(name, false, index);
   startMachine(name);
@@ -76,11 +86,15 @@
 
 void PlatformWorld::replaceCore(const std::string& name, bool planned, Duration after) {
   if (planned)
-    stopProcess(name, [this, name] { removeMachine(name); });
+    stopProcess(name, [this, name] {
+      removeMachine(name);
+    });
   else
     removeMachine(name);
   world_.at(world_.now() + after, [this, zone = machines_.at(name).zone] {
-    auto index = static_cast<std::size_t>(std::count_if(machines_.begin(), machines_.end(), [](const auto& each) { return each.second.core; }));
+    auto index = static_cast<std::size_t>(std::count_if(machines_.begin(), machines_.end(), [](const auto& each) {
+      return each.second.core;
+    }));
     auto added = "core-" + std::to_string(index + 1);
     addMachine(added, true, index);
     auto& machine = machines_.at(added);
@@ -95,7 +109,8 @@
   auto name = "service-" + std::to_string(number);
   services_.push_back(std::make_unique<StandinWireService>(name, shape_.syncReplicas, lineNetwork_, history_.services));
   promotionApi_.serves(*services_.back());
-  configuration_.services.push_back(PlatformService{name, static_cast<unsigned>(shape_.database.trunkLimit), shape_.syncReplicas ? 1u : 0u});
+  configuration_.services.push_back(
+      PlatformService{name, static_cast<unsigned>(shape_.database.trunkLimit), shape_.syncReplicas ? 1u : 0u});
   for (std::size_t index = 1; index <= shape_.databases; ++index) {
     auto settings = shape_.database;
     settings.service = name;
@@ -106,8 +121,12 @@
     if (index == 1) services_.back()->found(settings.id);
     StandinHeartbeatsSettings heartbeats;
     heartbeats.drain = shape_.bounds.drain;
-    databases_[{number, index}] =
-        std::make_unique<StandinDatabaseHost>(world_, lineNetwork_, web_, *services_.back(), std::move(settings), [this] { return controlNodes(); }, heartbeats);
+    databases_[{number, index}] = std::make_unique<StandinDatabaseHost>(
+        world_, lineNetwork_, web_, *services_.back(), std::move(settings),
+        [this] {
+          return controlNodes();
+        },
+        heartbeats);
   }
   addKinds(number);
 }
@@ -126,7 +145,9 @@
     route.precedence = kind.precedence;
     route.guard = milliseconds(kind.deadline / 2);
     configuration_.routes.push_back(route);
-    world_.at(start_ + shape_.lead, [this, kind] { clients_->start(kind); });
+    world_.at(start_ + shape_.lead, [this, kind] {
+      clients_->start(kind);
+    });
   }
 }
 
@@ -149,7 +170,9 @@
   return nodes;
 }
 
-PlatformMachine& PlatformWorld::machine(const std::string& name) { return machines_.at(name); }
+PlatformMachine& PlatformWorld::machine(const std::string& name) {
+  return machines_.at(name);
+}
 
 PlatformProcess* PlatformWorld::process(const std::string& name) {
   auto found = processes_.find(name);
@@ -166,8 +189,9 @@
     if (processes_.contains(name) && !machine.frozen) running.push_back(&machine);
   }
   return std::any_of(running.begin(), running.end(), [&](const auto* one) {
-    auto reached = std::count_if(running.begin(), running.end(),
-                                 [&](const auto* other) { return network_.connected(one->control(), other->control()) && network_.connected(other->control(), one->control()); });
+    auto reached = std::count_if(running.begin(), running.end(), [&](const auto* other) {
+      return network_.connected(one->control(), other->control()) && network_.connected(other->control(), one->control());
+    });
     return 2 * static_cast<std::size_t>(reached) > all;
   });
 }
@@ -206,7 +230,9 @@
   auto process = std::make_unique<PlatformProcess>(world_, network_, lineNetwork_, web_, machine, shape_, sink());
   process->seeds = seeds();
   process->platformApi = platformApi;
-  process->endedItself = [this, name, life = ++machine.lives] { ended(name, life); };
+  process->endedItself = [this, name, life = ++machine.lives] {
+    ended(name, life);
+  };
   auto& started = *process;
   processes_[name] = std::move(process);
   started.run(factory_(started));
@@ -353,7 +379,9 @@
 
 StandinDatabaseHost* PlatformWorld::primary(std::size_t service) {
   for (auto& [place, host] : databases_)
-    if (place.first == service && host->running() && host->database()->leads() && host->settings().id == services_.at(service - 1)->leader()) return host.get();
+    if (place.first == service && host->running() && host->database()->leads() &&
+        host->settings().id == services_.at(service - 1)->leader())
+      return host.get();
   return nullptr;
 }
 
@@ -364,9 +392,13 @@
   return found;
 }
 
-void PlatformWorld::dark(StandinDatabaseHost& database, bool dark) { reach_.dark(database.host(), dark); }
+void PlatformWorld::dark(StandinDatabaseHost& database, bool dark) {
+  reach_.dark(database.host(), dark);
+}
 
-void PlatformWorld::release(StandinDatabaseHost& database) { database.release(freshDatabase()); }
+void PlatformWorld::release(StandinDatabaseHost& database) {
+  database.release(freshDatabase());
+}
 
 void PlatformWorld::configure(std::size_t operatorIndex) {
   configuration_.revision += 1 + world_.below(4);
@@ -420,7 +452,8 @@
   auto ending = kind ? "-" + std::to_string(*kind) : std::string{};
   for (const auto& operation : history_.clients.operations) {
     if (!operation.hostName.ends_with(ending)) continue;
-    if (!operation.ended || operation.left || operation.visits || operation.beganAt < start_ + from || operation.beganAt >= start_ + until) continue;
+    if (!operation.ended || operation.left || operation.visits || operation.beganAt < start_ + from || operation.beganAt >= start_ + until)
+      continue;
     ended += 1;
     served += operation.served ? 1 : 0;
   }
--- a/tests/platform/platform_world_test.cpp
+++ b/tests/platform/platform_world_test.cpp
@@ -21,13 +21,17 @@
   PlatformScript script;
   if (!script.read(stream)) return {script.lastReason()};
   StraightKnowledge knowledge;
-  auto faults = script.run(seed, [&](PlatformProcess& process) { return std::make_unique<StraightProgram>(process, knowledge); });
+  auto faults = script.run(seed, [&](PlatformProcess& process) {
+    return std::make_unique<StraightProgram>(process, knowledge);
+  });
   for (const auto& fault : faults) UNSCOPED_INFO(fault);
   return faults;
 }
 
 bool broke(const std::vector<std::string>& faults, const std::string& rule) {
-  return std::any_of(faults.begin(), faults.end(), [&](const auto& fault) { return fault.starts_with(rule); });
+  return std::any_of(faults.begin(), faults.end(), [&](const auto& fault) {
+    return fault.starts_with(rule);
+  });
 }
 
 }  // namespace
@@ -49,15 +53,17 @@
 }
 
 TEST_CASE("nodes are stopped in turn, lose their power and are cut off") {
-  CHECK(play(usual +
-             "at 12s terminate access-1\nat 16s kill access-2\nat 20s power-off access-3 for 3s\nat 26s reset access-1 500\nat 28s cut access-1 10.2.1.1 for 3s\n"
-             "at 30s freeze access-2 for 1s\nat 32s slow access-3 20ms for 2s\nat 33s add-access\nuntil 40s\nexpect served 0.9 from 36s until 40s\n")
+  CHECK(play(usual + "at 12s terminate access-1\nat 16s kill access-2\nat 20s power-off access-3 for 3s\nat 26s reset access-1 500\nat 28s "
+                     "cut access-1 10.2.1.1 for 3s\n"
+                     "at 30s freeze access-2 for 1s\nat 32s slow access-3 20ms for 2s\nat 33s add-access\nuntil 40s\nexpect served 0.9 "
+                     "from 36s until 40s\n")
             .empty());
 }
 
 TEST_CASE("a primary cut off from all but its clients goes on, and straight poolers that do not end its transactions break ONE") {
   std::string cuts;
-  for (const auto* other : {"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.2.1.2", "10.2.1.3"}) cuts += std::string("at 14s cut 10.2.1.1 ") + other + "\n";
+  for (const auto* other : {"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.2.1.2", "10.2.1.3"})
+    cuts += std::string("at 14s cut 10.2.1.1 ") + other + "\n";
   CHECK(broke(play(usual + "kind class=primary sessions=6 step=200ms deadline=8s\n" + cuts + "until 30s\n"), "ONE"));
 }
 
