--- a/tests/platform/rule_checks_test.cpp
+++ b/tests/platform/rule_checks_test.cpp
@@ -33,7 +33,8 @@
   return attempt;
 }
 
-void singleWrite(HistoryMaker& made, const std::string& host, Duration at, std::uint64_t term, std::uint64_t number, std::size_t session = 1) {
+void singleWrite(HistoryMaker& made, const std::string& host, Duration at, std::uint64_t term, std::uint64_t number,
+                 std::size_t session = 1) {
   auto& run = made.runs(made.attempt(session, host), "WRITE k v", at);
   made.keep(run, term, number);
 }
@@ -71,7 +72,8 @@
   made.history.services.terms.push_back(TermStart{"orders", "b", 2, 1, HistoryMaker::at(13s)});
   singleWrite(made, "shop", 14s, 2, 2);
   made.sent(made.configuration(5), 15s, 16s);
-  made.history.services.leaves.push_back(LeaveNotice{"orders", "a", Address{"10.1.0.1:90"}, HistoryMaker::at(17s), HistoryMaker::at(17s), false});
+  made.history.services.leaves.push_back(
+      LeaveNotice{"orders", "a", Address{"10.1.0.1:90"}, HistoryMaker::at(17s), HistoryMaker::at(17s), false});
   auto late = made.attempt(4, "shop");
   auto& before = made.runs(late, "READ k", 23900ms);
   before.log = WirePosition{2, 2};
@@ -123,7 +125,8 @@
 
 TEST_CASE("DRAIN: a statement reaches a database too late after its leave was acknowledged") {
   HistoryMaker made;
-  made.history.services.leaves.push_back(LeaveNotice{"orders", "a", Address{"10.1.0.1:90"}, HistoryMaker::at(10s), HistoryMaker::at(10s), false});
+  made.history.services.leaves.push_back(
+      LeaveNotice{"orders", "a", Address{"10.1.0.1:90"}, HistoryMaker::at(10s), HistoryMaker::at(10s), false});
   made.runs(made.attempt(1, "shop"), "READ k", 17001ms);
   CHECK(broken(made) == "DRAIN");
   made.history.troubles.troubles.push_back(Trouble{"10.2.0.1", HistoryMaker::at(12s), HistoryMaker::at(13s)});
@@ -132,7 +135,8 @@
 
 TEST_CASE("DRAIN: statements of a transaction begun in time may go on") {
   HistoryMaker made;
-  made.history.services.leaves.push_back(LeaveNotice{"orders", "a", Address{"10.1.0.1:90"}, HistoryMaker::at(10s), HistoryMaker::at(10s), false});
+  made.history.services.leaves.push_back(
+      LeaveNotice{"orders", "a", Address{"10.1.0.1:90"}, HistoryMaker::at(10s), HistoryMaker::at(10s), false});
   auto attempt = made.attempt(1, "shop", true);
   inTransaction(made.runs(attempt, "BEGIN", 16900ms), 1);
   inTransaction(made.runs(attempt, "READ k", 17500ms), 1);
@@ -265,9 +269,15 @@
   auto second = made.attempt(2, "shop");
   made.runs(second, "READ k", 10s);
   auto& reply = made.history.clients.tries[first].statements.front().reply;
-  SECTION("none") { reply.stamp = "-"; }
-  SECTION("another's") { reply.stamp = made.history.clients.tries[second].statements.front().reply.stamp; }
-  SECTION("rows") { reply.rows.push_back("more"); }
+  SECTION("none") {
+    reply.stamp = "-";
+  }
+  SECTION("another's") {
+    reply.stamp = made.history.clients.tries[second].statements.front().reply.stamp;
+  }
+  SECTION("rows") {
+    reply.rows.push_back("more");
+  }
   CHECK(broken(made) == "MIXED");
 }
 
@@ -276,9 +286,15 @@
   auto first = made.attempt(1, "shop", true);
   inTransaction(made.runs(first, "BEGIN", 10s), 1);
   inTransaction(made.runs(first, "READ k", 10010ms), 1);
-  SECTION("another client's statement inside") { inTransaction(made.runs(made.attempt(2, "shop"), "READ k", 10020ms), 1); }
-  SECTION("outside") { made.runs(first, "READ l", 10020ms); }
-  SECTION("another connection") { inTransaction(made.runs(first, "READ l", 10020ms), 2, 2); }
+  SECTION("another client's statement inside") {
+    inTransaction(made.runs(made.attempt(2, "shop"), "READ k", 10020ms), 1);
+  }
+  SECTION("outside") {
+    made.runs(first, "READ l", 10020ms);
+  }
+  SECTION("another connection") {
+    inTransaction(made.runs(first, "READ l", 10020ms), 2, 2);
+  }
   CHECK(broken(made) == "PINNED");
 }
 
@@ -291,11 +307,21 @@
   run.values = {{"zone", "north"}};
   run.shape = "q1";
   CHECK(broken(made) == "");
-  SECTION("no values") { run.values.clear(); }
-  SECTION("more values") { run.values["other"] = "x"; }
-  SECTION("another value") { run.values["zone"] = "south"; }
-  SECTION("another shape") { run.shape = "q2"; }
-  SECTION("unknown") { made.refuse(attempt, "UNKNOWN", 10030ms); }
+  SECTION("no values") {
+    run.values.clear();
+  }
+  SECTION("more values") {
+    run.values["other"] = "x";
+  }
+  SECTION("another value") {
+    run.values["zone"] = "south";
+  }
+  SECTION("another shape") {
+    run.shape = "q2";
+  }
+  SECTION("unknown") {
+    made.refuse(attempt, "UNKNOWN", 10030ms);
+  }
   CHECK(broken(made).find("PINNED") != std::string::npos);
 }
 
@@ -406,7 +432,9 @@
     return broken(made);
   };
   PromotionCall first{HistoryMaker::at(10s), "orders", "a", "core-1", "4", 200};
-  auto next = [&](const std::string& holder, const std::string& fence) { return PromotionCall{HistoryMaker::at(20s), "orders", "b", holder, fence, 200}; };
+  auto next = [&](const std::string& holder, const std::string& fence) {
+    return PromotionCall{HistoryMaker::at(20s), "orders", "b", holder, fence, 200};
+  };
   CHECK(calls({first, next("core-1", "4"), next("core-2", "5")}).empty());
   CHECK(calls({first, next("", "5")}) == "DUTY");
   CHECK(calls({first, next("core-2", "")}) == "DUTY");
--- a/tests/platform/standin_database_host.cpp
+++ b/tests/platform/standin_database_host.cpp
@@ -2,9 +2,16 @@
 
 namespace tamarindshift::testing {
 
-StandinDatabaseHost::StandinDatabaseHost(World& world, SimulatedLineNetwork& lines, SimulatedWeb& web, StandinWireService& service, StandinWireDatabaseSettings settings,
-                                         StandinHeartbeats::Nodes nodes, StandinHeartbeatsSettings heartbeats)
-    : world_(world), lines_(lines), web_(web), service_(service), settings_(std::move(settings)), nodes_(std::move(nodes)), heartbeatSettings_(std::move(heartbeats)) {
+StandinDatabaseHost::StandinDatabaseHost(World& world, SimulatedLineNetwork& lines, SimulatedWeb& web, StandinWireService& service,
+                                         StandinWireDatabaseSettings settings, StandinHeartbeats::Nodes nodes,
+                                         StandinHeartbeatsSettings heartbeats)
+    : world_(world),
+      lines_(lines),
+      web_(web),
+      service_(service),
+      settings_(std::move(settings)),
+      nodes_(std::move(nodes)),
+      heartbeatSettings_(std::move(heartbeats)) {
   start();
 }
 
@@ -37,14 +44,20 @@
 
 void StandinDatabaseHost::release(std::string nextId) {
   if (!running()) return;
-  heartbeats_->ended = [this, nextId = std::move(nextId)] { world_.at(world_.now(), [this, nextId] { replaced(nextId); }); };
+  heartbeats_->ended = [this, nextId = std::move(nextId)] {
+    world_.at(world_.now(), [this, nextId] {
+      replaced(nextId);
+    });
+  };
   heartbeats_->quiesce();
 }
 
 void StandinDatabaseHost::replaced(const std::string& nextId) {
   crash();
   settings_.id = nextId;
-  world_.at(world_.now() + 500ms, [this] { start(); });
+  world_.at(world_.now() + 500ms, [this] {
+    start();
+  });
 }
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/standin_database_host.hpp
+++ b/tests/platform/standin_database_host.hpp
@@ -10,8 +10,8 @@
 // the machine of a database, over its lives
 class StandinDatabaseHost {
  public:
-  StandinDatabaseHost(World& world, SimulatedLineNetwork& lines, SimulatedWeb& web, StandinWireService& service, StandinWireDatabaseSettings settings, StandinHeartbeats::Nodes nodes,
-                      StandinHeartbeatsSettings heartbeats);
+  StandinDatabaseHost(World& world, SimulatedLineNetwork& lines, SimulatedWeb& web, StandinWireService& service,
+                      StandinWireDatabaseSettings settings, StandinHeartbeats::Nodes nodes, StandinHeartbeatsSettings heartbeats);
   ~StandinDatabaseHost() { crash(); }
   void start();
   void crash();
--- a/tests/platform/standin_entry.cpp
+++ b/tests/platform/standin_entry.cpp
@@ -14,7 +14,9 @@
 void StandinEntry::remove(const Address& front) {
   for (auto& node : nodes_)
     if (node->point.front == front) node->removed = true;
-  std::erase_if(nodes_, [](const auto& node) { return node->removed; });
+  std::erase_if(nodes_, [](const auto& node) {
+    return node->removed;
+  });
 }
 
 Task<void> StandinEntry::probe(std::shared_ptr<Node> node) {
@@ -31,7 +33,9 @@
 }
 
 bool StandinEntry::ready(const Address& front) const {
-  return std::any_of(nodes_.begin(), nodes_.end(), [&](const auto& node) { return node->point.front == front && node->misses < 2; });
+  return std::any_of(nodes_.begin(), nodes_.end(), [&](const auto& node) {
+    return node->point.front == front && node->misses < 2;
+  });
 }
 
 std::vector<Address> StandinEntry::readyFronts() const {
--- a/tests/platform/standin_heartbeats.cpp
+++ b/tests/platform/standin_heartbeats.cpp
@@ -6,17 +6,32 @@
 
 using Json = nlohmann::json;
 
-StandinHeartbeats::StandinHeartbeats(Clock& clock, WebLink& web, World& world, StandinWireDatabase& database, ServiceHistory& history, Nodes nodes, StandinHeartbeatsSettings settings)
-    : clock_(clock), web_(web), world_(world), database_(database), history_(history), nodes_(std::move(nodes)), settings_(std::move(settings)) {
-  database_.roleChanged = [this] { tell(); };
+StandinHeartbeats::StandinHeartbeats(Clock& clock, WebLink& web, World& world, StandinWireDatabase& database, ServiceHistory& history,
+                                     Nodes nodes, StandinHeartbeatsSettings settings)
+    : clock_(clock),
+      web_(web),
+      world_(world),
+      database_(database),
+      history_(history),
+      nodes_(std::move(nodes)),
+      settings_(std::move(settings)) {
+  database_.roleChanged = [this] {
+    tell();
+  };
   scope_.spawn(heartbeat());
 }
 
 std::string StandinHeartbeats::body() {
   const auto& own = database_.settings();
-  return Json{{"targetService", own.service}, {"address", own.address.get()},  {"zone", own.zone},
-              {"revision", settings_.revision}, {"capacity", own.slots},       {"condition", quiescing_ ? "quiescing" : "in_service"},
-              {"coldLeftMs", 0},              {"dbRole", database_.leads() ? "primary" : "replica"}, {"callCount", ++calls_}}
+  return Json{{"targetService", own.service},
+              {"address", own.address.get()},
+              {"zone", own.zone},
+              {"revision", settings_.revision},
+              {"capacity", own.slots},
+              {"condition", quiescing_ ? "quiescing" : "in_service"},
+              {"coldLeftMs", 0},
+              {"dbRole", database_.leads() ? "primary" : "replica"},
+              {"callCount", ++calls_}}
       .dump();
 }
 
@@ -36,7 +51,8 @@
     }
     ++acknowledged_;
     auto json = Json::parse(outcome->body, nullptr, false);
-    if (json.is_object() && json.contains("beatTarget") && json["beatTarget"].is_string()) target_ = Address{json["beatTarget"].get<std::string>()};
+    if (json.is_object() && json.contains("beatTarget") && json["beatTarget"].is_string())
+      target_ = Address{json["beatTarget"].get<std::string>()};
     co_return node;
   }
   co_return std::nullopt;
@@ -83,7 +99,9 @@
     history_.leaves.push_back(LeaveNotice{database_.settings().service, database_.settings().id, *taken, sent, clock_.now(), true});
     break;
   }
-  clock_.after(Duration::zero(), [this] { ended(); });
+  clock_.after(Duration::zero(), [this] {
+    ended();
+  });
 }
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/standin_heartbeats.hpp
+++ b/tests/platform/standin_heartbeats.hpp
@@ -17,8 +17,11 @@
 class StandinHeartbeats {
  public:
   using Nodes = std::function<std::vector<Address>()>;
-  StandinHeartbeats(Clock& clock, WebLink& web, World& world, StandinWireDatabase& database, ServiceHistory& history, Nodes nodes, StandinHeartbeatsSettings settings);
-  ~StandinHeartbeats() { database_.roleChanged = [] {}; }
+  StandinHeartbeats(Clock& clock, WebLink& web, World& world, StandinWireDatabase& database, ServiceHistory& history, Nodes nodes,
+                    StandinHeartbeatsSettings settings);
+  ~StandinHeartbeats() {
+    database_.roleChanged = [] {};
+  }
   // a change is told at once
   void tell() { news_.open(); }
   // quiescing, then Detach, then `ended`
--- a/tests/platform/standin_operator.cpp
+++ b/tests/platform/standin_operator.cpp
@@ -5,7 +5,9 @@
 
 namespace tamarindshift::testing {
 
-std::size_t StandinOperator::replace(const PlatformConfiguration& configuration) { return replaceWith(configurationJson(configuration), configuration.valid()); }
+std::size_t StandinOperator::replace(const PlatformConfiguration& configuration) {
+  return replaceWith(configurationJson(configuration), configuration.valid());
+}
 
 std::size_t StandinOperator::replaceWith(std::string body, bool valid) {
   auto place = history_.sent.size();
@@ -53,7 +55,9 @@
   --underway_;
 }
 
-void StandinOperator::retrieve(Duration span) { scope_.spawn(read(span)); }
+void StandinOperator::retrieve(Duration span) {
+  scope_.spawn(read(span));
+}
 
 Task<void> StandinOperator::read(Duration span) {
   ++underway_;
--- a/tests/platform/standin_operator_test.cpp
+++ b/tests/platform/standin_operator_test.cpp
@@ -53,7 +53,9 @@
     return all;
   }
   StandinOperator::Nodes list() {
-    return [this] { return addresses(); };
+    return [this] {
+      return addresses();
+    };
   }
   PlatformConfiguration configuration(std::uint64_t revision) const {
     PlatformConfiguration made;
@@ -144,7 +146,8 @@
   CHECK(trial.history.sent.size() == 2);
   CHECK(trial.history.sent[0].acknowledgedAt.has_value());
   CHECK(trial.history.sent[1].acknowledgedAt.has_value());
-  for (auto& [node, scripted] : trial.nodes) scripted.replies.assign(100, DoorReply{200, configurationJson(trial.configuration(5)), std::nullopt});
+  for (auto& [node, scripted] : trial.nodes)
+    scripted.replies.assign(100, DoorReply{200, configurationJson(trial.configuration(5)), std::nullopt});
   first.retrieve(1s);
   trial.databases.run(2s);
   REQUIRE(trial.history.reads.size() == 1);
@@ -175,7 +178,8 @@
 
 TEST_CASE("a database heartbeats to whoever answers, tells a new role at once, and leaves in order") {
   Trial trial;
-  StandinHeartbeats heartbeats(trial.clock, trial.link, trial.databases.world, trial.databases.database("b"), trial.databases.history, trial.list(), StandinHeartbeatsSettings{});
+  StandinHeartbeats heartbeats(trial.clock, trial.link, trial.databases.world, trial.databases.database("b"), trial.databases.history,
+                               trial.list(), StandinHeartbeatsSettings{});
   trial.databases.run(2500ms);
   CHECK(trial.requests() == 3);
   for (const auto& [node, scripted] : trial.nodes)
@@ -187,7 +191,9 @@
   trial.databases.run(50ms);
   CHECK(trial.requests() == 4);
   bool ended = false;
-  heartbeats.ended = [&] { ended = true; };
+  heartbeats.ended = [&] {
+    ended = true;
+  };
   trial.web.detach(Address{"10.1.0.1:90"});
   heartbeats.quiesce();
   trial.databases.run(2s);
@@ -203,7 +209,8 @@
   Trial trial;
   auto target = DoorReply{200, R"({"beatTarget":"10.1.0.3:90"})", std::nullopt};
   for (auto& [node, scripted] : trial.nodes) scripted.replies.assign(50, target);
-  StandinHeartbeats heartbeats(trial.clock, trial.link, trial.databases.world, trial.databases.database("b"), trial.databases.history, trial.list(), StandinHeartbeatsSettings{});
+  StandinHeartbeats heartbeats(trial.clock, trial.link, trial.databases.world, trial.databases.database("b"), trial.databases.history,
+                               trial.list(), StandinHeartbeatsSettings{});
   trial.databases.run(6s);
   CHECK(trial.nodes["10.1.0.3:90"].requests.size() >= 4);
   trial.web.detach(Address{"10.1.0.3:90"});
--- a/tests/platform/standin_promotion_api.hpp
+++ b/tests/platform/standin_promotion_api.hpp
@@ -18,7 +18,8 @@
 
 class StandinPromotionApi : public DoorKeeper {
  public:
-  StandinPromotionApi(Clock& clock, std::vector<PromotionCall>& calls, StandinPromotionSettings settings) : clock_(clock), calls_(calls), settings_(settings) {}
+  StandinPromotionApi(Clock& clock, std::vector<PromotionCall>& calls, StandinPromotionSettings settings)
+      : clock_(clock), calls_(calls), settings_(settings) {}
   void serves(StandinWireService& service) { services_[service.name()] = &service; }
   Task<DoorReply> serve(DoorRequest request) override;
   void gone(ConnectionId) override {}
--- a/tests/platform/standin_wire_clients.cpp
+++ b/tests/platform/standin_wire_clients.cpp
@@ -42,8 +42,12 @@
 
 StandinWireClients::Plan StandinWireClients::plan(const ClientKind& kind) {
   Plan made;
-  auto thing = [&] { return std::to_string(world_.below(kind.things)); };
-  auto write = [&] { return "WRITE " + thing() + " w" + std::to_string(++written_); };
+  auto thing = [&] {
+    return std::to_string(world_.below(kind.things));
+  };
+  auto write = [&] {
+    return "WRITE " + thing() + " w" + std::to_string(++written_);
+  };
   made.transaction = happens(kind.transactions);
   made.leaves = happens(kind.leaves);
   if (!made.transaction) {
@@ -83,7 +87,8 @@
   return verdict;
 }
 
-Task<void> StandinWireClients::operation(StandinWireSession& session, const ClientKind& kind, std::uint64_t number, std::optional<Address> visited) {
+Task<void> StandinWireClients::operation(StandinWireSession& session, const ClientKind& kind, std::uint64_t number,
+                                         std::optional<Address> visited) {
   auto planned = plan(kind);
   Underway underway;
   underway.operation = history_.operations.size();
@@ -109,7 +114,8 @@
   noted.served = verdict == Verdict::served;
 }
 
-Task<StandinWireClients::Verdict> StandinWireClients::tryOnce(StandinWireSession& session, const ClientKind& kind, const Plan& plan, Underway& underway, std::optional<Address> node) {
+Task<StandinWireClients::Verdict> StandinWireClients::tryOnce(StandinWireSession& session, const ClientKind& kind, const Plan& plan,
+                                                              Underway& underway, std::optional<Address> node) {
   bool ready = co_await session.ready(underway.attempt, node);
   if (!ready) co_return end(underway, TryEnd::failed, Verdict::again);
   auto failed = co_await names(session, kind, underway);
@@ -117,7 +123,8 @@
   co_return co_await steps(session, kind, plan, underway);
 }
 
-Task<std::optional<StandinWireClients::Verdict>> StandinWireClients::names(StandinWireSession& session, const ClientKind& kind, Underway& underway) {
+Task<std::optional<StandinWireClients::Verdict>> StandinWireClients::names(StandinWireSession& session, const ClientKind& kind,
+                                                                           Underway& underway) {
   std::vector<std::string> texts;
   if (happens(kind.names)) texts.push_back("SET zone s" + std::to_string(session.number()) + " v" + std::to_string(++session.setAt()));
   if (happens(kind.names)) {
@@ -148,7 +155,8 @@
   return "EXECUTE " + name + step.substr(step.find(' '));
 }
 
-Task<StandinWireClients::Verdict> StandinWireClients::steps(StandinWireSession& session, const ClientKind& kind, const Plan& plan, Underway& underway) {
+Task<StandinWireClients::Verdict> StandinWireClients::steps(StandinWireSession& session, const ClientKind& kind, const Plan& plan,
+                                                            Underway& underway) {
   auto leavesAt = plan.leaves ? world_.below(plan.steps.size()) : plan.steps.size();
   for (std::size_t index = 0; index < plan.steps.size(); ++index) {
     const auto& step = plan.steps[index];
@@ -172,13 +180,15 @@
     if (reply.end != WireEnd::complete) co_return co_await afterFailure(session, plan, underway, std::move(reply));
     if (reply.state == (last || single ? 'I' : 'T')) continue;
     session.drop();
-    history_.faults.push_back("state " + std::string(1, reply.state) + " after '" + step + "' in session " + std::to_string(session.number()));
+    history_.faults.push_back("state " + std::string(1, reply.state) + " after '" + step + "' in session " +
+                              std::to_string(session.number()));
     if (!last) co_return end(underway, TryEnd::unknown, underway.sentForGood ? Verdict::over : Verdict::again);
   }
   co_return end(underway, plan.rollsBack ? TryEnd::rolledBack : TryEnd::served, Verdict::served);
 }
 
-Task<StandinWireClients::Verdict> StandinWireClients::afterFailure(StandinWireSession& session, const Plan& plan, Underway& underway, WireReply reply) {
+Task<StandinWireClients::Verdict> StandinWireClients::afterFailure(StandinWireSession& session, const Plan& plan, Underway& underway,
+                                                                   WireReply reply) {
   if (reply.end != WireEnd::error) {
     session.drop();
     bool over = underway.sentForGood || clock_.now() >= underway.deadline;
--- a/tests/platform/standin_wire_clients.hpp
+++ b/tests/platform/standin_wire_clients.hpp
@@ -8,7 +8,8 @@
 
 class StandinWireClients {
  public:
-  StandinWireClients(Clock& clock, LineLink& link, World& world, StandinEntry& entry, ClientHistory& history) : clock_(clock), link_(link), world_(world), entry_(entry), history_(history) {}
+  StandinWireClients(Clock& clock, LineLink& link, World& world, StandinEntry& entry, ClientHistory& history)
+      : clock_(clock), link_(link), world_(world), entry_(entry), history_(history) {}
   void start(ClientKind kind);
   // a session directly at each node that is ready, for a database just added or removed
   void visit(const ClientKind& kind, Duration lasting);
@@ -37,8 +38,10 @@
 
   Task<void> client(std::shared_ptr<const ClientKind> kind, std::uint64_t number);
   Task<void> visitor(std::shared_ptr<const ClientKind> kind, Address node, Instant until);
-  Task<void> operation(StandinWireSession& session, const ClientKind& kind, std::uint64_t number, std::optional<Address> visited = std::nullopt);
-  Task<Verdict> tryOnce(StandinWireSession& session, const ClientKind& kind, const Plan& plan, Underway& underway, std::optional<Address> node);
+  Task<void> operation(StandinWireSession& session, const ClientKind& kind, std::uint64_t number,
+                       std::optional<Address> visited = std::nullopt);
+  Task<Verdict> tryOnce(StandinWireSession& session, const ClientKind& kind, const Plan& plan, Underway& underway,
+                        std::optional<Address> node);
   Task<std::optional<Verdict>> names(StandinWireSession& session, const ClientKind& kind, Underway& underway);
   Task<Verdict> steps(StandinWireSession& session, const ClientKind& kind, const Plan& plan, Underway& underway);
   Task<Verdict> afterFailure(StandinWireSession& session, const Plan& plan, Underway& underway, WireReply reply);
--- a/tests/platform/standin_wire_clients_test.cpp
+++ b/tests/platform/standin_wire_clients_test.cpp
@@ -23,7 +23,8 @@
     PlatformConfiguration configuration;
     configuration.revision = 1;
     configuration.services.push_back(PlatformService{"orders", 120, 0});
-    for (auto [host, routeClass] : {std::pair{"shop", RouteClass::primary}, {"list", RouteClass::boundedStaleness}, {"own", RouteClass::inHouse}}) {
+    for (auto [host, routeClass] :
+         {std::pair{"shop", RouteClass::primary}, {"list", RouteClass::boundedStaleness}, {"own", RouteClass::inHouse}}) {
       PlatformRoute route;
       route.name = route.hostName = host;
       route.routeClass = routeClass;
@@ -80,7 +81,9 @@
     return ended > 0 ? served / ended : 0;
   }
   std::size_t tries(TryEnd end) const {
-    return static_cast<std::size_t>(std::count_if(history.clients.tries.begin(), history.clients.tries.end(), [&](const auto& attempt) { return attempt.end == end; }));
+    return static_cast<std::size_t>(std::count_if(history.clients.tries.begin(), history.clients.tries.end(), [&](const auto& attempt) {
+      return attempt.end == end;
+    }));
   }
 
   WireDatabaseTrial databases;
@@ -147,7 +150,9 @@
       bool forGood = std::any_of(statements.begin(), statements.end(), [&](const auto& statement) {
         return statement.text == "COMMIT" || (!attempt.transaction && statement.text.starts_with("WRITE"));
       });
-      bool reads = std::none_of(statements.begin(), statements.end(), [](const auto& statement) { return statement.text.starts_with("WRITE") || statement.text.starts_with("EXECUTE w"); });
+      bool reads = std::none_of(statements.begin(), statements.end(), [](const auto& statement) {
+        return statement.text.starts_with("WRITE") || statement.text.starts_with("EXECUTE w");
+      });
       CHECK((promised || !forGood || reads));
     }
     last[attempt.operation] = &attempt;
--- a/tests/platform/standin_wire_database.cpp
+++ b/tests/platform/standin_wire_database.cpp
@@ -24,7 +24,9 @@
   scope_.spawn(watchLead());
 }
 
-StandinWireDatabase::~StandinWireDatabase() { service_.part(*this); }
+StandinWireDatabase::~StandinWireDatabase() {
+  service_.part(*this);
+}
 
 std::uint64_t StandinWireDatabase::applied() {
   while (!appliedAt_.empty() && appliedAt_.front() <= clock_.now()) {
@@ -34,7 +36,9 @@
   return applied_;
 }
 
-std::string StandinWireDatabase::position() { return wireText(log_.end(applied())); }
+std::string StandinWireDatabase::position() {
+  return wireText(log_.end(applied()));
+}
 
 Task<void> StandinWireDatabase::work(Duration mean) {
   if (clock_.now() < busyUntil_) co_await sleep(clock_, busyUntil_ - clock_.now());
@@ -128,10 +132,14 @@
   return connection.state == 'T' && !connection.readOnly && (!leads_ || term_ != connection.term);
 }
 
-bool StandinWireDatabase::lacks(const WireStatement& statement) { return statement.after && !log_.has(*statement.after, applied()); }
+bool StandinWireDatabase::lacks(const WireStatement& statement) {
+  return statement.after && !log_.has(*statement.after, applied());
+}
 
 Task<StandinWireDatabase::Answer> StandinWireDatabase::run(Connection& connection, std::string text, std::size_t run) {
-  auto fault = [](const char* code) { return Answer{code, "-", {}, false}; };
+  auto fault = [](const char* code) {
+    return Answer{code, "-", {}, false};
+  };
   auto statement = parseWireStatement(text);
   if (!statement) co_return fault("MALFORMED");
   history_.runs[run].verb = statement->verb;
@@ -147,7 +155,8 @@
     if (prepared == connection.prepared.end()) co_return fault("UNKNOWN");
     history_.runs[run].shape = prepared->second.shape;
     statement->verb = prepared->second.reads ? WireVerb::read : WireVerb::write;
-    history_.runs[run].effect = (prepared->second.reads ? "READ " : "WRITE ") + statement->thing + (statement->data.empty() ? "" : " " + statement->data);
+    history_.runs[run].effect =
+        (prepared->second.reads ? "READ " : "WRITE ") + statement->thing + (statement->data.empty() ? "" : " " + statement->data);
     if (statement->after && !prepared->second.reads) co_return fault("MALFORMED");
   }
   history_.runs[run].writes = statement->verb == WireVerb::write;
@@ -287,16 +296,19 @@
     auto again = clock_.now() + 100ms;
     co_await replicaAnswered_.wait(clock_, again);
   }
-  co_return leads_ && term_ == term;
+  co_return leads_&& term_ == term;
 }
 
 std::string StandinWireDatabase::statusRow() {
   auto waiting = log_.size() - applied();
   auto silence = clock_.now() - contact_;
-  auto lag = leads_ ? Duration::zero() : waiting > 0 ? clock_.now() - log_.entry(applied_ + 1).keptAt : silence > 200ms ? silence : Duration::zero();
+  auto lag = leads_            ? Duration::zero()
+             : waiting > 0     ? clock_.now() - log_.entry(applied_ + 1).keptAt
+             : silence > 200ms ? silence
+                               : Duration::zero();
   std::ostringstream row;
-  row << (leads_ ? "primary" : "replica") << " " << term_ << " " << wireText(log_.end(log_.size())) << " " << heldTerm_ << " " << milliseconds(lag).count() << " "
-      << slots_.busy() << " " << connections_;
+  row << (leads_ ? "primary" : "replica") << " " << term_ << " " << wireText(log_.end(log_.size())) << " " << heldTerm_ << " "
+      << milliseconds(lag).count() << " " << slots_.busy() << " " << connections_;
   return row.str();
 }
 
--- a/tests/platform/standin_wire_database_test.cpp
+++ b/tests/platform/standin_wire_database_test.cpp
@@ -7,8 +7,12 @@
 
 namespace {
 
-bool completes(const WireReply& reply) { return reply.end == WireEnd::complete; }
-std::string errorOf(const WireReply& reply) { return reply.end == WireEnd::error ? reply.code : completes(reply) ? "" : "no answer"; }
+bool completes(const WireReply& reply) {
+  return reply.end == WireEnd::complete;
+}
+std::string errorOf(const WireReply& reply) {
+  return reply.end == WireEnd::error ? reply.code : completes(reply) ? "" : "no answer";
+}
 std::string statusOf(WireDatabaseTrial& trial, const std::string& caller) {
   auto reply = trial.ask(caller, "STATUS");
   return reply.rows.empty() ? errorOf(reply) : reply.rows.front();
@@ -98,7 +102,8 @@
 TEST_CASE("statements out of place are malformed") {
   WireDatabaseTrial trial;
   trial.connect("x", "a");
-  for (const auto* text : {"COMMIT", "ROLLBACK", "READ", "READ two things", "WRITE k", "BEGIN WRITE", "PREPARE p READ", "AFTER x READ k", "AFTER 1.0 WRITE k v", "SUSPEND x"}) {
+  for (const auto* text : {"COMMIT", "ROLLBACK", "READ", "READ two things", "WRITE k", "BEGIN WRITE", "PREPARE p READ", "AFTER x READ k",
+                           "AFTER 1.0 WRITE k v", "SUSPEND x"}) {
     INFO(text);
     CHECK(errorOf(trial.ask("x", text)) == "MALFORMED");
   }
--- a/tests/platform/standin_wire_service.cpp
+++ b/tests/platform/standin_wire_service.cpp
@@ -14,7 +14,9 @@
   history_.terms.push_back(TermStart{name_, leader, term_, 0, lines_.world().now()});
 }
 
-void StandinWireService::join(StandinWireDatabase& database) { members_[database.settings().id] = &database; }
+void StandinWireService::join(StandinWireDatabase& database) {
+  members_[database.settings().id] = &database;
+}
 
 void StandinWireService::part(StandinWireDatabase& database) {
   auto found = members_.find(database.settings().id);
@@ -31,7 +33,8 @@
   if (!database) return false;
   if (id == leader_ && database->leads()) return true;
   leader_ = id;
-  history_.terms.push_back(TermStart{name_, id, ++term_, database->received(), lines_.world().now(), database->log().end(database->received()).term});
+  history_.terms.push_back(
+      TermStart{name_, id, ++term_, database->received(), lines_.world().now(), database->log().end(database->received()).term});
   database->lead(term_);
   return true;
 }
@@ -50,10 +53,11 @@
 
 void StandinWireService::received(const StandinWireDatabase& replica, StandinWireDatabase& leader, std::uint64_t number) {
   auto& world = lines_.world();
-  world.at(world.now() + lines_.network().latency(), [this, from = replica.settings().address, id = leader.settings().id, term = leader.term(), number] {
-    auto* primary = find(id);
-    if (primary && primary->term() == term && lines_.reaches(from, primary->settings().address)) primary->replicaHas(number);
-  });
+  world.at(world.now() + lines_.network().latency(),
+           [this, from = replica.settings().address, id = leader.settings().id, term = leader.term(), number] {
+             auto* primary = find(id);
+             if (primary && primary->term() == term && lines_.reaches(from, primary->settings().address)) primary->replicaHas(number);
+           });
 }
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/standin_wire_session.cpp
+++ b/tests/platform/standin_wire_session.cpp
@@ -20,7 +20,9 @@
   channel_.reset();
 }
 
-void StandinWireSession::drop() { channel_.reset(); }
+void StandinWireSession::drop() {
+  channel_.reset();
+}
 
 Task<bool> StandinWireSession::ready(std::size_t attempt, std::optional<Address> node) {
   if (open()) {
@@ -81,7 +83,8 @@
   if (open()) {
     auto message = co_await channel_->unasked(until);
     if (message) {
-      if (!message->starts_with("ERROR")) history_.faults.push_back("session " + std::to_string(number_) + " got '" + *message + "' and asked nothing");
+      if (!message->starts_with("ERROR"))
+        history_.faults.push_back("session " + std::to_string(number_) + " got '" + *message + "' and asked nothing");
       drop();
     } else if (!open()) {
       drop();
--- a/tests/platform/statement_checks.cpp
+++ b/tests/platform/statement_checks.cpp
@@ -10,10 +10,13 @@
 bool runsAtDatabases(const std::string& text) {
   auto statement = parseWireStatement(text);
   if (!statement) return false;
-  return statement->verb == WireVerb::read || statement->verb == WireVerb::write || statement->verb == WireVerb::execute || statement->verb == WireVerb::commit;
+  return statement->verb == WireVerb::read || statement->verb == WireVerb::write || statement->verb == WireVerb::execute ||
+         statement->verb == WireVerb::commit;
 }
 
-std::string told(const DatabaseRun& run) { return "'" + run.id + " " + run.text + "' at " + run.service + "/" + run.database; }
+std::string told(const DatabaseRun& run) {
+  return "'" + run.id + " " + run.text + "' at " + run.service + "/" + run.database;
+}
 
 Instant firstByte(const AskedStatement& asked) {
   if (!asked.attempt->transaction) return asked.statement->sentAt;
@@ -37,7 +40,9 @@
       if (!lineage_.cutBack(run->service, *run->kept)) acknowledged_[run->service].push_back(everAcknowledged_.back());
     }
   for (auto& [service, all] : acknowledged_)
-    std::stable_sort(all.begin(), all.end(), [](const auto& left, const auto& right) { return left.statement->reply.at < right.statement->reply.at; });
+    std::stable_sort(all.begin(), all.end(), [](const auto& left, const auto& right) {
+      return left.statement->reply.at < right.statement->reply.at;
+    });
 }
 
 void StatementChecks::check() {
@@ -174,7 +179,9 @@
   for (const auto& attempt : history_.clients.tries)
     for (const auto& statement : attempt.statements) {
       const auto& runs = index_.runsOf(statement);
-      auto times = std::count_if(runs.begin(), runs.end(), [&](const auto* run) { return run->writes && run->ran && committed(*run); });
+      auto times = std::count_if(runs.begin(), runs.end(), [&](const auto* run) {
+        return run->writes && run->ran && committed(*run);
+      });
       if (times > 1) broke("TWICE", "'" + statement.id + " " + statement.text + "' took effect " + std::to_string(times) + " times");
     }
 }
@@ -227,8 +234,10 @@
     if (sync == history_.services.syncReplicas.end() || !sync->second) continue;
     for (const auto& each : everAcknowledged_) {
       const auto& kept = *each.run->kept;
-      if (each.run->service != start.service || kept.term >= start.term || kept.number <= start.number || each.run->keptAt > start.at) continue;
-      broke("LOST", told(*each.run) + " was acknowledged as " + wireText(kept) + " and is not in the log of term " + std::to_string(start.term));
+      if (each.run->service != start.service || kept.term >= start.term || kept.number <= start.number || each.run->keptAt > start.at)
+        continue;
+      broke("LOST",
+            told(*each.run) + " was acknowledged as " + wireText(kept) + " and is not in the log of term " + std::to_string(start.term));
     }
   }
 }
--- a/tests/platform/status_test.cpp
+++ b/tests/platform/status_test.cpp
@@ -10,14 +10,19 @@
 namespace {
 
 struct StatusWorld {
-  StatusWorld() : world(usual(), 1, [](PlatformProcess& process) { return adapterProgram(process); }) {}
+  StatusWorld()
+      : world(usual(), 1, [](PlatformProcess& process) {
+          return adapterProgram(process);
+        }) {}
   static PlatformShape usual() {
     PlatformShape shape;
     shape.kinds = {ClientKind{}};
     return shape;
   }
   Json core(const std::string& name) { return seen("ReplicaStatus", dynamic_cast<CoreProgram&>(world.process(name)->program()).control()); }
-  Json access(const std::string& name) { return seen("PoolerStatus", dynamic_cast<AccessProgram&>(world.process(name)->program()).readiness()); }
+  Json access(const std::string& name) {
+    return seen("PoolerStatus", dynamic_cast<AccessProgram&>(world.process(name)->program()).readiness());
+  }
   Json seen(const std::string& body, DoorKeeper& door) {
     auto status = shown(door, "/status", step);
     CHECK(check.faults(body, status) == std::vector<std::string>{});
@@ -30,7 +35,9 @@
     return {};
   }
   static const Json& only(const Json& services) { return *services.at("services").begin(); }
-  std::function<void()> step = [this] { world.run(10ms); };
+  std::function<void()> step = [this] {
+    world.run(10ms);
+  };
   PlatformWorld world;
   SchemaCheck check;
 };
@@ -102,7 +109,8 @@
     auto core = trial.core("core-1");
     const auto& service = StatusWorld::only(core);
     if (service.contains("unused"))
-      for (const auto& [database, reasons] : service.at("unused").items()) silent = silent || std::find(reasons.begin(), reasons.end(), "silent") != reasons.end();
+      for (const auto& [database, reasons] : service.at("unused").items())
+        silent = silent || std::find(reasons.begin(), reasons.end(), "silent") != reasons.end();
   }
   CHECK(recovering);
   CHECK(silent);
--- a/tests/platform/straight_pooler.cpp
+++ b/tests/platform/straight_pooler.cpp
@@ -86,7 +86,8 @@
       auto other = candidate(knowledge_.databases[primary].service, primary);
       if (!other.empty()) primary = other;
     }
-    if (session.channel && session.database != primary && !replica && faults_.readsReplicas == 0) co_return refused(session, "ABORTED", false);
+    if (session.channel && session.database != primary && !replica && faults_.readsReplicas == 0)
+      co_return refused(session, "ABORTED", false);
     if (!session.channel || session.database != primary) {
       bool connected = co_await connect(session, primary);
       if (!connected) co_return refused(session, "ABORTED", false);
@@ -118,7 +119,8 @@
     co_return DoorReply{200, "{}", std::nullopt};
   }
   if (request.path == "/api/Configuration.Replace") co_return replace(request);
-  if (request.path == "/api/Configuration.Retrieve" && knowledge_.configuration) co_return DoorReply{200, knowledge_.configurationBody, std::nullopt};
+  if (request.path == "/api/Configuration.Retrieve" && knowledge_.configuration)
+    co_return DoorReply{200, knowledge_.configurationBody, std::nullopt};
   co_return DoorReply{404, "{}", std::nullopt};
 }
 
--- a/tests/platform/straight_program.cpp
+++ b/tests/platform/straight_program.cpp
@@ -14,6 +14,8 @@
   process.serve(machine.readiness(), pooler_);
 }
 
-Task<void> StraightProgram::stop() { co_await pooler_.drain(process_.shape().bounds.grace / 2); }
+Task<void> StraightProgram::stop() {
+  co_await pooler_.drain(process_.shape().bounds.grace / 2);
+}
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/trouble_history.cpp
+++ b/tests/platform/trouble_history.cpp
@@ -15,7 +15,9 @@
 
 bool TroubleHistory::inTouch(const Address& node, Instant from, Instant until) const {
   auto host = SimulatedNetwork::host(node);
-  auto within = [&](const auto& each) { return (each.host.empty() || each.host == host) && each.at >= from && each.at <= until; };
+  auto within = [&](const auto& each) {
+    return (each.host.empty() || each.host == host) && each.at >= from && each.at <= until;
+  };
   return calm(node, from, until) && std::none_of(stops.begin(), stops.end(), within) && std::none_of(starts.begin(), starts.end(), within);
 }
 
--- a/tests/platform/wire_channel.cpp
+++ b/tests/platform/wire_channel.cpp
@@ -19,7 +19,9 @@
   co_return co_await answer(deadline, false);
 }
 
-Task<std::optional<std::string>> WireChannel::unasked(Instant deadline) { co_return co_await connection_->readLine(deadline); }
+Task<std::optional<std::string>> WireChannel::unasked(Instant deadline) {
+  co_return co_await connection_->readLine(deadline);
+}
 
 void WireChannel::release() {
   if (connection_) connection_->write("RELEASE\r\n");
--- a/tests/platform/wire_database_trial.hpp
+++ b/tests/platform/wire_database_trial.hpp
@@ -23,7 +23,8 @@
     std::string next = "1";
   };
 
-  explicit WireDatabaseTrial(bool syncReplicas = false, std::uint64_t seed = 1) : world{seed}, service{"orders", syncReplicas, lines, history} {
+  explicit WireDatabaseTrial(bool syncReplicas = false, std::uint64_t seed = 1)
+      : world{seed}, service{"orders", syncReplicas, lines, history} {
     service.found("a");
     for (const auto* id : {"a", "b", "c"}) {
       auto& host = hosts[id];
--- a/tests/platform/wire_position.cpp
+++ b/tests/platform/wire_position.cpp
@@ -21,6 +21,8 @@
   return WirePosition{*term, *number};
 }
 
-std::string wireText(const WirePosition& position) { return std::to_string(position.term) + "." + std::to_string(position.number); }
+std::string wireText(const WirePosition& position) {
+  return std::to_string(position.term) + "." + std::to_string(position.number);
+}
 
 }  // namespace tamarindshift::testing
--- a/tests/platform/wire_statement.cpp
+++ b/tests/platform/wire_statement.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 const std::map<std::string, WireVerb> verbs{
-    {"BEGIN", WireVerb::begin},     {"COMMIT", WireVerb::commit},   {"ROLLBACK", WireVerb::rollback}, {"READ", WireVerb::read},
-    {"WRITE", WireVerb::write},     {"SET", WireVerb::set},         {"PREPARE", WireVerb::prepare},   {"EXECUTE", WireVerb::execute},
-    {"DISCARD", WireVerb::discard}, {"RESET", WireVerb::reset},     {"STATUS", WireVerb::status},     {"SUSPEND", WireVerb::suspend},
+    {"BEGIN", WireVerb::begin},     {"COMMIT", WireVerb::commit}, {"ROLLBACK", WireVerb::rollback}, {"READ", WireVerb::read},
+    {"WRITE", WireVerb::write},     {"SET", WireVerb::set},       {"PREPARE", WireVerb::prepare},   {"EXECUTE", WireVerb::execute},
+    {"DISCARD", WireVerb::discard}, {"RESET", WireVerb::reset},   {"STATUS", WireVerb::status},     {"SUSPEND", WireVerb::suspend},
     {"RESUME", WireVerb::resume},   {"DEMOTE", WireVerb::demote}};
 
 bool readFields(WireStatement& statement, std::string& rest) {
--- a/tests/pooler_crowded_test.cpp
+++ b/tests/pooler_crowded_test.cpp
@@ -27,7 +27,11 @@
         if (!asked[index] || asked[index]->reply) asked[index] = crowd[index]->start("WRITE a " + std::to_string(index));
       run(1ms);
     }
-    REQUIRE(runUntil(1s, [&] { return std::all_of(asked.begin(), asked.end(), [](const auto& each) { return each->reply.has_value(); }); }));
+    REQUIRE(runUntil(1s, [&] {
+      return std::all_of(asked.begin(), asked.end(), [](const auto& each) {
+        return each->reply.has_value();
+      });
+    }));
   }
 };
 
@@ -72,5 +76,7 @@
   database.opening = ScriptedOpening::accepted;
   auto alice = trial.client("alice");
   auto asked = alice->start("WRITE a 1");
-  CHECK(trial.runUntil(300ms, [&] { return asked->reply.has_value(); }));
+  CHECK(trial.runUntil(300ms, [&] {
+    return asked->reply.has_value();
+  }));
 }
--- a/tests/pooler_drain_test.cpp
+++ b/tests/pooler_drain_test.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-std::uint32_t wanted(const PoolerTrial& trial) { return trial.serviceReport().wanted.at(BranchName{"work"}); }
+std::uint32_t wanted(const PoolerTrial& trial) {
+  return trial.serviceReport().wanted.at(BranchName{"work"});
+}
 
 }  // namespace
 
--- a/tests/pooler_epochs_test.cpp
+++ b/tests/pooler_epochs_test.cpp
@@ -22,7 +22,9 @@
 
 TEST_CASE("pooler epochs: the first one is reported under the node's boot", "[pooler][epochs]") {
   EpochTrial trial;
-  CHECK(trial.runUntil(600ms, [&] { return trial.reported(1); }));
+  CHECK(trial.runUntil(600ms, [&] {
+    return trial.reported(1);
+  }));
   CHECK(trial.report().boot == 5);
   CHECK(trial.report().node == Address{"10.1.0.1:1"});
 }
@@ -41,7 +43,9 @@
   trial.primary(2, "d2", false);
   CHECK(alice->finish(write) == "UNRESOLVED");
   CHECK(write->taken() <= 60ms);
-  CHECK(trial.runUntil(200ms, [&] { return trial.reported(2); }));
+  CHECK(trial.runUntil(200ms, [&] {
+    return trial.reported(2);
+  }));
   CHECK(trial.backEnds.at("d1").connections == 0);
   CHECK(carol->ask("COMMIT") == "ABORTED");
   trial.leads("d2");
@@ -89,7 +93,9 @@
   CHECK(alice->ask("WRITE a 2") == "OK");
   CHECK(alice->ask("COMMIT") == "OK");
   CHECK(trial.backEnds.at("d1").committed.size() == 2);
-  CHECK(trial.runUntil(200ms, [&] { return trial.reported(2); }));
+  CHECK(trial.runUntil(200ms, [&] {
+    return trial.reported(2);
+  }));
 }
 
 TEST_CASE("pooler epochs: what a planned change waited for in vain is cut after plannedFinish", "[pooler][epochs]") {
@@ -105,7 +111,9 @@
   CHECK(alice->finish(asked) == "UNRESOLVED");
   CHECK(asked->taken() >= 440ms);
   CHECK(asked->taken() <= 560ms);
-  CHECK(trial.runUntil(200ms, [&] { return trial.reported(2); }));
+  CHECK(trial.runUntil(200ms, [&] {
+    return trial.reported(2);
+  }));
   CHECK(bob->ask("COMMIT") == "ABORTED");
   CHECK(trial.committed("bob.2") == 0);
 }
@@ -186,7 +194,9 @@
   trial.primary(3, "d3", false);
   CHECK(alice->finish(asked) == "UNRESOLVED");
   CHECK(asked->taken() <= 120ms);
-  CHECK(trial.runUntil(200ms, [&] { return trial.reported(3); }));
+  CHECK(trial.runUntil(200ms, [&] {
+    return trial.reported(3);
+  }));
   CHECK_FALSE(trial.everReported(2));
 }
 
--- a/tests/pooler_holds_test.cpp
+++ b/tests/pooler_holds_test.cpp
@@ -63,7 +63,8 @@
   for (std::size_t index = 0; index < clients.size(); ++index) CHECK(clients[index]->finish(asked[index]) == "OK");
   std::vector<std::string> order;
   for (const auto& run : trial.backEnds.runs) order.push_back(run.statement.text);
-  CHECK(order == std::vector<std::string>{"READ held", "READ high1", "READ high2", "READ strict1", "READ strict2", "READ low1", "READ low2"});
+  CHECK(order ==
+        std::vector<std::string>{"READ held", "READ high1", "READ high2", "READ strict1", "READ strict2", "READ low1", "READ low2"});
 }
 
 TEST_CASE("pooler holds: a waiting statement runs as soon as a connection is free", "[pooler][holds]") {
--- a/tests/pooler_rations_test.cpp
+++ b/tests/pooler_rations_test.cpp
@@ -54,7 +54,9 @@
     asked.push_back(clients.back()->start("WRITE b " + std::to_string(number)));
   }
   trial.run(40ms);
-  auto started = [&] { return trial.runsOf("WRITE b 0").size() + trial.runsOf("WRITE b 1").size() + trial.runsOf("WRITE b 2").size(); };
+  auto started = [&] {
+    return trial.runsOf("WRITE b 0").size() + trial.runsOf("WRITE b 1").size() + trial.runsOf("WRITE b 2").size();
+  };
   CHECK(started() == 1);
   trial.free();
   trial.run(20ms);
@@ -106,7 +108,8 @@
   CHECK(directory->finish(waits) == "OK");
 }
 
-TEST_CASE("pooler rations: what keeps connections running and what waits is told by order, and nothing of a quiet database", "[pooler][rations]") {
+TEST_CASE("pooler rations: what keeps connections running and what waits is told by order, and nothing of a quiet database",
+          "[pooler][rations]") {
   RationsTrial trial;
   trial.run(700ms);
   CHECK(trial.serviceReport().demands.empty());
@@ -122,7 +125,11 @@
     auto demands = trial.serviceReport().demands;
     return demands.size() == 1 && demands.contains(DatabaseName{"d1"}) ? demands[DatabaseName{"d1"}][order] : 0;
   };
-  CHECK(trial.runUntil(800ms, [&] { return told(0) >= 18 && told(0) <= 20 && told(2) >= 48 && told(2) <= 50; }));
+  CHECK(trial.runUntil(800ms, [&] {
+    return told(0) >= 18 && told(0) <= 20 && told(2) >= 48 && told(2) <= 50;
+  }));
   for (int number = 0; number < 7; ++number) clients[number]->finish(asked[number]);
-  CHECK(trial.runUntil(3s, [&] { return trial.serviceReport().demands.empty(); }));
+  CHECK(trial.runUntil(3s, [&] {
+    return trial.serviceReport().demands.empty();
+  }));
 }
--- a/tests/pooler_reads_test.cpp
+++ b/tests/pooler_reads_test.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
-Place at(std::uint64_t position) { return Place{Epoch{3}, Position{position}}; }
+Place at(std::uint64_t position) {
+  return Place{Epoch{3}, Position{position}};
+}
 
 std::set<std::string> databasesOf(const std::vector<ScriptedRun>& runs) {
   std::set<std::string> names;
@@ -41,7 +43,9 @@
   auto alice = trial.client("alice");
   auto bob = trial.client("bob", "bounded");
   auto begun = trial.world.now();
-  auto until = [&](Duration since) { trial.world.runUntil(begun + since); };
+  auto until = [&](Duration since) {
+    trial.world.runUntil(begun + since);
+  };
   CHECK(alice->ask("WRITE a 1") == "OK");
   until(500ms);
   CHECK(alice->ask("WRITE a 2") == "OK");
@@ -103,7 +107,9 @@
     CHECK(bob->last->taken() < 60ms);
   }
   auto runs = trial.runsOf("READ a");
-  auto refused = std::count_if(runs.begin(), runs.end(), [](const auto& run) { return !run.ran; });
+  auto refused = std::count_if(runs.begin(), runs.end(), [](const auto& run) {
+    return !run.ran;
+  });
   CHECK(refused <= 2);
   for (const auto& run : runs) CHECK((run.ran == (run.place >= *run.after)));
 }
@@ -155,7 +161,8 @@
   if (run.after) CHECK(run.after->epoch == Epoch{3});
 }
 
-TEST_CASE("pooler reads: a silent replica is suspected, its reads are answered elsewhere, and it comes back by a trial", "[pooler][reads]") {
+TEST_CASE("pooler reads: a silent replica is suspected, its reads are answered elsewhere, and it comes back by a trial",
+          "[pooler][reads]") {
   PoolerTrial trial;
   auto alice = trial.client("alice");
   auto bob = trial.client("bob", "bounded");
@@ -173,7 +180,9 @@
   CHECK(first->taken() <= 600ms);
   CHECK(trial.runsOf("READ a").front().database == "d2");
   CHECK(trial.runsOf("READ a").back().database != "d2");
-  CHECK(trial.runUntil(600ms, [&] { return trial.serviceReport().suspects.contains(DatabaseName{"d2"}); }));
+  CHECK(trial.runUntil(600ms, [&] {
+    return trial.serviceReport().suspects.contains(DatabaseName{"d2"});
+  }));
   auto openings = trial.backEnds.at("d2").openings;
   for (int times = 0; times < 20; ++times) {
     CHECK(alice->ask("WRITE a 2") == "OK");
@@ -186,7 +195,9 @@
   CHECK(trials >= 2);
   CHECK(trials <= 6);
   trial.backEnds.at("d2").dark = false;
-  CHECK(trial.runUntil(2s, [&] { return trial.serviceReport().suspects.empty(); }));
+  CHECK(trial.runUntil(2s, [&] {
+    return trial.serviceReport().suspects.empty();
+  }));
   CHECK(alice->ask("WRITE a 3") == "OK");
   std::vector<std::unique_ptr<TrialClient>> crowd;
   for (int number = 0; number < 8; ++number) {
@@ -210,7 +221,9 @@
     crowd.back()->start("READ a");
   }
   for (const auto& each : crowd) CHECK(each->finish(each->last) == "OK");
-  REQUIRE(trial.runUntil(2s, [&] { return trial.serviceReport().suspects.contains(DatabaseName{"d2"}); }));
+  REQUIRE(trial.runUntil(2s, [&] {
+    return trial.serviceReport().suspects.contains(DatabaseName{"d2"});
+  }));
   auto until = trial.world.now() + 3s;
   while (trial.world.now() < until) {
     CHECK(alice->ask("WRITE a 1") == "OK");
@@ -233,7 +246,9 @@
     CHECK(bob->ask("READ a") == "OK");
     CHECK(bob->last->taken() < 100ms);
   }
-  CHECK(trial.runUntil(500ms, [&] { return trial.serviceReport().suspects == std::set<DatabaseName>{DatabaseName{"d2"}}; }));
+  CHECK(trial.runUntil(500ms, [&] {
+    return trial.serviceReport().suspects == std::set<DatabaseName>{DatabaseName{"d2"}};
+  }));
 }
 
 TEST_CASE("pooler reads: a replica whose connections hang at open does not hold reads that others can serve", "[pooler][reads]") {
@@ -278,7 +293,9 @@
   CHECK(alice->ask("WRITE a 1") == "OK");
   trial.backEnds.at("d1").dark = true;
   auto asked = alice->start("WRITE a 2");
-  CHECK(trial.runUntil(700ms, [&] { return trial.serviceReport().suspects.contains(DatabaseName{"d1"}); }));
+  CHECK(trial.runUntil(700ms, [&] {
+    return trial.serviceReport().suspects.contains(DatabaseName{"d1"});
+  }));
   CHECK_FALSE(asked->reply);
   CHECK(alice->finish(asked) == "UNRESOLVED");
   CHECK(asked->taken() >= 990ms);
@@ -329,6 +346,10 @@
       }
     }
     CHECK(served > 300);
-    trial.runUntil(5s, [&] { return std::all_of(asked.begin(), asked.end(), [](const auto& each) { return !each || each->reply; }); });
+    trial.runUntil(5s, [&] {
+      return std::all_of(asked.begin(), asked.end(), [](const auto& each) {
+        return !each || each->reply;
+      });
+    });
   }
 }
--- a/tests/pooler_rejoin_test.cpp
+++ b/tests/pooler_rejoin_test.cpp
@@ -129,13 +129,16 @@
   trial.renewLease();
   CHECK(alice->ask("EXECUTE p a") == "OK");
   auto runs = trial.runsOf("EXECUTE p a");
-  auto ran = std::find_if(runs.begin(), runs.end(), [](const auto& run) { return run.ran; });
+  auto ran = std::find_if(runs.begin(), runs.end(), [](const auto& run) {
+    return run.ran;
+  });
   REQUIRE(ran != runs.end());
   CHECK(ran->place >= own);
   CHECK(ran->values.at("zone") == "z9");
 }
 
-TEST_CASE("pooler rejoins: whatever happens to lease, share, primary and connections, promises and sessions hold", "[pooler][rejoin][seeds]") {
+TEST_CASE("pooler rejoins: whatever happens to lease, share, primary and connections, promises and sessions hold",
+          "[pooler][rejoin][seeds]") {
   for (std::uint64_t seed = 500; seed < 520; ++seed) {
     PoolerTrial trial(ofShare(3, seed));
     INFO("seed " << seed);
@@ -164,17 +167,24 @@
       bool inside = step > 0;
       if (inside && --step == 0) return world.chance(700) ? "COMMIT" : "ROLLBACK";
       switch (world.below(8)) {
-        case 0: return "SET zone z" + thing;
-        case 1: return "PREPARE r READ q" + thing;
-        case 2: return "PREPARE w WRITE q" + thing;
-        case 3: return "EXECUTE r " + thing;
-        case 4: return "EXECUTE w " + thing + " x";
+        case 0:
+          return "SET zone z" + thing;
+        case 1:
+          return "PREPARE r READ q" + thing;
+        case 2:
+          return "PREPARE w WRITE q" + thing;
+        case 3:
+          return "EXECUTE r " + thing;
+        case 4:
+          return "EXECUTE w " + thing + " x";
         case 5:
           if (inside) return "READ " + thing;
           step = 2 + static_cast<int>(world.below(4));
           return "BEGIN";
-        case 6: return "WRITE " + thing + " y";
-        default: return "READ " + thing;
+        case 6:
+          return "WRITE " + thing + " y";
+        default:
+          return "READ " + thing;
       }
     };
     for (int turn = 0; turn < 6000; ++turn) {
@@ -199,9 +209,14 @@
       }
       if (world.chance(3)) trial.share(static_cast<std::uint32_t>(world.below(5)));
       if (world.chance(4)) trial.backEnds.breakOff("d" + std::to_string(1 + world.below(3)));
-      if (world.chance(2)) trial.backEnds.script(primary, StatementKind::commit, world.chance(500) ? ScriptedOutcome::lostAfterRunning : ScriptedOutcome::busy);
-      if (world.chance(2)) trial.backEnds.script(primary, StatementKind::write, world.chance(500) ? ScriptedOutcome::lostBeforeRunning : ScriptedOutcome::slow);
-      if (world.chance(2)) trial.backEnds.at("d" + std::to_string(1 + world.below(3))).openWork = std::chrono::milliseconds{1 + world.below(100)};
+      if (world.chance(2))
+        trial.backEnds.script(primary, StatementKind::commit,
+                              world.chance(500) ? ScriptedOutcome::lostAfterRunning : ScriptedOutcome::busy);
+      if (world.chance(2))
+        trial.backEnds.script(primary, StatementKind::write,
+                              world.chance(500) ? ScriptedOutcome::lostBeforeRunning : ScriptedOutcome::slow);
+      if (world.chance(2))
+        trial.backEnds.at("d" + std::to_string(1 + world.below(3))).openWork = std::chrono::milliseconds{1 + world.below(100)};
       if (promotesAt == never && world.chance(2)) {
         next = primary == "d1" ? "d2" : "d1";
         trial.primary(++epoch, next, false, world.chance(500));
@@ -221,7 +236,10 @@
     trial.renewLease();
     trial.share(3);
     for (auto& each : asked)
-      if (each) trial.runUntil(5s, [&] { return each->reply.has_value(); });
+      if (each)
+        trial.runUntil(5s, [&] {
+          return each->reply.has_value();
+        });
     for (auto& each : asked)
       if (each) CHECK(each->reply);
   }
--- a/tests/pooler_reporting_test.cpp
+++ b/tests/pooler_reporting_test.cpp
@@ -11,7 +11,9 @@
   // up to just after the next report
   void runToReport() {
     auto count = reports.size();
-    REQUIRE(runUntil(600ms, [&] { return reports.size() > count; }));
+    REQUIRE(runUntil(600ms, [&] {
+      return reports.size() > count;
+    }));
   }
 };
 
@@ -21,7 +23,9 @@
   ReportTrial trial;
   trial.runToReport();
   trial.primary(2, "d2", false);
-  CHECK(trial.runUntil(60ms, [&] { return trial.reported(2); }));
+  CHECK(trial.runUntil(60ms, [&] {
+    return trial.reported(2);
+  }));
 }
 
 TEST_CASE("pooler reports: a planned change is told soon after the last work has ended, whenever that is", "[pooler][mended]") {
@@ -34,7 +38,9 @@
   trial.primary(2, "d2", false, true);
   CHECK(alice->finish(asked) == "OK");
   INFO("work of " << work << " ms");
-  CHECK(trial.runUntil(60ms, [&] { return trial.reported(2); }));
+  CHECK(trial.runUntil(60ms, [&] {
+    return trial.reported(2);
+  }));
 }
 
 TEST_CASE("pooler reports: an unplanned change is told as soon as what ran is cut", "[pooler][mended]") {
@@ -46,5 +52,7 @@
   trial.run(100ms);
   trial.primary(2, "d2", false);
   CHECK(alice->finish(asked) == "UNRESOLVED");
-  CHECK(trial.runUntil(60ms, [&] { return trial.reported(2); }));
+  CHECK(trial.runUntil(60ms, [&] {
+    return trial.reported(2);
+  }));
 }
--- a/tests/pooler_sends_test.cpp
+++ b/tests/pooler_sends_test.cpp
@@ -31,7 +31,9 @@
   CHECK(alice->ask("WRITE a 1") == "OK");
   for (int times = 0; times < 4; ++times) trial.backEnds.script("d1", StatementKind::commit, ScriptedOutcome::busy);
   auto asked = alice->start("COMMIT");
-  trial.runUntil(1s, [&] { return trial.runsOf("COMMIT").size() == 4; });
+  trial.runUntil(1s, [&] {
+    return trial.runsOf("COMMIT").size() == 4;
+  });
   trial.run(20ms);
   if (lease)
     trial.endLease();
--- a/tests/pooler_sessions_test.cpp
+++ b/tests/pooler_sessions_test.cpp
@@ -242,9 +242,10 @@
       trial.run(1ms);
       if (world.chance(5)) trial.backEnds.breakOff("d" + std::to_string(1 + world.below(3)));
       if (world.chance(10)) {
-        ScriptedOutcome outcomes[] = {ScriptedOutcome::busy, ScriptedOutcome::lostAfterRunning, ScriptedOutcome::lostBeforeRunning, ScriptedOutcome::failed,
-                                      ScriptedOutcome::unsent};
-        StatementKind kindsOf[] = {StatementKind::read, StatementKind::write, StatementKind::commit, StatementKind::execute, StatementKind::set};
+        ScriptedOutcome outcomes[] = {ScriptedOutcome::busy, ScriptedOutcome::lostAfterRunning, ScriptedOutcome::lostBeforeRunning,
+                                      ScriptedOutcome::failed, ScriptedOutcome::unsent};
+        StatementKind kindsOf[] = {StatementKind::read, StatementKind::write, StatementKind::commit, StatementKind::execute,
+                                   StatementKind::set};
         trial.backEnds.script("d" + std::to_string(1 + world.below(3)), kindsOf[world.below(5)], outcomes[world.below(5)]);
       }
       for (std::size_t index = 0; index < clients.size(); ++index) {
@@ -256,20 +257,32 @@
           if (state == TransactionState::failed) return world.chance(500) ? "ROLLBACK" : "COMMIT";
           auto name = std::to_string(world.below(2));
           switch (world.below(state == TransactionState::open ? 10 : 9)) {
-            case 0: return "SET v" + name + " " + std::to_string(world.below(3));
-            case 1: return "PREPARE p" + name + (world.chance(500) ? " READ" : " WRITE") + " q" + std::to_string(world.below(2));
-            case 2: return "EXECUTE p" + name + " a x";
-            case 3: return "WRITE a" + name + " x";
-            case 4: return state == TransactionState::open ? "READ b" : world.chance(500) ? "BEGIN" : "BEGIN READ";
-            case 5: return "DISCARD p" + name;
-            case 9: return world.chance(700) ? "COMMIT" : "ROLLBACK";
-            default: return "READ a" + name;
+            case 0:
+              return "SET v" + name + " " + std::to_string(world.below(3));
+            case 1:
+              return "PREPARE p" + name + (world.chance(500) ? " READ" : " WRITE") + " q" + std::to_string(world.below(2));
+            case 2:
+              return "EXECUTE p" + name + " a x";
+            case 3:
+              return "WRITE a" + name + " x";
+            case 4:
+              return state == TransactionState::open ? "READ b" : world.chance(500) ? "BEGIN" : "BEGIN READ";
+            case 5:
+              return "DISCARD p" + name;
+            case 9:
+              return world.chance(700) ? "COMMIT" : "ROLLBACK";
+            default:
+              return "READ a" + name;
           }
         }();
         asked[index] = client.start(text);
       }
     }
-    trial.runUntil(5s, [&] { return std::all_of(asked.begin(), asked.end(), [](const auto& each) { return !each || each->reply; }); });
+    trial.runUntil(5s, [&] {
+      return std::all_of(asked.begin(), asked.end(), [](const auto& each) {
+        return !each || each->reply;
+      });
+    });
     CHECK(done > 300);
   }
 }
--- a/tests/pooler_shares_test.cpp
+++ b/tests/pooler_shares_test.cpp
@@ -163,7 +163,8 @@
   CHECK(trial.backEnds.at("d1").connections == 0);
 }
 
-TEST_CASE("pooler shares: whatever they become, connections grow only within them and followed tells the truth", "[pooler][shares][seeds]") {
+TEST_CASE("pooler shares: whatever they become, connections grow only within them and followed tells the truth",
+          "[pooler][shares][seeds]") {
   for (std::uint64_t seed = 300; seed < 308; ++seed) {
     auto choice = shareOf(3);
     choice.seed = seed;
--- a/tests/pooler_status_test.cpp
+++ b/tests/pooler_status_test.cpp
@@ -8,8 +8,12 @@
 
 namespace {
 
-Json service(const PoolerTrial& trial) { return trial.pooler->status().at("services").at("s1"); }
-Json database(const PoolerTrial& trial, const std::string& name) { return service(trial).at("databases").at(name); }
+Json service(const PoolerTrial& trial) {
+  return trial.pooler->status().at("services").at("s1");
+}
+Json database(const PoolerTrial& trial, const std::string& name) {
+  return service(trial).at("databases").at(name);
+}
 
 }  // namespace
 
--- a/tests/pooler_transactions_test.cpp
+++ b/tests/pooler_transactions_test.cpp
@@ -136,7 +136,8 @@
 TEST_CASE("pooler transactions: a BEGIN that was not run is tried again within the hold", "[pooler][transactions]") {
   PoolerTrial trial;
   auto alice = trial.client("alice");
-  auto outcome = GENERATE(ScriptedOutcome::busy, ScriptedOutcome::readOnly, ScriptedOutcome::lostBeforeRunning, ScriptedOutcome::lostAfterRunning, ScriptedOutcome::unsent);
+  auto outcome = GENERATE(ScriptedOutcome::busy, ScriptedOutcome::readOnly, ScriptedOutcome::lostBeforeRunning,
+                          ScriptedOutcome::lostAfterRunning, ScriptedOutcome::unsent);
   trial.backEnds.script("d1", StatementKind::begin, outcome);
   alice->ask("BEGIN");
   CHECK(alice->ask("WRITE a 1") == "OK");
--- a/tests/pooler_trial.cpp
+++ b/tests/pooler_trial.cpp
@@ -27,7 +27,8 @@
   return reply->fault == StatementFault::none ? "OK" : platform::faultWord(reply->fault);
 }
 
-TrialClient::TrialClient(PoolerTrial& trial, std::string name, const std::string& host) : trial_(trial), name_(std::move(name)), host_(host) {
+TrialClient::TrialClient(PoolerTrial& trial, std::string name, const std::string& host)
+    : trial_(trial), name_(std::move(name)), host_(host) {
   session = trial_.pooler->open(host, refusal);
   trial_.clients_[name_] = this;
 }
@@ -80,8 +81,8 @@
                 (statement.kind == StatementKind::execute && prepared_.contains(statement.name) && prepared_.at(statement.name).writes);
   bool ends = statement.kind == StatementKind::commit || statement.kind == StatementKind::rollback;
   bool begins = statement.kind == StatementKind::begin || statement.kind == StatementKind::beginRead;
-  bool atDatabase = statement.kind == StatementKind::read || statement.kind == StatementKind::write || statement.kind == StatementKind::execute ||
-                    statement.kind == StatementKind::commit;
+  bool atDatabase = statement.kind == StatementKind::read || statement.kind == StatementKind::write ||
+                    statement.kind == StatementKind::execute || statement.kind == StatementKind::commit;
   if (statement.kind == StatementKind::set && well) values_[statement.name] = statement.value;
   if (well && (statement.kind == StatementKind::prepareRead || statement.kind == StatementKind::prepareWrite))
     prepared_[statement.name] = PreparedStatement{statement.kind == StatementKind::prepareWrite, statement.value};
@@ -89,8 +90,11 @@
   if (begins && well) inTransaction_ = true;
   if (writes) writes_.push_back(asked.id);
   if (well && atDatabase) {
-    auto same = [&](const ScriptedRun& run) { return run.statement.id == asked.id && run.ran && run.stamp == reply.stamp; };
-    if (std::none_of(trial_.backEnds.runs.begin(), trial_.backEnds.runs.end(), same)) trial_.violations.push_back("a success without the database's stamp: " + asked.id);
+    auto same = [&](const ScriptedRun& run) {
+      return run.statement.id == asked.id && run.ran && run.stamp == reply.stamp;
+    };
+    if (std::none_of(trial_.backEnds.runs.begin(), trial_.backEnds.runs.end(), same))
+      trial_.violations.push_back("a success without the database's stamp: " + asked.id);
   }
   if (well && !atDatabase && reply.stamp != "-") trial_.violations.push_back("an own answer with a stamp: " + asked.id);
   if (well && ((single && writes) || statement.kind == StatementKind::commit)) {
@@ -105,23 +109,36 @@
 }
 
 std::string TrialClient::finish(const std::shared_ptr<Asked>& asked) {
-  trial_.runUntil(30s, [&] { return asked->reply.has_value(); });
+  trial_.runUntil(30s, [&] {
+    return asked->reply.has_value();
+  });
   REQUIRE(asked->reply);
   return asked->outcome();
 }
 
-std::string TrialClient::ask(const std::string& text) { return finish(start(text)); }
+std::string TrialClient::ask(const std::string& text) {
+  return finish(start(text));
+}
 
 PoolerTrial::PoolerTrial(Choice choice)
-    : world(choice.seed), clock(world), news(clock), guide(clock, news, node, boot), journal("pooler", [](const std::string&) {}), backEnds(clock),
+    : world(choice.seed),
+      clock(world),
+      news(clock),
+      guide(clock, news, node, boot),
+      journal("pooler", [](const std::string&) {}),
+      backEnds(clock),
       settings(choice.settings) {
   settings.node = node;
   settings.zone = Zone{"z1"};
-  backEnds.observed = [this](const ScriptedRun& run) { observe(run); };
+  backEnds.observed = [this](const ScriptedRun& run) {
+    observe(run);
+  };
   backEnds.add("d1", true, Place{Epoch{3}, Position{100}});
   backEnds.add("d2", false, Place{Epoch{3}, Position{100}});
   backEnds.add("d3", false, Place{Epoch{3}, Position{100}});
-  pooler.emplace(clock, guide, backEnds, journal, settings, boot, [this](NodeReport report) { reports.push_back(std::move(report)); });
+  pooler.emplace(clock, guide, backEnds, journal, settings, boot, [this](NodeReport report) {
+    reports.push_back(std::move(report));
+  });
   if (!choice.published) return;
   route("strict", Consistency::primary);
   route("bounded", Consistency::lookups);
@@ -160,14 +177,17 @@
   if (id.empty() || found == clients_.end()) return;
   places_[id] = run.place;
   auto& client = *found->second;
-  auto violate = [&](const std::string& what) { violations.push_back(what + ": " + id + " " + run.statement.text); };
+  auto violate = [&](const std::string& what) {
+    violations.push_back(what + ": " + id + " " + run.statement.text);
+  };
   bool read = run.statement.kind == StatementKind::read || run.statement.kind == StatementKind::execute;
   bool begins = run.statement.kind == StatementKind::begin || run.statement.kind == StatementKind::beginRead;
   if (!begins && run.statement.kind != StatementKind::commit && run.values != client.values_) violate("other values than the client's");
   if (run.statement.kind == StatementKind::execute) {
     auto held = run.prepared.find(run.statement.name);
     auto own = client.prepared_.find(run.statement.name);
-    if (held == run.prepared.end() || own == client.prepared_.end() || held->second != own->second) violate("another shape than the client's");
+    if (held == run.prepared.end() || own == client.prepared_.end() || held->second != own->second)
+      violate("another shape than the client's");
   }
   if (client.inTransaction_ != run.inTransaction && !begins) violate("not where the client's transaction is");
   if (client.inTransaction_) {
@@ -229,7 +249,9 @@
   news.put(service, "database/" + name, DatabaseNews{Address{"10.2.0." + name.substr(1) + ":1"}, Zone{zone}, 100});
 }
 
-void PoolerTrial::drained(const std::string& name) { news.put("s1", "drained/" + name, std::string{}); }
+void PoolerTrial::drained(const std::string& name) {
+  news.put("s1", "drained/" + name, std::string{});
+}
 
 void PoolerTrial::leads(const std::string& name) {
   std::uint64_t term = 0;
--- a/tests/pooler_writes_test.cpp
+++ b/tests/pooler_writes_test.cpp
@@ -146,8 +146,14 @@
       trial.run(1ms);
       if (world.chance(3)) trial.backEnds.breakOff(leader);
       if (world.chance(20)) {
-        ScriptedOutcome scripted[] = {ScriptedOutcome::busy, ScriptedOutcome::lostAfterRunning, ScriptedOutcome::lostBeforeRunning, ScriptedOutcome::readOnly,
-                                      ScriptedOutcome::slow, ScriptedOutcome::unsent, ScriptedOutcome::silent, ScriptedOutcome::failed};
+        ScriptedOutcome scripted[] = {ScriptedOutcome::busy,
+                                      ScriptedOutcome::lostAfterRunning,
+                                      ScriptedOutcome::lostBeforeRunning,
+                                      ScriptedOutcome::readOnly,
+                                      ScriptedOutcome::slow,
+                                      ScriptedOutcome::unsent,
+                                      ScriptedOutcome::silent,
+                                      ScriptedOutcome::failed};
         trial.backEnds.script(leader, world.chance(700) ? StatementKind::write : StatementKind::commit, scripted[world.below(8)]);
       }
       if (step % 1500 == 700) {
@@ -172,7 +178,11 @@
         asked[index] = clients[index]->start(text);
       }
     }
-    trial.runUntil(5s, [&] { return std::all_of(asked.begin(), asked.end(), [](const auto& each) { return !each || each->reply; }); });
+    trial.runUntil(5s, [&] {
+      return std::all_of(asked.begin(), asked.end(), [](const auto& each) {
+        return !each || each->reply;
+      });
+    });
     CHECK(outcomes["OK"] > 100);
     CHECK(outcomes["UNRESOLVED"] > 0);
     CHECK(outcomes["no reply"] == 0);
--- a/tests/programs/platform-days.cpp
+++ b/tests/programs/platform-days.cpp
@@ -57,7 +57,9 @@
         std::cout << *text;
         continue;
       }
-      auto faults = script.run(seed, [](PlatformProcess& process) { return adapterProgram(process); });
+      auto faults = script.run(seed, [](PlatformProcess& process) {
+        return adapterProgram(process);
+      });
       ++(faults.empty() ? passed : failed);
       if (lines.getValue())
         for (const auto& line : script.lines()) std::cout << line << "\n";
--- a/tests/ration_cut_test.cpp
+++ b/tests/ration_cut_test.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
-Address node(std::uint32_t number) { return Address{"10.1.0." + std::to_string(number) + ":1"}; }
+Address node(std::uint32_t number) {
+  return Address{"10.1.0." + std::to_string(number) + ":1"};
+}
 
 // demands are told in tenths of a connection
 NodeDemands tenfold(NodeDemands demands) {
--- a/tests/recovery_removal_test.cpp
+++ b/tests/recovery_removal_test.cpp
@@ -12,7 +12,9 @@
     start("d2", "replica", Position{98});
     start("d3", "replica", Position{95});
     plan(1, discovered(syncReplicas));
-    REQUIRE(runUntil(5s, [&] { return promoted("d1"); }));
+    REQUIRE(runUntil(5s, [&] {
+      return promoted("d1");
+    }));
     run(2s);
     report.services[ServiceName{"s1"}].working = true;
   }
@@ -50,7 +52,9 @@
   cluster.databases.at("d2").heartbeat.role = "primary";
   cluster.databases.tell("d2");
   cluster.plan(3, cluster.discovered(syncReplicas));
-  CHECK(cluster.runUntil(20s, [&] { return cluster.promoted("d2") || cluster.promoted("d3"); }));
+  CHECK(cluster.runUntil(20s, [&] {
+    return cluster.promoted("d2") || cluster.promoted("d3");
+  }));
   CHECK(cluster.counted("duties.failed") == 0);
 }
 
@@ -59,9 +63,13 @@
   cluster.start("d1", "primary", Position{100});
   cluster.start("d3", "replica", Position{95});
   cluster.databases.addUnheard("d2");
-  cluster.plan(1, R"({"databases":{"d1":{"address":"10.2.0.1:1","cap":10},"d2":{"address":"10.2.0.2:1","cap":10},"d3":{"address":"10.2.0.3:1","cap":10}},
+  cluster.plan(
+      1,
+      R"({"databases":{"d1":{"address":"10.2.0.1:1","cap":10},"d2":{"address":"10.2.0.2:1","cap":10},"d3":{"address":"10.2.0.3:1","cap":10}},
                       "quota":{"connections":10,"branches":{"b":{"connections":10}}}})");
-  REQUIRE(cluster.runUntil(5s, [&] { return cluster.promoted("d1"); }));
+  REQUIRE(cluster.runUntil(5s, [&] {
+    return cluster.promoted("d1");
+  }));
   cluster.run(2s);
   cluster.databases.at("d1").up = false;
   cluster.databases.at("d1").silent = true;
@@ -77,7 +85,9 @@
   cut(true);
   cluster.run(2s);
   cut(false);
-  CHECK(cluster.runUntil(20s, [&] { return cluster.promoted("d3"); }));
+  CHECK(cluster.runUntil(20s, [&] {
+    return cluster.promoted("d3");
+  }));
   cluster.run(3s);
   CHECK(cluster.counted("duties.failed") == 0);
 }
--- a/tests/relief_test.cpp
+++ b/tests/relief_test.cpp
@@ -10,7 +10,9 @@
   cluster.databases.at("d1").up = false;
   cluster.own().working = true;
   cluster.own().suspects = {DatabaseName{"d1"}};
-  REQUIRE(cluster.runUntil(2s, [&] { return cluster.service().epoch == Epoch{2}; }));
+  REQUIRE(cluster.runUntil(2s, [&] {
+    return cluster.service().epoch == Epoch{2};
+  }));
 }
 
 void cutOff(DiscoveredCluster& cluster, std::size_t member) {
@@ -27,21 +29,31 @@
   DiscoveredCluster cluster;
   cluster.own().working = true;
   cluster.own().strained = {DatabaseName{"d1"}};
-  REQUIRE(cluster.runUntil(1s, [&] { return cluster.service().epoch == Epoch{2}; }));
+  REQUIRE(cluster.runUntil(1s, [&] {
+    return cluster.service().epoch == Epoch{2};
+  }));
   CHECK(cluster.service().planned);
-  REQUIRE(cluster.runUntil(3s, [&] { return cluster.promoted("d2"); }));
+  REQUIRE(cluster.runUntil(3s, [&] {
+    return cluster.promoted("d2");
+  }));
 }
 
 TEST_CASE("a primary that has just taken over keeps its place until what waited for it is done") {
   DiscoveredCluster cluster;
   cluster.follows = false;
   crash(cluster);
-  REQUIRE(cluster.runUntil(5s, [&] { return cluster.promoted("d2"); }));
+  REQUIRE(cluster.runUntil(5s, [&] {
+    return cluster.promoted("d2");
+  }));
   cluster.follows = true;
   cluster.own().suspects.clear();
   cluster.own().strained = {DatabaseName{"d2"}};
-  CHECK_FALSE(cluster.runUntil(1500ms, [&] { return cluster.service().epoch > Epoch{2}; }));
-  CHECK(cluster.runUntil(1s, [&] { return cluster.service().epoch > Epoch{2}; }));
+  CHECK_FALSE(cluster.runUntil(1500ms, [&] {
+    return cluster.service().epoch > Epoch{2};
+  }));
+  CHECK(cluster.runUntil(1s, [&] {
+    return cluster.service().epoch > Epoch{2};
+  }));
 }
 
 TEST_CASE("while a node is out of reach a primary is replaced for strain only if that lasts as long as the node's lease") {
@@ -57,8 +69,12 @@
   cluster.run(1200ms);
   cluster.own().working = true;
   cluster.own().strained = {DatabaseName{"d1"}};
-  CHECK_FALSE(cluster.runUntil(1500ms, [&] { return cluster.service().epoch > Epoch{1}; }));
-  CHECK(cluster.runUntil(1s, [&] { return cluster.service().epoch > Epoch{1}; }));
+  CHECK_FALSE(cluster.runUntil(1500ms, [&] {
+    return cluster.service().epoch > Epoch{1};
+  }));
+  CHECK(cluster.runUntil(1s, [&] {
+    return cluster.service().epoch > Epoch{1};
+  }));
 }
 
 TEST_CASE("old leases count from when the recovery was green, also if the duties are laid down and taken again") {
@@ -68,7 +84,9 @@
   auto since = cluster.world.now();
   cluster.run(300ms);
   cutOff(cluster, 2);
-  REQUIRE(cluster.runUntil(5s, [&] { return cluster.databases.at("d2").promoteCalls > 0; }));
+  REQUIRE(cluster.runUntil(5s, [&] {
+    return cluster.databases.at("d2").promoteCalls > 0;
+  }));
   CHECK(cluster.world.now() - since > oldLeases);
   CHECK(cluster.world.now() - since < oldLeases + 400ms);
 }
@@ -80,7 +98,9 @@
   auto since = cluster.world.now();
   cluster.run(300ms);
   cutOff(cluster, 0);
-  REQUIRE(cluster.runUntil(5s, [&] { return cluster.databases.at("d2").promoteCalls > 0; }));
+  REQUIRE(cluster.runUntil(5s, [&] {
+    return cluster.databases.at("d2").promoteCalls > 0;
+  }));
   CHECK(cluster.world.now() - since > oldLeases);
   CHECK(cluster.world.now() - since < oldLeases + 400ms);
 }
--- a/tests/report_book_test.cpp
+++ b/tests/report_book_test.cpp
@@ -63,7 +63,9 @@
   for (unsigned seed = 1; seed <= 60; ++seed) {
     CAPTURE(seed);
     std::mt19937 random(seed);
-    auto below = [&](unsigned bound) { return static_cast<unsigned>(random() % bound); };
+    auto below = [&](unsigned bound) {
+      return static_cast<unsigned>(random() % bound);
+    };
     ReportBook book(20s);
     auto access = std::make_unique<AccessTables>();
     Instant now{};
--- a/tests/schema_check.cpp
+++ b/tests/schema_check.cpp
@@ -31,7 +31,10 @@
 }
 
 bool SchemaCheck::is(const Json& type, const Json& body) {
-  if (type.is_array()) return std::any_of(type.begin(), type.end(), [&](const Json& each) { return is(each, body); });
+  if (type.is_array())
+    return std::any_of(type.begin(), type.end(), [&](const Json& each) {
+      return is(each, body);
+    });
   if (type == "object") return body.is_object();
   if (type == "array") return body.is_array();
   if (type == "string") return body.is_string();
@@ -53,7 +56,8 @@
   if (!is(schema.at("type"), body)) return found.push_back(path + ": must be " + schema.at("type").dump());
   if (schema.contains("minimum") && body < schema.at("minimum")) found.push_back(path + ": below " + schema.at("minimum").dump());
   if (body.is_array())
-    for (std::size_t index = 0; index < body.size(); ++index) check(schema.at("items"), body[index], path + "[" + std::to_string(index) + "]", found);
+    for (std::size_t index = 0; index < body.size(); ++index)
+      check(schema.at("items"), body[index], path + "[" + std::to_string(index) + "]", found);
   if (!body.is_object()) return;
   for (const auto& key : schema.value("required", Json::array()))
     if (!body.contains(key.get<std::string>())) found.push_back(path + ": lacks " + key.get<std::string>());
--- a/tests/scripted_back_ends.cpp
+++ b/tests/scripted_back_ends.cpp
@@ -22,7 +22,8 @@
 
 class ScriptedConnection : public BackEndConnection {
  public:
-  ScriptedConnection(ScriptedBackEnds& backEnds, std::shared_ptr<ScriptedBackEnds::Wire> wire) : backEnds_(backEnds), wire_(std::move(wire)) {}
+  ScriptedConnection(ScriptedBackEnds& backEnds, std::shared_ptr<ScriptedBackEnds::Wire> wire)
+      : backEnds_(backEnds), wire_(std::move(wire)) {}
   ~ScriptedConnection() override { backEnds_.close(*wire_); }
   Task<BackEndReply> run(Statement statement, std::optional<Place> after, Instant deadline) override {
     return backEnds_.run(wire_, std::move(statement), after, deadline);
@@ -37,7 +38,9 @@
 
 namespace {
 
-std::string ownerOf(const std::string& id) { return id.substr(0, id.find('.')); }
+std::string ownerOf(const std::string& id) {
+  return id.substr(0, id.find('.'));
+}
 
 std::optional<StatementFault> notRun(std::optional<ScriptedOutcome> outcome) {
   if (outcome == ScriptedOutcome::busy) return StatementFault::busy;
@@ -106,7 +109,9 @@
   database.committed.insert(database.committed.end(), ids.begin(), ids.end());
   for (auto& [name, other] : databases_) {
     if (&other == &database || !other.follows) continue;
-    clock_.after(other.lag, [&other, place = database.place] { other.place = std::max(other.place, place); });
+    clock_.after(other.lag, [&other, place = database.place] {
+      other.place = std::max(other.place, place);
+    });
   }
 }
 
@@ -118,8 +123,9 @@
     violations.push_back(what + ": " + statement.id + " " + statement.text + " at connection " + std::to_string(wire.number));
     return StatementFault::malformed;
   };
-  bool control = statement.kind == StatementKind::set || statement.kind == StatementKind::reset || statement.kind == StatementKind::discard ||
-                 statement.kind == StatementKind::prepareRead || statement.kind == StatementKind::prepareWrite;
+  bool control = statement.kind == StatementKind::set || statement.kind == StatementKind::reset ||
+                 statement.kind == StatementKind::discard || statement.kind == StatementKind::prepareRead ||
+                 statement.kind == StatementKind::prepareWrite;
   if (wire.state == TransactionState::failed && statement.kind != StatementKind::rollback && statement.kind != StatementKind::commit)
     return violate("a statement in a failed transaction");
   if (open && !statement.id.empty() && ownerOf(statement.id) != wire.owner) return violate("a statement in another's transaction");
@@ -226,8 +232,18 @@
   }
   if (std::exchange(wire->running, true)) violations.push_back("two statements at once: " + statement.id + " " + statement.text);
   auto number = runs.size();
-  runs.push_back(ScriptedRun{number, wire->number, database.name, statement, after, wire->values, wire->prepared, database.place,
-                             wire->state != TransactionState::idle, false, clock_.now(), {}});
+  runs.push_back(ScriptedRun{number,
+                             wire->number,
+                             database.name,
+                             statement,
+                             after,
+                             wire->values,
+                             wire->prepared,
+                             database.place,
+                             wire->state != TransactionState::idle,
+                             false,
+                             clock_.now(),
+                             {}});
   reply.fate = BackEndFate::lost;
   auto work = database.work + (outcome == ScriptedOutcome::slow ? database.slowness : Duration::zero());
   auto doneAt = clock_.now() + work;
--- a/tests/scripted_databases.cpp
+++ b/tests/scripted_databases.cpp
@@ -22,7 +22,9 @@
   return sum;
 }
 
-Task<void> ScriptedDatabases::pass(DatabaseHeartbeat heartbeat) { co_await deliver_(heartbeat); }
+Task<void> ScriptedDatabases::pass(DatabaseHeartbeat heartbeat) {
+  co_await deliver_(heartbeat);
+}
 
 Task<void> ScriptedDatabases::heartbeats(DatabaseName name) {
   for (;;) {
@@ -34,8 +36,10 @@
 Task<bool> ScriptedDatabases::answers(DatabaseName name, Instant deadline) {
   auto found = databases_.find(name);
   if (found == databases_.end()) co_return false;
-  if (found->second.dark) co_await sleep(clock_, deadline - clock_.now());
-  else co_await sleep(clock_, 1ms);
+  if (found->second.dark)
+    co_await sleep(clock_, deadline - clock_.now());
+  else
+    co_await sleep(clock_, 1ms);
   co_return found->second.up && !found->second.dark;
 }
 
@@ -64,8 +68,10 @@
   auto& own = databases_[target.database];
   ++own.promoteCalls;
   own.promotedAt = clock_.now();
-  if (own.promotion == PromotionOutcome::unanswered) co_await sleep(clock_, deadline - clock_.now());
-  else co_await sleep(clock_, 5ms);
+  if (own.promotion == PromotionOutcome::unanswered)
+    co_await sleep(clock_, deadline - clock_.now());
+  else
+    co_await sleep(clock_, 5ms);
   if (own.promotion == PromotionOutcome::accepted && own.leadsWhenAccepted) scope_.spawn(lead(target.database));
   co_return own.promotion;
 }
--- a/tests/scripted_databases.hpp
+++ b/tests/scripted_databases.hpp
@@ -46,7 +46,9 @@
   Task<void> lead(DatabaseName name);
   Task<void> pass(DatabaseHeartbeat heartbeat);
   Task<bool> answers(DatabaseName name, Instant deadline);
-  DatabaseStanding standing(const Database& database) const { return DatabaseStanding{database.heartbeat.role, database.place.epoch, database.place.position, {}}; }
+  DatabaseStanding standing(const Database& database) const {
+    return DatabaseStanding{database.heartbeat.role, database.place.epoch, database.place.position, {}};
+  }
 
   Clock& clock_;
   Deliver deliver_;
--- a/tests/scripted_news.hpp
+++ b/tests/scripted_news.hpp
@@ -28,7 +28,9 @@
   }
   template <class Plan>
   void putPlan(const Topic& topic, const Plan& plan) {
-    std::erase_if(tables_[topic], [](const auto& each) { return isPlanKey(each.first); });
+    std::erase_if(tables_[topic], [](const auto& each) {
+      return isPlanKey(each.first);
+    });
     layPlan(tables_[topic], plan);
     publish(topic);
   }
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -11,7 +11,9 @@
 namespace {
 
 struct Trial {
-  Trial() : file((std::filesystem::temp_directory_path() / ("settings-" + std::to_string(freshEntropy()))).string()), program("trial", "tries settings") {
+  Trial()
+      : file((std::filesystem::temp_directory_path() / ("settings-" + std::to_string(freshEntropy()))).string()),
+        program("trial", "tries settings") {
     program.add(addressSetting("address", "own address", address));
     program.add(reread(numberSetting("queue", "most requests", queue, 1, 100)));
     program.add(reread(numberSetting("sessions", "most sessions", sessions, 1, 100)));
@@ -67,7 +69,8 @@
 
 TEST_CASE("a file with a key twice, a section or no sense is refused, and the old settings stay") {
   Trial trial;
-  for (const char* text : {"address=1.2.3.4:5\nqueue=8\nqueue=9\n", "[part]\nqueue=8\n", "\xff\xfe", "queue=8\n", "address=1.2.3.4:5\nqueue=\n", "address=1.2.3.4:5\nqueue=8 9\n"}) {
+  for (const char* text : {"address=1.2.3.4:5\nqueue=8\nqueue=9\n", "[part]\nqueue=8\n", "\xff\xfe", "queue=8\n",
+                           "address=1.2.3.4:5\nqueue=\n", "address=1.2.3.4:5\nqueue=8 9\n"}) {
     CAPTURE(text);
     CHECK_FALSE(trial.refusal(text).empty());
     CHECK(trial.queue == 7);
--- a/tests/shares_of_removed_branches_test.cpp
+++ b/tests/shares_of_removed_branches_test.cpp
@@ -15,46 +15,72 @@
   return nlohmann::json{{"discovery", "heartbeats"}, {"sync-replicas", 0}, {"quota", quota}}.dump();
 }
 
-bool granted(ControlCluster& cluster) { return cluster.service().grants.contains(node) && !cluster.service().grants.at(node).empty(); }
+bool granted(ControlCluster& cluster) {
+  return cluster.service().grants.contains(node) && !cluster.service().grants.at(node).empty();
+}
 
 }  // namespace
 
 TEST_CASE("shares: what a silent node holds of branches that a plan removes counts until its time is over", "[shares]") {
   ControlCluster cluster;
   cluster.plan(1, branches({{"a", 5}, {"b", 5}}));
-  REQUIRE(cluster.runUntil(10s, [&] { return granted(cluster); }));
+  REQUIRE(cluster.runUntil(10s, [&] {
+    return granted(cluster);
+  }));
   auto hold = Timings{}.shareHold();
   cluster.reports = false;
   SECTION("removed before it was seen to be silent") {
     cluster.plan(2, branches({{"c", 10}}));
-    CHECK_FALSE(cluster.runUntil(hold - 500ms, [&] { return !cluster.service().holds(node); }));
-    CHECK(cluster.runUntil(8s, [&] { return !cluster.service().holds(node); }));
+    CHECK_FALSE(cluster.runUntil(hold - 500ms, [&] {
+      return !cluster.service().holds(node);
+    }));
+    CHECK(cluster.runUntil(8s, [&] {
+      return !cluster.service().holds(node);
+    }));
   }
   SECTION("removed while its share was reserved already") {
-    REQUIRE(cluster.runUntil(6s, [&] { return cluster.service().reserved.contains(node); }));
+    REQUIRE(cluster.runUntil(6s, [&] {
+      return cluster.service().reserved.contains(node);
+    }));
     cluster.run(hold - 2s);
     CHECK(cluster.service().holds(node));
     cluster.plan(2, branches({{"c", 10}}));
-    CHECK_FALSE(cluster.runUntil(hold - 500ms, [&] { return !cluster.service().holds(node); }));
-    CHECK(cluster.runUntil(3s, [&] { return !cluster.service().holds(node); }));
+    CHECK_FALSE(cluster.runUntil(hold - 500ms, [&] {
+      return !cluster.service().holds(node);
+    }));
+    CHECK(cluster.runUntil(3s, [&] {
+      return !cluster.service().holds(node);
+    }));
   }
   SECTION("one of two, while its share was reserved already") {
-    REQUIRE(cluster.runUntil(6s, [&] { return cluster.service().reserved.contains(node); }));
+    REQUIRE(cluster.runUntil(6s, [&] {
+      return cluster.service().reserved.contains(node);
+    }));
     cluster.run(hold - 2s);
     cluster.plan(2, branches({{"a", 5}, {"c", 5}}));
-    CHECK_FALSE(cluster.runUntil(hold - 500ms, [&] { return !cluster.service().holds(node); }));
-    CHECK(cluster.runUntil(3s, [&] { return !cluster.service().holds(node); }));
+    CHECK_FALSE(cluster.runUntil(hold - 500ms, [&] {
+      return !cluster.service().holds(node);
+    }));
+    CHECK(cluster.runUntil(3s, [&] {
+      return !cluster.service().holds(node);
+    }));
   }
 }
 
 TEST_CASE("shares: a plan that takes nothing from a silent node does not hold its share longer", "[shares]") {
   ControlCluster cluster;
   cluster.plan(1, branches({{"a", 5}, {"b", 5}}));
-  REQUIRE(cluster.runUntil(10s, [&] { return granted(cluster); }));
+  REQUIRE(cluster.runUntil(10s, [&] {
+    return granted(cluster);
+  }));
   cluster.reports = false;
-  REQUIRE(cluster.runUntil(6s, [&] { return cluster.service().reserved.contains(node); }));
+  REQUIRE(cluster.runUntil(6s, [&] {
+    return cluster.service().reserved.contains(node);
+  }));
   auto hold = Timings{}.shareHold();
   cluster.run(hold - 2s);
   cluster.plan(2, branches({{"a", 5}, {"b", 5}}));
-  CHECK(cluster.runUntil(4s, [&] { return !cluster.service().holds(node); }));
+  CHECK(cluster.runUntil(4s, [&] {
+    return !cluster.service().holds(node);
+  }));
 }
--- a/tests/shares_restart_test.cpp
+++ b/tests/shares_restart_test.cpp
@@ -14,10 +14,13 @@
   explicit Many(std::size_t count, std::uint32_t connections = 100) {
     report.services[serviceName].wanted[branch] = 1;
     for (std::size_t index = 0; index < count; ++index) boots[address(index)] = 1;
-    plan(1, R"({"discovery":"heartbeats","quota":{"connections":)" + std::to_string(connections) + R"(,"branches":{"b":{"connections":)" + std::to_string(connections) + "}}}}");
+    plan(1, R"({"discovery":"heartbeats","quota":{"connections":)" + std::to_string(connections) + R"(,"branches":{"b":{"connections":)" +
+                std::to_string(connections) + "}}}}");
     start("d1", "primary", Position{100});
     more.spawn(reportAll());
-    REQUIRE(runUntil(20s, [&] { return service().grants.size() == boots.size() + 1; }));
+    REQUIRE(runUntil(20s, [&] {
+      return service().grants.size() == boots.size() + 1;
+    }));
     run(8s);
   }
   ~Many() { more.clear(); }
@@ -32,7 +35,8 @@
         own.draining = draining.contains(node);
         own.services[serviceName].wanted[branch] = wanted.contains(node) ? wanted.at(node) : 1;
         auto bytes = packed(own);
-        for (std::size_t index = 0; index < 3; ++index) nodeDesk.tell(Address{"10.0.0." + std::to_string(index + 1) + ":1"}, "report", bytes);
+        for (std::size_t index = 0; index < 3; ++index)
+          nodeDesk.tell(Address{"10.0.0." + std::to_string(index + 1) + ":1"}, "report", bytes);
       }
       co_await sleep(outside, 100ms);
     }
@@ -79,9 +83,13 @@
     cluster.run(4s);
     CHECK(cluster.service().grants.contains(node));
     if (isShort) cluster.wanted[other] = before + 2;
-    CHECK(cluster.runUntil(isShort ? Duration{4s} : Duration{14s}, [&] { return !cluster.service().grants.contains(node); }));
+    CHECK(cluster.runUntil(isShort ? Duration{4s} : Duration{14s}, [&] {
+      return !cluster.service().grants.contains(node);
+    }));
     CHECK(cluster.sum() <= 62);
-    REQUIRE(cluster.runUntil(30s, [&] { return !cluster.service().holds(node) && cluster.sum() == 62; }));
+    REQUIRE(cluster.runUntil(30s, [&] {
+      return !cluster.service().holds(node) && cluster.sum() == 62;
+    }));
     if (isShort) CHECK(cluster.service().grants.at(other).at(branch) > before);
     CHECK_FALSE(cluster.service().holds(node));
   }
@@ -91,7 +99,9 @@
   Many cluster(3, 40);
   auto node = Many::address(1);
   cluster.silent.insert(node);
-  CHECK(cluster.runUntil(4s, [&] { return !cluster.service().grants.contains(node); }));
+  CHECK(cluster.runUntil(4s, [&] {
+    return !cluster.service().grants.contains(node);
+  }));
   CHECK(cluster.service().reserved.contains(node));
   CHECK(cluster.sum() <= 40);
 }
@@ -102,6 +112,8 @@
   auto before = cluster.service().grants.at(node).at(branch);
   cluster.run(5s);
   cluster.wanted[node] = before + 5;
-  CHECK(cluster.runUntil(5s, [&] { return cluster.service().grants.at(node).at(branch) >= before + 5; }));
+  CHECK(cluster.runUntil(5s, [&] {
+    return cluster.service().grants.at(node).at(branch) >= before + 5;
+  }));
   CHECK(cluster.sum() <= 40);
 }
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -16,7 +16,9 @@
 namespace {
 
 struct Folder {
-  Folder() : path(std::filesystem::temp_directory_path() / ("tamarindshift-store-" + std::to_string(::getpid()))) { std::filesystem::remove_all(path); }
+  Folder() : path(std::filesystem::temp_directory_path() / ("tamarindshift-store-" + std::to_string(::getpid()))) {
+    std::filesystem::remove_all(path);
+  }
   ~Folder() { std::filesystem::remove_all(path); }
   std::string log() const { return (path / "actions.log").string(); }
   std::string bytes() const {
@@ -27,14 +29,18 @@
   std::filesystem::path path;
 };
 
-std::string record(int number) { return std::string("\x92", 1) + "record " + std::to_string(number); }
+std::string record(int number) {
+  return std::string("\x92", 1) + "record " + std::to_string(number);
+}
 
 struct Opened {
   explicit Opened(const Folder& folder) : store(clock, folder.path.string()) { records = store.load(); }
   void add(int number) {
     store.append(record(number));
     bool synced = false;
-    store.sync([&] { synced = true; });
+    store.sync([&] {
+      synced = true;
+    });
     world.runUntil(world.now() + 1ms);
     REQUIRE(synced);
   }
@@ -84,7 +90,9 @@
         FullDisk full(folder.bytes().size() + room);
         for (int number = 3; number <= 9; ++number) {
           opened.store.append(record(number));
-          opened.store.sync([&] { ++synced; });
+          opened.store.sync([&] {
+            ++synced;
+          });
           opened.world.runUntil(opened.world.now() + 300ms);
         }
         CHECK(opened.store.refusing());
@@ -129,7 +137,9 @@
     opened.emplace(folder);
     REQUIRE(opened->records);
     opened->store.append(record(1));
-    opened->store.sync([&] { synced = true; });
+    opened->store.sync([&] {
+      synced = true;
+    });
     opened->world.runUntil(opened->world.now() + 1s);
     CHECK_FALSE(synced);
   }
--- a/tests/tcp_link_test.cpp
+++ b/tests/tcp_link_test.cpp
@@ -41,7 +41,9 @@
   }
   void listen(TcpLink& peer) {
     REQUIRE_FALSE(peer.listen());
-    peer.on(Matter::ask, [this](const Address&, const std::string& body) { heard.push_back(body); });
+    peer.on(Matter::ask, [this](const Address&, const std::string& body) {
+      heard.push_back(body);
+    });
   }
   bool runUntil(const std::function<bool()>& reached) {
     auto until = std::chrono::steady_clock::now() + 10s;
@@ -63,19 +65,29 @@
     tcp::acceptor acceptor(trial.context, trial.endpoint(trial.peerAddress));
     hello.connect(trial.endpoint(trial.ownAddress));
     boost::asio::write(hello, boost::asio::buffer(frame('\0', trial.peerAddress.get() + " 1")));
-    acceptor.async_accept(kept, [&](boost::system::error_code) { accepted = true; });
+    acceptor.async_accept(kept, [&](boost::system::error_code) {
+      accepted = true;
+    });
     trial.own.pass(trial.peerAddress, Envelope{Matter::ask, "to the old life"});
-    REQUIRE(trial.runUntil([&] { return accepted && kept.available() > 0; }));
+    REQUIRE(trial.runUntil([&] {
+      return accepted && kept.available() > 0;
+    }));
   }
   std::optional<TcpLink> peer;
   peer.emplace(trial.context, trial.clock, trial.journal, trial.peerAddress, Detours{});
   trial.listen(*peer);
   bool answered = false;
-  trial.own.on(Matter::reply, [&](const Address&, const std::string&) { answered = true; });
+  trial.own.on(Matter::reply, [&](const Address&, const std::string&) {
+    answered = true;
+  });
   peer->pass(trial.ownAddress, Envelope{Matter::reply, "here I am"});
-  REQUIRE(trial.runUntil([&] { return answered; }));
+  REQUIRE(trial.runUntil([&] {
+    return answered;
+  }));
   trial.own.pass(trial.peerAddress, Envelope{Matter::ask, "first to the new life"});
-  CHECK(trial.runUntil([&] { return !trial.heard.empty(); }));
+  CHECK(trial.runUntil([&] {
+    return !trial.heard.empty();
+  }));
   REQUIRE(trial.heard.size() == 1);
   CHECK(trial.heard.front() == "first to the new life");
 }
@@ -87,13 +99,19 @@
   peer.emplace(trial.context, trial.clock, trial.journal, trial.peerAddress, Detours{});
   trial.listen(*peer);
   trial.own.pass(trial.peerAddress, Envelope{Matter::ask, "before"});
-  REQUIRE(trial.runUntil([&] { return trial.heard.size() == 1; }));
+  REQUIRE(trial.runUntil([&] {
+    return trial.heard.size() == 1;
+  }));
   peer.reset();
   auto until = trial.clock.now() + 100ms;
-  trial.runUntil([&] { return trial.clock.now() >= until; });
+  trial.runUntil([&] {
+    return trial.clock.now() >= until;
+  });
   peer.emplace(trial.context, trial.clock, trial.journal, trial.peerAddress, Detours{});
   trial.listen(*peer);
   trial.own.pass(trial.peerAddress, Envelope{Matter::ask, "after"});
-  CHECK(trial.runUntil([&] { return trial.heard.size() == 2; }));
+  CHECK(trial.runUntil([&] {
+    return trial.heard.size() == 2;
+  }));
   CHECK(trial.heard.back() == "after");
 }
--- a/tests/web_link_test.cpp
+++ b/tests/web_link_test.cpp
@@ -92,7 +92,9 @@
     opened = co_await own.web.open(address, own.clock.now() + 20s);
   };
   bool accepted = false;
-  trial.acceptor.async_accept(trial.server, [&](boost::system::error_code) { accepted = true; });
+  trial.acceptor.async_accept(trial.server, [&](boost::system::error_code) {
+    accepted = true;
+  });
   trial.scope.spawn(open(trial, connection));
   while ((!connection || !accepted) && trial.context.run_one_for(std::chrono::seconds{20}) > 0) {
   }
--- a/tests/zone_homes_test.cpp
+++ b/tests/zone_homes_test.cpp
@@ -11,7 +11,8 @@
 
 std::vector<Address> agents(std::size_t count) {
   std::vector<Address> agents;
-  for (std::size_t index = 0; index < count; ++index) agents.push_back(Address{"10.1." + std::to_string(index / 200) + "." + std::to_string(index % 200 + 10) + ":1"});
+  for (std::size_t index = 0; index < count; ++index)
+    agents.push_back(Address{"10.1." + std::to_string(index / 200) + "." + std::to_string(index % 200 + 10) + ":1"});
   std::sort(agents.begin(), agents.end());
   return agents;
 }
@@ -29,7 +30,9 @@
     CAPTURE(count);
     auto all = agents(count);
     ZoneHomes zone(all);
-    auto homes = std::count_if(all.begin(), all.end(), [&](const auto& agent) { return zone.home(agent); });
+    auto homes = std::count_if(all.begin(), all.end(), [&](const auto& agent) {
+      return zone.home(agent);
+    });
     CHECK(static_cast<std::size_t>(homes) == std::min(count, 2 * ((count + 23) / 24)));
     std::map<Address, std::size_t> followers;
     for (const auto& agent : all) {
@@ -56,8 +59,10 @@
     std::size_t first = 0;
     for (const auto& agent : zone.agents()) {
       auto own = zone.of(topic, agent);
-      if (own.empty()) ++first;
-      else if (zone.home(agent)) CHECK(zone.of(topic, own.front()).empty());
+      if (own.empty())
+        ++first;
+      else if (zone.home(agent))
+        CHECK(zone.of(topic, own.front()).empty());
     }
     CHECK(first == 3);
   }
