Why one request failed, invariants in the running code, and a soak of real processes

Sight: every statement that is not served is kept with its cause, attempts and what its node knew (/failures), summed by cause (/metrics on access and core programs, Prometheus text), and told in two log lines for each time of failing. Refusals name what kept the service from serving.

Children of the runner no longer inherit its sockets, which would have kept cut connections open. RESTinio's door passes headers on; without them the stand-in saw promotions without a fence.

--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -31,6 +31,7 @@
     co_await sleep(clock_, timings_.dutyPause);
     co_await wake_.wait(clock_, clock_.now() + timings_.duty);
     noteEpochs();
+    checkConfiguration();
     if (onDuty() != wasOnDuty_) {
       wasOnDuty_ = onDuty();
       takenAt_ = clock_.now();
@@ -60,6 +61,34 @@
   }
 }
 
+void Duties::checkConfiguration() {
+  auto mark = state_.plan() ? state_.plan()->mark : PlanMark{};
+  planSame_ = mark == planSeen_;
+  journal_.check(Invariant::planNeverGoesBack, mark >= planSeen_, [&] {
+    return "version " + std::to_string(mark.get()) + " is held after " + std::to_string(planSeen_.get());
+  });
+  planSeen_ = mark;
+}
+
+void Duties::checkShares(const ServiceName& name, const ServiceState& service) {
+  const auto* planned = state_.planned(name);
+  // a newer configuration may leave less than what the last move of shares was cut from
+  if (!planned || !planSame_) return;
+  std::map<BranchName, std::uint64_t> held;
+  for (const auto& [node, branches] : service.grants)
+    for (const auto& [branch, amount] : branches) held[branch] += amount;
+  for (const auto& [node, share] : service.reserved)
+    for (const auto& [branch, amount] : share.most) held[branch] += amount;
+  for (const auto& [branch, amount] : held) {
+    auto found = planned->branches.find(branch);
+    if (found == planned->branches.end()) continue;
+    journal_.check(Invariant::sharesWithinBranch, amount <= found->second.connections, [&, &branch = branch, &amount = amount] {
+      return std::to_string(amount) + " connections of branch " + branch.get() + " of " + name.get() + " are held, it has " +
+             std::to_string(found->second.connections);
+    });
+  }
+}
+
 void Duties::pass() {
   access_.forgetNodesBefore(clock_.now() - 10 * timings_.nodeSilence);
   members_.review();
@@ -76,7 +105,10 @@
     const auto& service = state_.services().at(name);
     auto& duty = duties_[name];
     auto now = clock_.now();
-    if (std::exchange(duty.sharesSeen, service.sharesAt) != service.sharesAt) duty.sharesSeenAt = now;
+    if (std::exchange(duty.sharesSeen, service.sharesAt) != service.sharesAt) {
+      duty.sharesSeenAt = now;
+      checkShares(name, service);
+    }
     if (duty.seenAt == Instant{} || duty.epoch != service.epoch) {
       if (duty.takenAt == Instant{}) duty.takenAt = now;
       duty.epoch = service.epoch;
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -80,6 +80,9 @@
   Task<void> run();
   Task<void> wakeOnGreen();
   void noteEpochs();
+  /// What nodes hold of each branch, as it lies in the log, against the branch.
+  void checkShares(const ServiceName& name, const ServiceState& service);
+  void checkConfiguration();
   void pass();
   Task<void> care(ServiceName name);
   Task<void> careFor(ServiceName name);
@@ -173,6 +176,9 @@
   bool nodesBusy_ = false;
   bool enrolmentsBusy_ = false;
   bool wasOnDuty_ = false;
+  PlanMark planSeen_;
+  bool planSame_ = false;
+  std::uint64_t dutyEpochUsed_ = 0;
   Gate wake_;
   Gate ordered_;
   Instant takenAt_{};
--- a/src/edge/door.hpp
+++ b/src/edge/door.hpp
@@ -27,6 +27,7 @@
   int status = 200;
   std::string body;
   std::optional<Duration> comeBack;
+  std::string contentType = "application/json";
 };
 
 class DoorKeeper {
--- a/src/edge/door_replies.cpp
+++ b/src/edge/door_replies.cpp
@@ -11,4 +11,8 @@
   return DoorReply{status, json.dump(), comeBack};
 }
 
+DoorReply metricsReply(std::string page) {
+  return DoorReply{200, std::move(page), std::nullopt, "text/plain; version=0.0.4"};
+}
+
 }  // namespace tamarindshift
--- a/src/news/agent_node.cpp
+++ b/src/news/agent_node.cpp
@@ -10,6 +10,18 @@
 
 namespace tamarindshift {
 
+namespace {
+
+FollowTimings followTimings(const AgentSettings& settings) {
+  FollowTimings timings;
+  timings.patience = settings.timings.newsPatience;
+  timings.signs = settings.signs;
+  timings.longestLease = settings.timings.lease;
+  return timings;
+}
+
+}  // namespace
+
 AgentNode::AgentNode(Clock& clock, PeerLink& link, Journal& journal, AgentSettings settings, std::uint64_t boot)
     : clock_(clock),
       journal_(journal),
@@ -21,7 +33,7 @@
           [this](const Topic& topic) {
             return sources(topic);
           },
-          FollowTimings{settings_.timings.newsPatience, 50ms, 5s, settings_.signs},
+          followTimings(settings_),
           [this] {
             return isHome() ? std::nullopt : std::optional{settings_.address};
           }),
--- a/src/news/follow_timings.hpp
+++ b/src/news/follow_timings.hpp
@@ -16,6 +16,8 @@
   Duration signsKept = 5s;
   /// A reply that keeps arriving is waited for this long.
   Duration longestReply = 15s;
+  /// No lease lasts longer from the moment in which its source answered.
+  Duration longestLease = Duration::max();
 };
 
 }  // namespace tamarindshift
--- a/src/news/news_follower.cpp
+++ b/src/news/news_follower.cpp
@@ -219,7 +219,11 @@
     followed.source = source;
     journal_.line("news " + topic + " from " + source.get());
   }
-  followed.leaseUntil = std::max(followed.leaseUntil.value_or(Instant::min()), at + reply.lease);
+  bool fromQuestion = reply.lease <= timings_.longestLease && at <= clock_.now();
+  journal_.check(Invariant::leaseFromQuestion, fromQuestion, [&] {
+    return "a lease of " + std::to_string(milliseconds(reply.lease).count()) + " ms for " + topic + " from " + source.get();
+  });
+  followed.leaseUntil = std::max(followed.leaseUntil.value_or(Instant::min()), at + std::min(reply.lease, timings_.longestLease));
   if (!reply.signs.empty()) {
     followed.signs = std::move(reply.signs);
     followed.signsAt = at;
--- a/src/pool/proxy_node.cpp
+++ b/src/pool/proxy_node.cpp
@@ -12,6 +12,17 @@
 
 }  // namespace
 
+namespace {
+
+FollowTimings followTimings(const ProxySettings& settings) {
+  FollowTimings timings;
+  timings.patience = settings.timings.newsPatience;
+  timings.longestLease = settings.timings.lease;
+  return timings;
+}
+
+}  // namespace
+
 ProxyNode::ProxyNode(Clock& clock, PeerLink& link, WebLink& databases, Journal& journal, ProxySettings settings, std::uint64_t entropy)
     : clock_(clock),
       journal_(journal),
@@ -23,7 +34,7 @@
           [this](const Topic&) {
             return std::vector{settings_.agent};
           },
-          FollowTimings{settings_.timings.newsPatience, 50ms},
+          followTimings(settings_),
           [this] {
             return std::optional{settings_.node};
           }),
--- a/src/pooler/back_end_pool.cpp
+++ b/src/pooler/back_end_pool.cpp
@@ -131,6 +131,7 @@
   if (shelf.busy.erase(connection) == 0) return;
   connection->usedAt = clock_.now();
   connection->asPrimary = false;
+  connection->holder = nullptr;
   if (shelf.total() < bound(shelf))
     shelf.idle.push_front(connection);
   else
--- a/src/pooler/client_session.hpp
+++ b/src/pooler/client_session.hpp
@@ -4,6 +4,7 @@
 
 #include "control/plan.hpp"
 #include "pooler/pooled_back_end.hpp"
+#include "pooler/statement_trace.hpp"
 
 namespace tamarindshift {
 
@@ -27,6 +28,8 @@
   std::map<ServiceName, Place> own;
   bool busy = false;
   Instant usedAt{};
+  /// Of the statement under way, or of the last one.
+  StatementTrace trace;
 };
 
 }  // namespace tamarindshift
--- a/src/pooler/demand.hpp
+++ b/src/pooler/demand.hpp
@@ -16,6 +16,8 @@
   KindName kind;
   bool atPrimary = true;
   Instant arrivedAt{};
+  /// When this demand began to wait; `arrivedAt` is when its statement came.
+  Instant askedAt{};
   Instant holdUntil{};
   std::set<DatabaseName> avoid;
   const PreparedStatement* wantsPrepared = nullptr;
--- a/src/pooler/pooled_back_end.hpp
+++ b/src/pooler/pooled_back_end.hpp
@@ -12,6 +12,8 @@
   bool operator==(const PreparedStatement&) const = default;
 };
 
+struct ClientSession;
+
 struct PooledBackEnd {
   DatabaseTarget target;
   std::unique_ptr<BackEndConnection> link;
@@ -23,6 +25,8 @@
   std::uint32_t order = 0;
   bool running = false;
   bool cut = false;
+  /// The session whose statements it carries; none while it is idle or rolled back.
+  const ClientSession* holder = nullptr;
   Instant usedAt{};
 };
 
--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -19,7 +19,8 @@
           },
           [this](const DatabaseTarget& target) {
             return fits(target);
-          }) {
+          }),
+      failures_(journal) {
   scope_.spawn(watch());
   scope_.spawn(report());
 }
@@ -55,6 +56,18 @@
 Task<StatementReply> Pooler::run(Session session, Statement statement) {
   session->busy = true;
   session->usedAt = clock_.now();
+  session->trace = StatementTrace{};
+  session->trace.id = statement.id;
+  session->trace.arrivedAt = clock_.now();
+  auto reply = co_await runStatement(session, std::move(statement));
+  session->busy = false;
+  session->usedAt = clock_.now();
+  checkEnded(*session);
+  noteFailure(*session, reply);
+  co_return reply;
+}
+
+Task<StatementReply> Pooler::runStatement(Session session, Statement statement) {
   StatementReply reply;
   bool untold = session->transaction && session->transaction->failed && !std::exchange(session->transaction->told, true);
   bool ends = statement.kind == StatementKind::commit || statement.kind == StatementKind::rollback;
@@ -90,8 +103,6 @@
     }
   }
   if (session->transaction && session->transaction->failed) session->transaction->told = true;
-  session->busy = false;
-  session->usedAt = clock_.now();
   co_return reply;
 }
 
@@ -250,7 +261,13 @@
 }
 
 void Pooler::care() {
+  auto before = std::exchange(caredAt_, clock_.now());
+  if (caredAt_ - before > stallPause) stalledAt_ = caredAt_;
   guide_.refresh();
+  journal_.check(Invariant::planNeverGoesBack, guide_.planMark() >= planSeen_, [this] {
+    return "version " + std::to_string(guide_.planMark().get()) + " is followed after " + std::to_string(planSeen_.get());
+  });
+  planSeen_ = guide_.planMark();
   if (guide_.servicesKnown()) leasedAt_ = clock_.now();
   std::set<DatabaseName> known;
   bool routesChanged = false;
@@ -292,6 +309,7 @@
     }
   }
   serve();
+  failures_.review(clock_.now());
   cared_.open();
 }
 
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -7,6 +7,7 @@
 #include "pool/guide.hpp"
 #include "pooler/back_end_pool.hpp"
 #include "pooler/demand_table.hpp"
+#include "pooler/failure_log.hpp"
 #include "pooler/pooler_settings.hpp"
 #include "pooler/service_watch.hpp"
 #include "pooler/statement_reply.hpp"
@@ -42,6 +43,11 @@
   const BackEndPool& pool() const { return pool_; }
   std::size_t waiting() const { return demands_.size(); }
   std::optional<std::uint64_t> limit(const std::string& name) const;
+  const FailureLog& failures() const { return failures_; }
+  /// The figures of this pooler as a page of metrics.
+  std::string metrics() const;
+  /// A session that could not be opened, which the door found out.
+  void noteRefusedSession(const std::string& host, const StatementReply& refusal, Instant arrivedAt);
 
  private:
   struct Route {
@@ -65,6 +71,20 @@
   bool changing() const;
   void careService(const ServiceName& name, const Guide::ServiceView& view);
   nlohmann::json serviceStatus(const ServiceName& name, const Guide::ServiceView& view) const;
+  /// What keeps a service from serving at its primary now, in words.
+  std::vector<std::string> hindrances(const ServiceName& name, const Guide::ServiceView& view) const;
+  /// The same for a statement that waits, short enough for a reply.
+  std::string whyWaiting(const Demand& demand) const;
+  Task<StatementReply> runStatement(Session session, Statement statement);
+  void noteFailure(const ClientSession& session, const StatementReply& reply);
+  void checkAcknowledged(const ClientSession& session, const Connection& connection, bool leased);
+  void checkSending(const ClientSession* session, const Connection& connection, const Statement& statement);
+  void checkEnded(const ClientSession& session);
+  /// Whether this process stood still at some time since then, so that its timers came late.
+  bool stalledSince(Instant since) const;
+  void noteAttempt(ClientSession& session, const Connection& connection, const BackEndReply& reply, Instant askedAt, bool keeps);
+  /// Whether a statement writes, or commits what was written.
+  bool keepsSomething(const ClientSession& session, const Statement& statement) const;
   void sendReport();
   NodeReport reportNow();
   NodeReport whatChanged(NodeReport report);
@@ -81,7 +101,9 @@
   Task<Acquired> acquire(Session session, KindName kind, bool atPrimary, const Statement* executes, Instant arrived, Instant deadline,
                          std::set<DatabaseName> avoid);
   Task<bool> conform(Session session, Connection connection, const Statement* executes, Instant deadline);
-  Task<BackEndReply> runOn(Connection connection, Statement statement, std::optional<Place> after, Instant deadline);
+  /// The one way of a statement to a database. `session`: whose statement it is; none for those of the pooler itself.
+  Task<BackEndReply> runOn(ClientSession* session, Connection connection, Statement statement, std::optional<Place> after,
+                           Instant deadline);
   Task<void> finishRollback(Connection connection);
 
   void serve();
@@ -115,6 +137,7 @@
   Reports reports_;
   BackEndPool pool_;
   DemandTable demands_;
+  FailureLog failures_;
   std::map<ServiceName, ServiceWatch> watches_;
   std::map<std::string, std::vector<KindName>> hosts_;
   std::map<ServiceName, std::uint64_t> hostsAt_;
@@ -125,6 +148,9 @@
   std::string hindrance_ = "not started";
   std::map<DatabaseName, std::uint32_t> claimed_;
   static constexpr Duration leastDemandTime = 200ms;
+  /// The state is looked after each 100 ms or sooner; a pause longer than this means that the process stood still.
+  static constexpr Duration stallPause = 200ms;
+  static constexpr Duration answerSlack = 500ms;
   Instant demandsSince_{};
   bool serving_ = false;
   bool serveAgain_ = false;
@@ -132,6 +158,10 @@
   std::map<ServiceName, ServiceReport> told_;
   Instant toldWholeAt_{};
   bool reportDue_ = false;
+  /// When the state was last looked after, and when that last came late.
+  Instant caredAt_{};
+  Instant stalledAt_{};
+  PlanMark planSeen_;
   Gate cared_;
   TaskScope scope_;
 };
--- /dev/null
+++ b/src/pooler/pooler_checks.cpp
@@ -0,0 +1,96 @@
+#include "pooler/pooler.hpp"
+#include "pooler/sending_check.hpp"
+
+namespace tamarindshift {
+
+namespace {
+
+/// Work of clients, as against what the pooler lays on a connection or takes back from it.
+bool clientWork(StatementKind kind) {
+  switch (kind) {
+    case StatementKind::begin:
+    case StatementKind::beginRead:
+    case StatementKind::commit:
+    case StatementKind::read:
+    case StatementKind::write:
+    case StatementKind::execute:
+      return true;
+    default:
+      return false;
+  }
+}
+
+bool mayHaveRun(const BackEndReply& reply) {
+  if (reply.fate != BackEndFate::replied) return reply.fate == BackEndFate::lost;
+  switch (reply.fault) {
+    case StatementFault::busy:
+    case StatementFault::behind:
+    case StatementFault::readOnly:
+    case StatementFault::misdirected:
+    case StatementFault::overloaded:
+    case StatementFault::unknownName:
+    case StatementFault::malformed:
+      return false;
+    default:
+      return true;
+  }
+}
+
+}  // namespace
+
+bool Pooler::keepsSomething(const ClientSession& session, const Statement& statement) const {
+  return statement.kind == StatementKind::commit || writes(session, statement);
+}
+
+void Pooler::noteAttempt(ClientSession& session, const Connection& connection, const BackEndReply& reply, Instant askedAt, bool keeps) {
+  auto& trace = session.trace;
+  trace.note(StatementAttempt{connection->target.database, reply.fate, reply.fault, askedAt - trace.arrivedAt, clock_.now() - askedAt});
+  if (keeps && mayHaveRun(reply)) trace.mayHaveRun = true;
+}
+
+void Pooler::checkSending(const ClientSession* session, const Connection& connection, const Statement& statement) {
+  if (!session) return;
+  const auto& target = connection->target;
+  SendingFacts facts;
+  facts.place = [&] {
+    return "'" + statement.id + "' to " + target.database.get() + " of " + target.service.get();
+  };
+  facts.heldBySession = connection->holder == session;
+  facts.clientWork = clientWork(statement.kind);
+  facts.keepsSomething = keepsSomething(*session, statement);
+  facts.mayHaveRunBefore = session->trace.mayHaveRun;
+  facts.leased = guide_.leased(target.service);
+  facts.asPrimary = connection->asPrimary;
+  facts.begins = !session->transaction || statement.kind == StatementKind::begin || statement.kind == StatementKind::beginRead;
+  if (const auto* view = guide_.service(target.service)) {
+    const auto& primary = view->primary;
+    bool current = connection->epoch == primary.epoch && primary.promoted && primary.primary == target.database;
+    bool finishes = primary.planned && Epoch{connection->epoch.get() + 1} == primary.epoch;
+    facts.inEpoch = current || finishes;
+    if (auto drained = view->drained.find(target.database); drained != view->drained.end())
+      facts.drainedFor = clock_.now() - drained->second;
+  }
+  tamarindshift::checkSending(journal_, facts, settings_.timings.detach);
+}
+
+void Pooler::checkAcknowledged(const ClientSession& session, const Connection& connection, bool leased) {
+  journal_.check(Invariant::acknowledgedUnderLease, leased, [&] {
+    return "'" + session.trace.id + "' at " + connection->target.database.get();
+  });
+}
+
+bool Pooler::stalledSince(Instant since) const {
+  return stalledAt_ >= since || clock_.now() - caredAt_ > stallPause;
+}
+
+void Pooler::checkEnded(const ClientSession& session) {
+  const auto& trace = session.trace;
+  if (trace.endsBy == Instant::max()) return;
+  bool inTime = clock_.now() <= trace.endsBy + answerSlack || stalledSince(trace.arrivedAt);
+  journal_.check(Invariant::answeredInTime, inTime, [&] {
+    return "'" + trace.id + "' of " + trace.kind.get() + " was held for " +
+           std::to_string(milliseconds(clock_.now() - trace.arrivedAt).count()) + " ms";
+  });
+}
+
+}  // namespace tamarindshift
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -38,6 +38,10 @@
     connection->epoch = view.primary.epoch;
     connection->order = demand->order;
     if (!connection->asPrimary) demand->after = after;
+    journal_.check(Invariant::connectionHeldOnce, connection->holder == nullptr, [&] {
+      return "a connection to " + connection->target.database.get() + " was granted while another session held it";
+    });
+    connection->holder = demand->session;
     demands_.grant(demand, connection);
   };
   for (const auto& database : databases)
@@ -147,6 +151,7 @@
   demand->kind = kind;
   demand->atPrimary = atPrimary;
   demand->arrivedAt = arrived;
+  demand->askedAt = clock_.now();
   demand->holdUntil = std::min(deadline, arrived + statementBound(kind) * 45 / 100);
   demand->avoid = std::move(avoid);
   if (executes) {
@@ -154,6 +159,7 @@
     demand->wantsPrepared = &session->prepared.at(executes->name);
   }
   if (auto found = routeNamed(kind)) {
+    session->trace.service = found->kind->service;
     demand->order = found->kind->order;
     watches_[found->kind->service].workedAt = clock_.now();
   }
@@ -163,9 +169,9 @@
   while (demand->stage == DemandStage::waiting) {
     co_await demand->decided.wait(clock_, demand->holdUntil);
     if (demand->stage == DemandStage::waiting && clock_.now() >= demand->holdUntil)
-      demands_.refuse(demand, StatementFault::busy,
-                      demand->rationed ? "work of earlier orders goes first at a crowded database" : "no database could take it in time");
+      demands_.refuse(demand, StatementFault::busy, whyWaiting(*demand));
   }
+  session->trace.waited += clock_.now() - demand->askedAt;
   co_return Acquired{demand->connection, demand->after, demand->fault, demand->reason};
 }
 
@@ -210,15 +216,19 @@
   if (!fresh) usual->second += (micros - usual->second) * 0.05;
 }
 
-Task<BackEndReply> Pooler::runOn(Connection connection, Statement statement, std::optional<Place> after, Instant deadline) {
+Task<BackEndReply> Pooler::runOn(ClientSession* session, Connection connection, Statement statement, std::optional<Place> after,
+                                 Instant deadline) {
   auto askedAt = clock_.now();
+  checkSending(session, connection, statement);
   const auto& target = connection->target;
   const auto* view = guide_.service(target.service);
   bool leadsNow = view && guide_.leased(target.service) && view->primary.promoted && view->primary.primary == target.database;
   connection->running = true;
   connection->usedAt = askedAt;
+  bool keeps = session && keepsSomething(*session, statement);
   auto reply = co_await connection->link->run(std::move(statement), after, deadline);
   connection->running = false;
+  if (session) noteAttempt(*session, connection, reply, askedAt, keeps);
   pool_.shelf(target.database).ran[connection->order] += clock_.now() - std::max(askedAt, demandsSince_);
   if (!connection->cut) {
     bool well = reply.fate == BackEndFate::replied && reply.fault != StatementFault::failed && reply.fault != StatementFault::timedOut;
@@ -266,7 +276,7 @@
           Statement{wanted.writes ? StatementKind::prepareWrite : StatementKind::prepareRead, {}, {}, executes->name, wanted.shape});
   }
   for (const auto& step : steps) {
-    auto reply = co_await runOn(connection, step, std::nullopt, deadline);
+    auto reply = co_await runOn(session.get(), connection, step, std::nullopt, deadline);
     journal_.count("pool.conformed");
     if (session->transaction && session->transaction->connection == connection) session->transaction->laid = true;
     if (reply.fate != BackEndFate::replied || reply.fault != StatementFault::none) co_return false;
--- a/src/pooler/pooler_status.cpp
+++ b/src/pooler/pooler_status.cpp
@@ -47,6 +47,25 @@
   return json;
 }
 
+std::vector<std::string> Pooler::hindrances(const ServiceName& name, const Guide::ServiceView& view) const {
+  std::vector<std::string> found;
+  const auto& primary = view.primary;
+  const auto* shelf = pool_.find(primary.primary);
+  auto watch = watches_.find(name);
+  if (!guide_.leased(name)) found.push_back("no current lease");
+  if (primary.primary.get().empty())
+    found.push_back("no primary yet");
+  else if (!primary.promoted)
+    found.push_back("the primary is being recovered");
+  else if (view.drained.contains(primary.primary))
+    found.push_back("the primary is leaving");
+  else if (shelf && shelf->suspect)
+    found.push_back("the primary is suspected");
+  if (watch != watches_.end() && watch->second.confirmed != watch->second.seen) found.push_back("work of an epoch before still runs");
+  if (allowed(name, view) == 0) found.push_back("no share");
+  return found;
+}
+
 Json Pooler::serviceStatus(const ServiceName& name, const Guide::ServiceView& view) const {
   auto now = clock_.now();
   const auto& primary = view.primary;
@@ -55,21 +74,7 @@
   auto lease = guide_.leaseUntil(name);
   own["lease_ms"] = lease ? milliseconds(*lease - now).count() : 0;
   if (auto reason = guide_.shareless(name)) own["shareless"] = *reason;
-  const auto* shelfOfPrimary = pool_.find(primary.primary);
-  auto watch = watches_.find(name);
-  Json waits = Json::array();
-  if (!lease) waits.push_back("no current lease");
-  if (primary.primary.get().empty())
-    waits.push_back("no primary yet");
-  else if (!primary.promoted)
-    waits.push_back("the primary is being recovered");
-  else if (view.drained.contains(primary.primary))
-    waits.push_back("the primary is leaving");
-  else if (shelfOfPrimary && shelfOfPrimary->suspect)
-    waits.push_back("the primary is suspected");
-  if (watch != watches_.end() && watch->second.confirmed != watch->second.seen) waits.push_back("work of an epoch before still runs");
-  if (allowed(name, view) == 0) waits.push_back("no share");
-  if (!waits.empty()) own["waits"] = waits;
+  if (auto waits = hindrances(name, view); !waits.empty()) own["waits"] = waits;
   own["databases"] = Json::object();
   for (const auto& [database, news] : view.databases) {
     auto& entry = own["databases"][database.get()];
--- a/src/pooler/pooler_transactions.cpp
+++ b/src/pooler/pooler_transactions.cpp
@@ -36,6 +36,9 @@
   bool keeps = writes(*session, statement);
   bool atPrimary = keeps || found->kind->consistency == Consistency::primary;
   auto deadline = arrived + statementBound(kind);
+  session->trace.kind = kind;
+  session->trace.service = found->kind->service;
+  session->trace.endsBy = deadline;
   std::set<DatabaseName> avoid;
   auto pause = leastPause;
   std::string lastReason = "no database could take it in time";
@@ -54,7 +57,7 @@
     }
     auto until = keeps ? deadline : std::min(deadline, clock_.now() + patience(connection, kind, attempt));
     auto askedAt = clock_.now();
-    auto reply = co_await runOn(connection, statement, acquired.after, until);
+    auto reply = co_await runOn(session.get(), connection, statement, acquired.after, until);
     if (reply.fate == BackEndFate::replied) noteTaken(kind, clock_.now() - askedAt);
     if (reply.fate != BackEndFate::replied) {
       pool_.drop(connection);
@@ -68,8 +71,10 @@
     if (reply.fault == StatementFault::none) {
       bool good = !keeps || mayAcknowledge(connection);
       if (keeps) noteOwn(*session, connection, reply);
+      bool leased = !keeps || guide_.leased(connection->target.service);
       pool_.release(connection);
       if (!good) co_return refused(StatementFault::unknownOutcome, "the lease ended before the reply");
+      checkAcknowledged(*session, connection, leased);
       co_return passed(std::move(reply));
     }
     journal_.count("replies.faults");
@@ -119,7 +124,7 @@
       pool_.release(connection);
       continue;
     }
-    auto reply = co_await runOn(connection, begin, acquired.after, deadline);
+    auto reply = co_await runOn(session.get(), connection, begin, acquired.after, deadline);
     if (reply.fate == BackEndFate::replied && reply.fault == StatementFault::none && reply.state == TransactionState::open) {
       session->transaction->connection = connection;
       co_return StatementReply{};
@@ -148,6 +153,8 @@
     co_return refused(StatementFault::unknownName, "no such prepared name", TransactionState::failed);
   }
   auto deadline = clock_.now() + statementBound(transaction.kind);
+  session->trace.kind = transaction.kind;
+  session->trace.endsBy = deadline;
   bool keeps = writes(*session, statement);
   if (!transaction.connection) {
     auto started = co_await startTransaction(session, statement, deadline);
@@ -171,7 +178,7 @@
     if (!mayPass(connection, transaction.kind, true)) continue;
     if (keeps) transaction.wrote = true;
     auto until = std::min(deadline, clock_.now() + patience(connection, transaction.kind, 0));
-    auto reply = co_await runOn(connection, statement, std::nullopt, until);
+    auto reply = co_await runOn(session.get(), connection, statement, std::nullopt, until);
     if (reply.fate != BackEndFate::replied) {
       pool_.drop(connection);
       failTransaction(*session);
@@ -207,6 +214,8 @@
     co_return refused(StatementFault::aborted, "the transaction had failed");
   }
   auto deadline = clock_.now() + statementBound(transaction.kind);
+  session->trace.kind = transaction.kind;
+  session->trace.endsBy = deadline;
   if (!transaction.connection) {
     auto started = co_await startTransaction(session, statement, deadline);
     if (started.fault != StatementFault::none) {
@@ -222,7 +231,7 @@
   }
   bool wrote = transaction.wrote;
   bool laid = transaction.laid;
-  auto reply = co_await runOn(connection, statement, std::nullopt, deadline);
+  auto reply = co_await runOn(session.get(), connection, statement, std::nullopt, deadline);
   auto notRunYet = [&reply] {
     return reply.fate == BackEndFate::replied && reply.fault == StatementFault::busy && reply.state == TransactionState::open;
   };
@@ -232,7 +241,7 @@
       rollback(session);
       co_return refused(StatementFault::aborted, "the transaction's database may not be used any more");
     }
-    reply = co_await runOn(connection, statement, std::nullopt, deadline);
+    reply = co_await runOn(session.get(), connection, statement, std::nullopt, deadline);
   }
   session->transaction.reset();
   if (reply.fate != BackEndFate::replied) {
@@ -242,12 +251,14 @@
   }
   if (reply.fault != StatementFault::none && laid) connection->dubious = true;
   bool good = !wrote || mayAcknowledge(connection);
+  bool leased = !wrote || guide_.leased(connection->target.service);
   if (wrote && reply.fault == StatementFault::none) noteOwn(*session, connection, reply);
   if (reply.state == TransactionState::idle)
     pool_.release(connection);
   else
     scope_.spawn(finishRollback(connection));
   if (reply.fault == StatementFault::none && !good) co_return refused(StatementFault::unknownOutcome, "the lease ended before the reply");
+  if (reply.fault == StatementFault::none) checkAcknowledged(*session, connection, leased);
   auto given = passed(std::move(reply));
   given.state = TransactionState::idle;
   if (notRun(given.fault)) given.comeBack = settings_.timings.comeBack;
@@ -265,12 +276,13 @@
 }
 
 Task<void> Pooler::finishRollback(Connection connection) {
+  connection->holder = nullptr;
   if (connection->cut || connection->running || !connection->link->usable()) {
     pool_.drop(connection);
     co_return;
   }
   Statement statement{StatementKind::rollback, {}, {}, {}, {}};
-  auto reply = co_await runOn(connection, statement, std::nullopt, clock_.now() + 1s);
+  auto reply = co_await runOn(nullptr, connection, statement, std::nullopt, clock_.now() + 1s);
   if (reply.fate == BackEndFate::replied && reply.state == TransactionState::idle)
     pool_.release(connection);
   else
--- a/src/real/restinio_door.cpp
+++ b/src/real/restinio_door.cpp
@@ -78,10 +78,13 @@
   Task<void> handle(restinio::request_handle_t request) {
     DoorRequest asked{request->header().method().c_str(), std::string{request->header().path()}, request->body(),
                       ConnectionId{request->connection_id()}};
+    request->header().for_each_field([&asked](const auto& field) {
+      asked.headers.emplace_back(field.name(), field.value());
+    });
     auto reply = co_await keeper.serve(std::move(asked));
     auto response = request->create_response(
         restinio::http_status_line_t{restinio::http_status_code_t{static_cast<std::uint16_t>(reply.status)}, reasonPhrase(reply.status)});
-    response.append_header(restinio::http_field::content_type, "application/json");
+    response.append_header(restinio::http_field::content_type, reply.contentType);
     if (reply.comeBack) {
       auto seconds = std::chrono::ceil<std::chrono::seconds>(*reply.comeBack).count();
       response.append_header(restinio::http_field::retry_after, std::to_string(seconds));
--- a/src/real/tcp_line_link.cpp
+++ b/src/real/tcp_line_link.cpp
@@ -16,7 +16,7 @@
 }  // namespace
 
 Task<std::unique_ptr<LineConnection>> TcpLineLink::open(Address address, Instant deadline) {
-  auto endpoint = endpointOf(address);
+  auto endpoint = endpointOf(detoured(detours_, address));
   if (!endpoint) co_return nullptr;
   auto socket = std::make_shared<tcp::socket>(context_);
   auto limit = clock_.after(std::max(Duration::zero(), deadline - clock_.now()), [weak = std::weak_ptr<tcp::socket>(socket)] {
--- a/src/runner/child_process.cpp
+++ b/src/runner/child_process.cpp
@@ -26,6 +26,8 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile_.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // the runner's own sockets would otherwise stay open in the child after the runner has closed them
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   int failed = posix_spawn(&process_, program_.c_str(), &actions, nullptr, words.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (failed != 0) process_ = -1;
--- a/src/runner/relay.cpp
+++ b/src/runner/relay.cpp
@@ -26,6 +26,12 @@
   return true;
 }
 
+void Relay::reset() {
+  Error ignored;
+  for (const auto& each : std::exchange(sockets_, {}))
+    if (auto socket = each.lock()) socket->close(ignored);
+}
+
 Task<void> Relay::accept() {
   for (;;) {
     auto near = std::make_shared<Socket>(context_);
@@ -53,6 +59,11 @@
   }
   near->set_option(tcp::no_delay(true), ignored);
   far->set_option(tcp::no_delay(true), ignored);
+  std::erase_if(sockets_, [](const auto& each) {
+    return each.expired();
+  });
+  sockets_.push_back(near);
+  sockets_.push_back(far);
   scope_.spawn(pump(near, far));
   scope_.spawn(pump(far, near));
 }
--- a/src/runner/relay.hpp
+++ b/src/runner/relay.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <vector>
+
 #include "base/address.hpp"
 #include "base/gate.hpp"
 #include "base/task_scope.hpp"
@@ -14,6 +16,8 @@
   const Address& own() const { return own_; }
   void cut(bool cut) { cut_ = cut; }
   void delay(Duration delay) { delay_ = delay; }
+  /// Closes all connections that go through now.
+  void reset();
 
  private:
   using Socket = boost::asio::ip::tcp::socket;
@@ -28,6 +32,7 @@
   bool cut_ = false;
   Duration delay_{};
   boost::asio::ip::tcp::acceptor acceptor_;
+  std::vector<std::weak_ptr<Socket>> sockets_;
   TaskScope scope_;
 };
 
--- a/src/simulated/scenario.cpp
+++ b/src/simulated/scenario.cpp
@@ -172,6 +172,7 @@
   NeverList neverList(fleet);
   for (const auto& service : down_) neverList.excuseStaysDown(service);
   faults_ = neverList.check();
+  for (auto& violation : SimulatedJournal::takeViolations()) faults_.push_back(std::move(violation));
   windows_ = neverList.windows();
   runs_ = neverList.runs();
   for (const auto& words : expectations_) expect(fleet, words);
--- a/tests/platform/platform_script.cpp
+++ b/tests/platform/platform_script.cpp
@@ -151,6 +151,7 @@
   world.runUntil(until_);
   faults.insert(faults.end(), events.faults().begin(), events.faults().end());
   for (const auto& broken : world.finish()) faults.push_back(broken.rule + ": " + broken.text);
+  for (auto& violation : SimulatedJournal::takeViolations()) faults.push_back(std::move(violation));
   for (const auto& fault : world.history().clients.faults) faults.push_back("client: " + fault);
   for (const auto& expectation : expectations_) {
     auto served = world.served(expectation.from, expectation.until, expectation.kind);
--- a/tests/platform/platform_world.hpp
+++ b/tests/platform/platform_world.hpp
@@ -3,6 +3,7 @@
 #include "tests/platform/broken_rule.hpp"
 #include "tests/platform/platform_process.hpp"
 #include "tests/platform/reach_table.hpp"
+#include "tests/platform/simulated_database_fabric.hpp"
 #include "tests/platform/standin_database_host.hpp"
 #include "tests/platform/standin_operator.hpp"
 #include "tests/platform/standin_promotion_api.hpp"
@@ -97,6 +98,7 @@
   World world_;
   SimulatedNetwork network_{world_};
   SimulatedLineNetwork lineNetwork_{network_};
+  SimulatedDatabaseFabric fabric_{lineNetwork_};
   SimulatedWeb web_{network_};
   ReachTable reach_{network_};
   PlatformHistory history_;
--- /dev/null
+++ b/tests/soak/soak_plan.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/time.hpp"
+
+namespace tamarindshift::testing {
+
+enum class SoakTroubleKind : std::size_t {
+  killCore,
+  killAccess,
+  stopCore,
+  stopAccess,
+  freezeCore,
+  freezeAccess,
+  hangUp,
+  loseDisk,
+  cutCore,
+  cutAccess,
+  cutDatabase,
+  resetConnections,
+  crashPrimary,
+  crashReplica,
+  loseAnswers,
+  slowDatabase,
+  cutReplication,
+  releaseDatabase,
+  promotionsDown,
+  promotionsSlow,
+  configure,
+  configureTwice,
+  badConfiguration,
+  olderConfiguration,
+  loseAcknowledgements,
+  rudeClients,
+  crowd,
+};
+
+inline constexpr std::size_t soakTroubleKinds = static_cast<std::size_t>(SoakTroubleKind::crowd) + 1;
+
+/// One trouble of a soak. `first` and `second` pick what it befalls, each by its remainder.
+struct SoakTrouble {
+  Duration at{};
+  SoakTroubleKind kind{};
+  std::size_t first = 0;
+  std::size_t second = 0;
+  Duration lasting{};
+  bool oneWay = false;
+};
+
+std::string text(const SoakTrouble& trouble);
+
+/// Troubles in bursts of two or three that overlap in time, between `from` and `until`. The same seed gives the same
+/// ones. At most one disk is lost, which is what the core must bear.
+std::vector<SoakTrouble> drawTroubles(std::uint64_t seed, Duration from, Duration until);
+
+}  // namespace tamarindshift::testing
