Tests that fail: tries wait for a lease that does not come, up to the client's deadline

Each try is held 45 % of its statement's bound, 360 ms of 800; three tries add up to more than the client's second. Class: waits that are bounded one by one and not together. The third case is the same clock read wrongly: a process that stood still takes that time for time without a lease, refuses and closes its clients. All three were seen to fail without the mend.

--- a/tests/pooler_endings_test.cpp
+++ b/tests/pooler_endings_test.cpp
@@ -52,6 +52,51 @@
   CHECK(bob->refusal.comeBack);
 }
 
+TEST_CASE("pooler ends: work without a lease for long is refused at once, for statements and sessions", "[pooler][endings]") {
+  PoolerTrial trial;
+  trial.news.replicasReply = true;
+  auto alice = trial.client("alice");
+  REQUIRE(alice->ask("READ a") == "OK");
+  trial.endLease();
+  trial.news.endLease(fleetTopic);
+  trial.run(1200ms);
+  for (const char* text : {"WRITE a 1", "READ a"}) congestedIn(*alice, text, 0ms, 5ms);
+  auto asked = trial.clock.now();
+  auto bob = trial.client("bob", "nowhere");
+  CHECK_FALSE(bob->session);
+  CHECK(bob->refusal.comeBack);
+  CHECK(trial.clock.now() - asked <= 5ms);
+}
+
+TEST_CASE("pooler ends: no client is held to its deadline by tries while no lease comes", "[pooler][endings]") {
+  PoolerTrial trial;
+  trial.news.replicasReply = true;
+  auto alice = trial.client("alice");
+  REQUIRE(alice->ask("READ a") == "OK");
+  trial.endLease();
+  auto lapsed = trial.clock.now();
+  for (int attempt = 0; attempt < 3; ++attempt) CHECK(alice->ask("WRITE a 1") == "CONGESTED");
+  CHECK(trial.clock.now() - lapsed <= 1150ms);
+  auto later = trial.clock.now();
+  for (int attempt = 0; attempt < 3; ++attempt) CHECK(alice->ask("WRITE a 1") == "CONGESTED");
+  CHECK(trial.clock.now() - later <= 10ms);
+}
+
+TEST_CASE("pooler ends: a process that stood still holds its work until it has heard of its lease", "[pooler][endings]") {
+  PoolerTrial trial;
+  auto alice = trial.client("alice");
+  REQUIRE(alice->ask("READ a") == "OK");
+  trial.clock.freeze();
+  trial.run(3s);
+  trial.endLease();
+  trial.clock.thaw();
+  auto asked = alice->start("READ a");
+  trial.run(100ms);
+  CHECK_FALSE(asked->reply);
+  trial.renewLease();
+  CHECK(alice->finish(asked) == "OK");
+}
+
 TEST_CASE("pooler ends: a lease that comes back in time costs only the wait", "[pooler][endings]") {
   PoolerTrial trial;
   auto alice = trial.client("alice");
--- a/tests/scripted_news.hpp
+++ b/tests/scripted_news.hpp
@@ -20,6 +20,9 @@
   std::uint64_t position(const Topic&) override { return position_; }
   const NewsBoard& board() const override { return board_; }
   Gate& changed() override { return board_.changed(); }
+  Instant coreRepliedAt() const override { return replicasReply ? clock_.now() : NewsFeed::coreRepliedAt(); }
+  /// Replicas reply, with a lease or without one.
+  bool replicasReply = false;
 
   template <class Value>
   void put(const Topic& topic, const std::string& key, const Value& value) {
