Pooler: work is refused at once where a lease lapsed more than a second ago

Cause: the wait for a lease was bounded for each statement and not for the lapse. Time in which the process stood still (its state looked after over 200 ms late) does not count, neither here nor for "cut off". Ruled out: refusing from the first moment (a lapse that a view change of usual length ends would cost every request in it), and counting the tries of a client (they come through different nodes).

--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -20,7 +20,8 @@
           [this](const DatabaseTarget& target) {
             return fits(target);
           }),
-      failures_(journal) {
+      failures_(journal),
+      startedAt_(clock.now()) {
   scope_.spawn(watch());
   scope_.spawn(report());
 }
@@ -47,7 +48,8 @@
   auto until = clock_.now() + settings_.setupPatience;
   for (;;) {
     auto session = open(host, refusal);
-    bool mayCome = refusal.fault == StatementFault::busy && !closing() && !cutOff() && sessions_.size() < settings_.sessions;
+    bool mayCome =
+        refusal.fault == StatementFault::busy && !closing() && !cutOff() && !lapsedLong() && sessions_.size() < settings_.sessions;
     if (session || !mayCome || clock_.now() >= until) co_return session;
     co_await cared_.wait(clock_, until);
   }
@@ -128,8 +130,23 @@
 }
 
 bool Pooler::cutOff() const {
-  auto now = clock_.now();
-  return leasedAt_ && now - *leasedAt_ > settings_.lapsePatience && now - guide_.coreRepliedAt() > 2 * settings_.lapsePatience;
+  return leasedAt_ && lapsedFor(*leasedAt_) > settings_.lapsePatience && lapsedFor(guide_.coreRepliedAt()) > 2 * settings_.lapsePatience;
+}
+
+// a process that starts, or stood still, has had no time to hear of a lease
+Duration Pooler::lapsedFor(Instant leasedAt) const {
+  if (stalledSince(clock_.now())) return Duration::zero();
+  return clock_.now() - std::max({leasedAt, startedAt_, stalledAt_});
+}
+
+bool Pooler::lapsedLong(const ServiceName& service) const {
+  if (guide_.leased(service)) return false;
+  auto watch = watches_.find(service);
+  return lapsedFor(watch == watches_.end() ? Instant{} : watch->second.leasedAt) > settings_.lapseHold;
+}
+
+bool Pooler::lapsedLong() const {
+  return !guide_.servicesKnown() && lapsedFor(leasedAt_.value_or(Instant{})) > settings_.lapseHold;
 }
 
 std::optional<std::string> Pooler::notReady() const {
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -36,6 +36,10 @@
   bool stopped() const;
   // had leases and has none for so long that clients fare better elsewhere
   bool cutOff() const;
+  /// Whether a service has had no lease here for so long that holding its work would only use up the clients' time.
+  bool lapsedLong(const ServiceName& service) const;
+  /// The same for all that needs any lease, such as the routes.
+  bool lapsedLong() const;
   std::optional<std::string> notReady() const;
   // what an operator sees, made when it is asked for
   nlohmann::json status() const;
@@ -79,6 +83,7 @@
   void noteFailure(const ClientSession& session, const StatementReply& reply);
   void checkAcknowledged(const ClientSession& session, const Connection& connection, bool leased);
   void checkSending(const ClientSession* session, const Connection& connection, const Statement& statement);
+  Duration lapsedFor(Instant leasedAt) const;
   void checkEnded(const ClientSession& session);
   /// Whether this process stood still at some time since then, so that its timers came late.
   bool stalledSince(Instant since) const;
@@ -159,6 +164,7 @@
   Instant toldWholeAt_{};
   bool reportDue_ = false;
   /// When the state was last looked after, and when that last came late.
+  Instant startedAt_{};
   Instant caredAt_{};
   Instant stalledAt_{};
   PlanMark planSeen_;
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -23,7 +23,10 @@
   if (!found) return demands_.refuse(demand, guide_.routesKnown() ? StatementFault::noDatabase : StatementFault::busy, "the route is gone");
   const auto& service = found->kind->service;
   if (!guide_.leased(service)) {
-    if (cutOff()) demands_.refuse(demand, StatementFault::busy, "this node is cut off");
+    if (cutOff())
+      demands_.refuse(demand, StatementFault::busy, "this node is cut off");
+    else if (lapsedLong(service))
+      demands_.refuse(demand, StatementFault::busy, "no lease for too long");
     return;
   }
   const auto& view = *found->service;
--- a/src/pooler/pooler_settings.hpp
+++ b/src/pooler/pooler_settings.hpp
@@ -16,6 +16,8 @@
   Duration plannedFinish = 250ms;
   Duration setupPatience = 1s;
   Duration lapsePatience = 400ms;
+  /// Work is held for a lease that lapsed no longer ago than this; after that it is refused at once.
+  Duration lapseHold = 1s;
   Duration drainServes = 2200ms;
 };
 
