--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -83,6 +83,8 @@
   void noteFailure(const ClientSession& session, const StatementReply& reply);
   void checkAcknowledged(const ClientSession& session, const Connection& connection, bool leased);
   void checkSending(const ClientSession* session, const Connection& connection, const Statement& statement);
+  /// Until when a statement may wait for a lease that lapsed long ago.
+  Instant holdLapsedUntil(const Demand& demand) const;
   Duration lapsedFor(Instant leasedAt) const;
   void checkEnded(const ClientSession& session);
   /// Whether this process stood still at some time since then, so that its timers came late.
@@ -154,7 +156,7 @@
   std::map<DatabaseName, std::uint32_t> claimed_;
   static constexpr Duration leastDemandTime = 200ms;
   /// The state is looked after each 100 ms or sooner; a pause longer than this means that the process stood still.
-  static constexpr Duration stallPause = 200ms;
+  static constexpr Duration stallPause = 400ms;
   static constexpr Duration answerSlack = 500ms;
   Instant demandsSince_{};
   bool serving_ = false;
--- a/src/pooler/pooler_metrics.cpp
+++ b/src/pooler/pooler_metrics.cpp
@@ -37,7 +37,7 @@
   FailedStatement failed;
   failed.at = clock_.now();
   failed.host = host;
-  failed.trace.id = "SETUP";
+  failed.trace.id = "session";
   failed.trace.arrivedAt = arrivedAt;
   failed.fault = refusal.fault;
   failed.reason = refusal.reason;
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -25,7 +25,7 @@
   if (!guide_.leased(service)) {
     if (cutOff())
       demands_.refuse(demand, StatementFault::busy, "this node is cut off");
-    else if (lapsedLong(service))
+    else if (lapsedLong(service) && clock_.now() >= holdLapsedUntil(*demand))
       demands_.refuse(demand, StatementFault::busy, "no lease for too long");
     return;
   }
@@ -147,6 +147,10 @@
   return chosen;
 }
 
+Instant Pooler::holdLapsedUntil(const Demand& demand) const {
+  return demand.arrivedAt + statementBound(demand.kind) * settings_.lapsedHoldPercent / 100;
+}
+
 Task<Pooler::Acquired> Pooler::acquire(Session session, KindName kind, bool atPrimary, const Statement* executes, Instant arrived,
                                        Instant deadline, std::set<DatabaseName> avoid) {
   auto demand = std::make_shared<Demand>();
@@ -170,7 +174,10 @@
   demands_.add(demand);
   serve();
   while (demand->stage == DemandStage::waiting) {
-    co_await demand->decided.wait(clock_, demand->holdUntil);
+    auto found = routeNamed(kind);
+    bool lapsed = found && lapsedLong(found->kind->service);
+    co_await demand->decided.wait(clock_, lapsed ? holdLapsedUntil(*demand) : demand->holdUntil);
+    if (lapsed) serve();
     if (demand->stage == DemandStage::waiting && clock_.now() >= demand->holdUntil)
       demands_.refuse(demand, StatementFault::busy, whyWaiting(*demand));
   }
--- a/src/pooler/pooler_settings.hpp
+++ b/src/pooler/pooler_settings.hpp
@@ -16,8 +16,11 @@
   Duration plannedFinish = 250ms;
   Duration setupPatience = 1s;
   Duration lapsePatience = 400ms;
-  /// Work is held for a lease that lapsed no longer ago than this; after that it is refused at once.
-  Duration lapseHold = 1s;
+  /// Work is held as usual for a lease that lapsed no longer ago than this.
+  Duration lapseHold = 500ms;
+  /// After that a statement is held for this percentage of its bound only, so that all tries of a client together stay
+  /// far from its deadline.
+  int lapsedHoldPercent = 15;
   Duration drainServes = 2200ms;
 };
 
