A process that ended is known at once: connections refused by its machine are listened to

Cause: peers and asks were given up after silence only (500 ms, 350 ms), though a killed process's machine answers with a reset. PeerLink tells of it; the group leaves the member out, Desk ends its asks. A coordinator asks for its view again with each heartbeat, for a member that has not noticed yet would otherwise be left out for a second. The soak moved below tests/platform, where the platform's names may stand.

--- a/src/base/desk.cpp
+++ b/src/base/desk.cpp
@@ -11,6 +11,17 @@
   link_.on(Matter::reply, [this](const Address& from, const std::string& bytes) {
     onReply(from, bytes);
   });
+  link_.onRefused([this](const Address& peer) {
+    onRefused(peer);
+  });
+}
+
+void Desk::onRefused(const Address& peer) {
+  for (auto& [attempt, pending] : pending_) {
+    if (pending->peer != peer) continue;
+    pending->refused = true;
+    pending->gate.open();
+  }
 }
 
 std::shared_ptr<Desk::Pending> Desk::send(const Address& peer, std::string subject, std::string body) {
@@ -37,7 +48,7 @@
   do {
     arrived = link_.arriving(peer);
     co_await pending->gate.wait(clock_, std::min(deadline, clock_.now() + patience));
-  } while (!pending->body && clock_.now() < deadline && link_.arriving(peer) > arrived);
+  } while (!pending->body && !pending->refused && clock_.now() < deadline && link_.arriving(peer) > arrived);
   pending_.erase(pending->attempt);
   co_return pending->body;
 }
--- a/src/base/desk.hpp
+++ b/src/base/desk.hpp
@@ -13,7 +13,8 @@
 /// Requests and replies between processes over a `PeerLink` that may lose, delay, double and reorder messages.
 ///
 /// A reply is handed to a caller only if it comes from the peer that was asked, names the boot of this process and
-/// the attempt that is still waiting; the first such reply counts. A request is never sent again by itself.
+/// the attempt that is still waiting; the first such reply counts. A request is never sent again by itself. One that
+/// waits for a peer whose process has ended is given up at once.
 class Desk {
  public:
   /// Handles a request; no value means that no reply is sent.
@@ -35,10 +36,13 @@
     Address peer;
     std::uint64_t attempt = 0;
     std::optional<std::string> body;
+    /// The peer has no process that could reply.
+    bool refused = false;
     Gate gate;
   };
   std::shared_ptr<Pending> send(const Address& peer, std::string subject, std::string body);
   void onAsk(const Address& from, const std::string& bytes);
+  void onRefused(const Address& peer);
   void onReply(const Address& from, const std::string& bytes);
   Task<void> answer(Address from, std::uint64_t attempt, std::uint64_t boot, std::string subject, std::string body);
 
--- a/src/group/sequenced_group.cpp
+++ b/src/group/sequenced_group.cpp
@@ -15,6 +15,11 @@
   route(Matter::groupPrepare, &SequencedGroup::onPrepare);
   route(Matter::groupFlushed, &SequencedGroup::onFlushed);
   route(Matter::groupInstall, &SequencedGroup::onInstall);
+  link_.onRefused([this](const Address& peer) {
+    queue_.put([this, peer] {
+      onRefused(peer);
+    });
+  });
   scope_.spawn(work());
   scope_.spawn(heartbeat());
 }
@@ -49,6 +54,7 @@
   for (;;) {
     queue_.put([this] {
       sendHeartbeats();
+      prepareAgain();
       considerForming();
     });
     co_await sleep(clock_, timings_.heartbeat);
@@ -180,6 +186,13 @@
   peer.proofWaiting.reset();
 }
 
+void SequencedGroup::onRefused(const Address& address) {
+  auto found = peers_.find(address);
+  if (found == peers_.end()) return;
+  found->second.endedAt = clock_.now();
+  considerForming();
+}
+
 std::optional<Instant> SequencedGroup::provedAt() const {
   if (flushing_ || members_.empty()) return std::nullopt;
   Instant proved = clock_.now();
@@ -206,6 +219,7 @@
     if (!peer.heartbeat.joined || clock_.now() - peer.heardAt > timings_.suspicion) continue;
     if (!peer.heartbeat.heard.contains(own_) || peer.heartbeat.retiring) continue;
     if (peer.refusedUntil && *peer.refusedUntil > clock_.now()) continue;
+    if (peer.endedAt && *peer.endedAt >= peer.heardAt) continue;
     members.insert(peer.heartbeat.from);
   }
   return members;
@@ -263,6 +277,14 @@
   if (shrinks || now - *unsettledSince_ >= settlesIn(candidates)) startForming(candidates);
 }
 
+// one that has not yet noticed that a member ended follows no other coordinator, and is asked again
+void SequencedGroup::prepareAgain() {
+  if (!forming_) return;
+  for (const auto& member : forming_->members)
+    if (member != own_ && !forming_->flushed.contains(member))
+      pass(member.server.address, Matter::groupPrepare, GroupPrepare{forming_->proposed, forming_->members});
+}
+
 void SequencedGroup::startForming(std::set<Member> members) {
   unsettledSince_.reset();
   ViewId proposed{std::max(highestCounter_, promised_.counter) + 1, own_};
--- a/src/group/sequenced_group.hpp
+++ b/src/group/sequenced_group.hpp
@@ -36,6 +36,8 @@
     GroupHeartbeat heartbeat;
     Instant heardAt{};
     std::optional<Instant> refusedUntil;
+    /// When its machine said that its process has ended.
+    std::optional<Instant> endedAt;
     std::optional<Instant> provedAt;
     std::optional<Instant> proofWaiting;
     std::uint64_t proofNeeds = 0;
@@ -64,6 +66,7 @@
   Task<void> proveSoon();
   void sendHeartbeats();
   void onHeartbeat(const GroupHeartbeat& heartbeat);
+  void onRefused(const Address& address);
   void onSubmit(const GroupSubmit& submit);
   void onOrdered(const GroupOrdered& ordered);
   void onAcked(const GroupMark& mark);
@@ -77,6 +80,7 @@
   Duration settlesIn(const std::set<Member>& candidates) const;
   bool needsNewView(const std::set<Member>& reachable) const;
   void considerForming();
+  void prepareAgain();
   void startForming(std::set<Member> members);
   void finishForming();
   void submit(Unordered& unordered);
--- a/src/real/tcp_link.cpp
+++ b/src/real/tcp_link.cpp
@@ -166,6 +166,7 @@
     if (connectError) {
       outgoing.queue.clear();
       outgoing.bytes = 0;
+      if (connectError == boost::asio::error::connection_refused) refusedBy(peer);
       co_await sleep(clock_, 20ms);
       continue;
     }
--- a/src/simulated/simulated_link.hpp
+++ b/src/simulated/simulated_link.hpp
@@ -19,6 +19,11 @@
       arrived(from, envelope);
     });
   }
+  void refused(const Address& peer) {
+    clock_.after(Duration::zero(), [this, peer] {
+      refusedBy(peer);
+    });
+  }
 
  private:
   SimulatedNetwork& network_;
--- a/src/simulated/simulated_network.hpp
+++ b/src/simulated/simulated_network.hpp
@@ -29,6 +29,8 @@
   static std::string host(const Address& address) { return address.get().substr(0, address.get().find(':')); }
 
  private:
+  void refuse(const Address& from, const Address& to);
+
   World& world_;
   std::map<Address, SimulatedLink*> links_;
   std::set<std::pair<std::string, std::string>> cuts_;
--- a/tests/engine_replacement_test.cpp
+++ b/tests/engine_replacement_test.cpp
@@ -29,15 +29,23 @@
   }
 
   void begin(std::size_t index) {
-    if (serving.size() >= 3) seeds = serving;
+    if (founded) seeds = listed();
     start(index);
     serving.insert(index);
+    founded = founded || serving.size() >= 3;
     startedAt[index] = world.now();
   }
+  /// The operator's list, which lags: members that serve, and the last that went, to make three.
+  std::set<std::size_t> listed() const {
+    auto list = serving;
+    for (auto each = gone.rbegin(); each != gone.rend() && list.size() < 3; ++each) list.insert(*each);
+    return list;
+  }
   /// The machine is gone for good, its disk with it.
   void goneForGood(std::size_t index) {
     kill(index);
     serving.erase(index);
+    gone.push_back(index);
     nodes[index]->disk.empty();
     lostDisks.insert(index);
   }
@@ -97,10 +105,14 @@
     auto before = acknowledged.size();
     work(500ms);
     if (acknowledged.size() == before) faults.push_back("nothing is acknowledged at the end");
+    // what one member has green reaches the others a moment later
+    run(200ms);
     judge();
   }
 
   std::set<std::size_t> serving;
+  std::vector<std::size_t> gone;
+  bool founded = false;
   std::set<std::size_t> lostDisks;
   std::map<std::size_t, Instant> startedAt;
 };
--- a/tests/soak/rude_clients.cpp
+++ b/tests/platform/soak/rude_clients.cpp
@@ -1,4 +1,4 @@
-#include "tests/soak/rude_clients.hpp"
+#include "tests/platform/soak/rude_clients.hpp"
 
 #include "base/gate.hpp"
 
--- a/tests/programs/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -2,7 +2,7 @@
 #include <iostream>
 
 #include "base/setting_kinds.hpp"
-#include "tests/soak/soak_run.hpp"
+#include "tests/platform/soak/soak_run.hpp"
 
 using namespace tamarindshift;
 using namespace tamarindshift::testing;
--- a/tests/soak/soak_database.cpp
+++ b/tests/platform/soak/soak_database.cpp
@@ -1,4 +1,4 @@
-#include "tests/soak/soak_database.hpp"
+#include "tests/platform/soak/soak_database.hpp"
 
 namespace tamarindshift::testing {
 
--- a/tests/soak/soak_database.hpp
+++ b/tests/platform/soak/soak_database.hpp
@@ -2,7 +2,7 @@
 
 #include "real/tcp_line_door.hpp"
 #include "tests/platform/standin_heartbeats.hpp"
-#include "tests/soak/soak_fabric.hpp"
+#include "tests/platform/soak/soak_fabric.hpp"
 
 namespace tamarindshift::testing {
 
--- a/tests/soak/soak_mesh.cpp
+++ b/tests/platform/soak/soak_mesh.cpp
@@ -1,4 +1,4 @@
-#include "tests/soak/soak_mesh.hpp"
+#include "tests/platform/soak/soak_mesh.hpp"
 
 #include "simulated/simulated_network.hpp"
 
--- a/tests/soak/soak_plan.cpp
+++ b/tests/platform/soak/soak_plan.cpp
@@ -1,4 +1,4 @@
-#include "tests/soak/soak_plan.hpp"
+#include "tests/platform/soak/soak_plan.hpp"
 
 #include <algorithm>
 #include <array>
--- a/tests/soak/soak_run.cpp
+++ b/tests/platform/soak/soak_run.cpp
@@ -1,4 +1,4 @@
-#include "tests/soak/soak_run.hpp"
+#include "tests/platform/soak/soak_run.hpp"
 
 #include <csignal>
 #include <filesystem>
--- a/tests/soak/soak_run.hpp
+++ b/tests/platform/soak/soak_run.hpp
@@ -7,12 +7,12 @@
 #include "tests/platform/standin_operator.hpp"
 #include "tests/platform/standin_promotion_api.hpp"
 #include "tests/platform/standin_wire_clients.hpp"
-#include "tests/soak/lossy_web_link.hpp"
-#include "tests/soak/rude_clients.hpp"
-#include "tests/soak/soak_database.hpp"
-#include "tests/soak/soak_machine.hpp"
-#include "tests/soak/soak_mesh.hpp"
-#include "tests/soak/soak_plan.hpp"
+#include "tests/platform/soak/lossy_web_link.hpp"
+#include "tests/platform/soak/rude_clients.hpp"
+#include "tests/platform/soak/soak_database.hpp"
+#include "tests/platform/soak/soak_machine.hpp"
+#include "tests/platform/soak/soak_mesh.hpp"
+#include "tests/platform/soak/soak_plan.hpp"
 
 namespace tamarindshift::testing {
 
--- a/tests/soak/soak_troubles.cpp
+++ b/tests/platform/soak/soak_troubles.cpp
@@ -2,7 +2,7 @@
 #include <filesystem>
 
 #include "simulated/simulated_network.hpp"
-#include "tests/soak/soak_run.hpp"
+#include "tests/platform/soak/soak_run.hpp"
 
 namespace tamarindshift::testing {
 
--- a/tests/tcp_link_test.cpp
+++ b/tests/tcp_link_test.cpp
@@ -146,3 +146,42 @@
     return trial.own.arriving(trial.peerAddress) == 0;
   }));
 }
+
+TEST_CASE("a dead port is told as refused, and a connection that was reset is not") {
+  Trial trial;
+  REQUIRE_FALSE(trial.own.listen());
+  std::vector<Address> refused;
+  trial.own.onRefused([&](const Address& peer) {
+    refused.push_back(peer);
+  });
+  SECTION("nobody listens") {
+    trial.own.pass(trial.peerAddress, Envelope{Matter::ask, "lost"});
+    REQUIRE(trial.runUntil([&] {
+      return !refused.empty();
+    }));
+    CHECK(refused.front() == trial.peerAddress);
+  }
+  SECTION("the peer closes what it accepted and listens on") {
+    tcp::acceptor acceptor(trial.context, trial.endpoint(trial.peerAddress));
+    std::size_t accepted = 0;
+    std::function<void()> accept = [&] {
+      acceptor.async_accept([&](boost::system::error_code error, tcp::socket socket) {
+        if (error) return;
+        ++accepted;
+        socket.close();
+        accept();
+      });
+    };
+    accept();
+    for (int index = 0; index < 3; ++index) {
+      trial.own.pass(trial.peerAddress, Envelope{Matter::ask, "lost"});
+      auto before = accepted;
+      trial.runUntil([&] {
+        return accepted > before;
+      });
+    }
+    CHECK(accepted >= 2);
+    CHECK(refused.empty());
+    acceptor.close();
+  }
+}
