--- a/src/control/replica_status.cpp
+++ b/src/control/replica_status.cpp
@@ -12,6 +12,7 @@
 
 std::vector<std::string> texts(const std::vector<Address>& addresses) {
   std::vector<std::string> read;
+  read.reserve(addresses.size());
   for (const auto& address : addresses) read.push_back(address.get());
   return read;
 }
--- a/src/engine/replication_engine.cpp
+++ b/src/engine/replication_engine.cpp
@@ -146,6 +146,7 @@
   syncThen([this, view = conf_.confId] {
     if (view != conf_.confId) return;
     std::vector<ActionId> own;
+    own.reserve(ongoingQueue_.size());
     for (const auto& [index, action] : ongoingQueue_) own.push_back(action.actionId);
     for (const auto& actionId : own) generate(actionId);
   });
--- a/tests/platform/status_test.cpp
+++ b/tests/platform/status_test.cpp
@@ -1,3 +1,4 @@
+#include "edge/metrics_door.hpp"
 #include "tests/door_asking.hpp"
 #include "tests/platform/adapter_programs.hpp"
 #include "tests/platform/platform_world.hpp"
@@ -115,3 +116,26 @@
   CHECK(recovering);
   CHECK(silent);
 }
+
+TEST_CASE("metrics and single failures are served beside the status, at both programs") {
+  StatusWorld trial;
+  trial.world.runUntil(14s);
+  auto asked = [&](DoorKeeper& door, const std::string& path) {
+    return answered(door.serve(DoorRequest{"GET", path, {}, ConnectionId{7}}), trial.step);
+  };
+  auto& core = dynamic_cast<CoreProgram&>(trial.world.process("core-1")->program()).control();
+  auto& access = dynamic_cast<AccessProgram&>(trial.world.process("access-1")->program()).readiness();
+  auto ofCore = asked(core, "/metrics");
+  CHECK(ofCore.contentType.starts_with("text/plain"));
+  CHECK(ofCore.body.find("tamarindshift_engine_state{state=\"RegPrim\"} 1") != std::string::npos);
+  CHECK(ofCore.body.find("tamarindshift_invariant_checks_total{invariant=\"shares-within-branch\"}") != std::string::npos);
+  auto ofAccess = asked(access, "/metrics");
+  CHECK(ofAccess.body.find("tamarindshift_ready 1") != std::string::npos);
+  CHECK(shown(access, "/failures", trial.step).is_array());
+  CHECK(shown(access, "/failures/no-such-id", trial.step).empty());
+  MetricsDoor scraped([] {
+    return std::string{"page"};
+  });
+  CHECK(asked(scraped, "/metrics").body == "page");
+  CHECK(asked(scraped, "/status").status == 404);
+}
