--- a/tests/invariant_test.cpp
+++ b/tests/invariant_test.cpp
@@ -2,6 +2,7 @@
 
 #include "pooler/sending_check.hpp"
 #include "simulated/simulated_journal.hpp"
+#include "tests/pooler_trial.hpp"
 
 using namespace tamarindshift;
 
@@ -95,3 +96,17 @@
   CHECK(trial.lines.size() == 20);
   CHECK(trial.journal.invariant(Invariant::workUnderLease).violated == 100);
 }
+
+TEST_CASE("invariants: news that go back to an older configuration are noticed") {
+  PoolerTrial trial;
+  trial.publishFleet();
+  trial.run(200ms);
+  REQUIRE(SimulatedJournal::takeViolations().empty());
+  FleetPlanNews older;
+  older.mark = PlanMark{1};
+  for (const auto& [name, kind] : trial.kinds) older.kinds[name] = kind.service;
+  trial.news.putPlan(fleetTopic, older);
+  trial.run(200ms);
+  CHECK(SimulatedJournal::takeViolations().size() == 1);
+  CHECK(trial.journal.invariant(Invariant::planNeverGoesBack).violated == 1);
+}
--- a/tests/news_desk_test.cpp
+++ b/tests/news_desk_test.cpp
@@ -62,7 +62,7 @@
 };
 
 struct Following {
-  explicit Following(std::uint64_t seed = 1)
+  explicit Following(std::uint64_t seed = 1, FollowTimings timings = FollowTimings{350ms, 50ms})
       : world(seed),
         network(world),
         source(world, network),
@@ -79,7 +79,7 @@
             [](const Topic&) {
               return std::vector{sourceAt};
             },
-            FollowTimings{350ms, 50ms}) {
+            timings) {
     source.tables[fleetTopic] = planNews();
     source.board.publish(fleetTopic, ++source.at, source.tables[fleetTopic]);
     for (const auto& topic : topics()) source.publish(topic, "a", "1");
@@ -124,6 +124,19 @@
   CHECK(following.follower.board().find("s7")->table.at("a") == "2");
 }
 
+TEST_CASE("invariants: a source that gives a lease beyond its duration is noticed, and its lease is cut") {
+  FollowTimings timings{350ms, 50ms};
+  timings.longestLease = 800ms;
+  Following following(1, timings);
+  following.run(2s);
+  CHECK_FALSE(SimulatedJournal::takeViolations().empty());
+  CHECK(following.journal.invariant(Invariant::leaseFromQuestion).violated > 0);
+  for (const auto& topic : Following::topics()) {
+    REQUIRE(following.follower.leaseUntil(topic));
+    CHECK(*following.follower.leaseUntil(topic) <= following.clock.now() + 800ms);
+  }
+}
+
 TEST_CASE("a lease that was short is passed on as soon as it is renewed") {
   for (auto wait : {0ms, 37ms, 80ms, 120ms}) {
     Following following;
