--- a/src/real/program.cpp
+++ b/src/real/program.cpp
@@ -21,6 +21,7 @@
                                       command);
     TCLAP::SwitchArg defaults("", "print-defaults", "print every key with its default and end", command);
     std::vector<std::unique_ptr<TCLAP::ValueArg<std::string>>> flags;
+    flags.reserve(settings_.size());
     for (const auto& setting : settings_)
       flags.push_back(std::make_unique<TCLAP::ValueArg<std::string>>(
           "", setting.key, setting.meaning + (setting.required ? " (required)" : ""), false, setting.standard, "value", command));
