--- a/src/base/metrics_text.cpp
+++ b/src/base/metrics_text.cpp
@@ -25,13 +25,21 @@
   text_ += name_;
   if (!labels.empty()) {
     text_ += '{';
-    for (const auto& [name, label] : labels) text_ += (text_.back() == '{' ? "" : ",") + name + "=\"" + escaped(label) + "\"";
+    for (const auto& [name, label] : labels) {
+      if (text_.back() != '{') text_ += ',';
+      text_ += name;
+      text_ += "=\"";
+      text_ += escaped(label);
+      text_ += '"';
+    }
     text_ += '}';
   }
   std::ostringstream number;
   number.precision(15);
   number << value;
-  text_ += " " + number.str() + "\n";
+  text_ += ' ';
+  text_ += number.str();
+  text_ += '\n';
 }
 
 void MetricsText::journal(const Journal& journal) {
