Tests that fail: bytes that are no text end a process by way of its own pages

Found by reading what the new pages do with what clients send. A statement id, host name or database's words that are not UTF-8 make nlohmann's dump throw; the exception lies in the door's scope until it is swept and then ends the program. An instance id of the heartbeat path that is no text goes into the log, and then GET /status ends each core program that is asked. Ids and reasons of up to 1 MiB are kept 256 times, which is past the memory of an access machine. Class: what comes from outside reaches a component that throws on it, and one request's exception is the process's.

--- a/tests/failure_log_test.cpp
+++ b/tests/failure_log_test.cpp
@@ -113,3 +113,29 @@
   CHECK(all.find("tamarindshift_failed_statements_total{service=\"s1\",fault=\"busy\"") != std::string::npos);
   CHECK(all.find("tamarindshift_invariant_violations_total{invariant=\"work-under-lease\"} 0") != std::string::npos);
 }
+
+TEST_CASE("failures: whatever bytes clients and databases send, the list stays text and small") {
+  std::vector<std::string> lines;
+  SimulatedJournal journal("node", [&](const std::string& text) {
+    lines.push_back(text);
+  });
+  FailureLog log(journal);
+  const std::string noText = std::string("\xff\xfe\x80", 3) + std::string(1 << 20, 'x');
+  for (int index = 0; index < 300; ++index) {
+    FailedStatement failed;
+    failed.trace.id = noText;
+    failed.host = noText;
+    failed.fault = StatementFault::other;
+    failed.reason = noText + std::to_string(index);
+    log.note(failed);
+  }
+  std::string page;
+  REQUIRE_NOTHROW(page = log.json(Instant{}, {}).dump());
+  CHECK(page.size() < (1 << 20));
+  std::size_t logged = 0;
+  for (const auto& line : lines) logged += line.size();
+  CHECK(logged < (1 << 17));
+  std::size_t held = 0;
+  for (const auto& [cause, sum] : log.sums()) held += std::get<std::string>(cause).size();
+  CHECK(held < (1 << 17));
+}
--- a/tests/platform/control_door_test.cpp
+++ b/tests/platform/control_door_test.cpp
@@ -203,3 +203,24 @@
   REQUIRE(again);
   CHECK((again->status != 200 || cluster.replica(0).state().drained(ServiceName{"s1"}, DatabaseName{"d3"})));
 }
+
+TEST_CASE("a database whose id is no plain text is refused and keeps no page from being shown") {
+  ControlDoors cluster;
+  REQUIRE(cluster.replace(0, cluster.configuration(10)) == 200);
+  cluster.run(1s);
+  auto beat = [&](const std::string& id, const std::string& address, const std::string& zone) {
+    nlohmann::json body{{"targetService", "s1"},     {"address", address}, {"zone", zone},       {"capacity", 5},
+                        {"condition", "in_service"}, {"callCount", 1},     {"dbRole", "replica"}};
+    return cluster.ask(cluster.call(0, "POST", "/api/Instances.Heartbeat/" + id, body.dump())).status;
+  };
+  CHECK(beat("i-\xff\xfe", "10.2.0.9:1", "z1") == 400);
+  CHECK(beat("i 9", "10.2.0.9:1", "z1") == 400);
+  CHECK(beat(std::string(300, 'i'), "10.2.0.9:1", "z1") == 400);
+  CHECK(beat("i9", "no address", "z1") == 400);
+  CHECK(beat("i9", "10.2.0.9:1\r\nX: y", "z1") == 400);
+  CHECK(beat("i9", "10.2.0.9:1", std::string(1 << 20, 'z')) == 400);
+  CHECK(cluster.ask(cluster.call(0, "POST", "/api/Instances.Detach/i-\xff")).status == 400);
+  cluster.run(1s);
+  CHECK(cluster.ask(cluster.call(0, "GET", "/status")).status == 200);
+  CHECK(beat("i9", "10.2.0.9:1", "z1") == 200);
+}
--- /dev/null
+++ b/tests/restinio_door_test.cpp
@@ -0,0 +1,63 @@
+// The HTTP door on real sockets.
+
+#include <catch2/catch.hpp>
+
+#include <stdexcept>
+
+#include "base/task_scope.hpp"
+#include "real/http_web_link.hpp"
+#include "real/real_clock.hpp"
+#include "real/restinio_door.hpp"
+
+using namespace tamarindshift;
+using boost::asio::ip::tcp;
+
+namespace {
+
+struct FaultyKeeper : DoorKeeper {
+  Task<DoorReply> serve(DoorRequest request) override {
+    if (request.path == "/fault") throw std::runtime_error("a fault in one request");
+    co_return DoorReply{200, "{}", std::nullopt};
+  }
+  void gone(ConnectionId) override {}
+};
+
+Address freeAddress(boost::asio::io_context& context) {
+  tcp::acceptor acceptor(context, tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0});
+  return Address{"127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())};
+}
+
+struct Trial {
+  boost::asio::io_context context{1};
+  RealClock clock{context};
+  HttpWebLink web{context};
+  FaultyKeeper keeper;
+  Address address = freeAddress(context);
+  RestinioDoor door{context, address, keeper};
+  TaskScope scope;
+
+  Task<void> asking(std::string path, std::optional<int>& status) {
+    auto reply = co_await web.call(address, "GET", path, {}, clock.now() + 2s);
+    status = reply ? reply->status : 0;
+  }
+  int ask(const std::string& path) {
+    std::optional<int> status;
+    scope.spawn(asking(path, status));
+    auto until = std::chrono::steady_clock::now() + 5s;
+    while (!status && std::chrono::steady_clock::now() < until) context.run_one_for(std::chrono::milliseconds{50});
+    return status.value_or(0);
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a request whose handling throws is answered with 500 and the door goes on") {
+  Trial trial;
+  REQUIRE_FALSE(trial.door.open());
+  CHECK(trial.ask("/good") == 200);
+  // the finished requests are swept now and then, so a failure that was left lying would surface here
+  for (int round = 0; round < 60; ++round) {
+    REQUIRE(trial.ask("/fault") == 500);
+    REQUIRE(trial.ask("/good") == 200);
+  }
+}
