Bytes that are no text: refused or shown as such, and one request's exception is its own

Looked for elsewhere: every dump of the product. What peers and the platform are sent holds names that were read as JSON or are checked now; the session door's and the database link's texts were parsed as JSON.

--- a/src/control/operator_door.cpp
+++ b/src/control/operator_door.cpp
@@ -37,8 +37,8 @@
   }
   if (request.method != "GET")
     co_return refusal(path == "/status" || path == "/counters" || path == "/ready" ? 405 : 404, "no such path or method");
-  if (path == "/status") co_return DoorReply{200, replicaStatus(replica_, clock_.now()).dump(2), std::nullopt};
-  if (path == "/counters") co_return DoorReply{200, nlohmann::json(replica_.journal().counters()).dump(2), std::nullopt};
+  if (path == "/status") co_return pageReply(replicaStatus(replica_, clock_.now()));
+  if (path == "/counters") co_return pageReply(nlohmann::json(replica_.journal().counters()));
   if (path == "/ready") {
     if (replica_.draining()) co_return refusal(503, "this node is leaving", {}, replica_.settings().timings.comeBack);
     if (replica_.leaseUntil(fleetTopic)) co_return DoorReply{200, "{}", std::nullopt};
--- a/src/edge/session_door.cpp
+++ b/src/edge/session_door.cpp
@@ -35,7 +35,7 @@
     co_return DoorReply{200, "{}", std::nullopt};
   }
   if (path == "/status" && request.method == "GET") co_return status();
-  if (path == "/counters" && request.method == "GET") co_return DoorReply{200, Json(proxy_.journal().counters()).dump(2), std::nullopt};
+  if (path == "/counters" && request.method == "GET") co_return pageReply(Json(proxy_.journal().counters()));
   if (path == "/sessions") {
     if (request.method != "POST") co_return refusal(405, "wrong method");
     co_return open(request);
@@ -137,7 +137,7 @@
     for (const auto& [database, planned] : view.databases)
       own["connections"][database.get()] = proxy_.pool().openConnections(name, database);
   }
-  return DoorReply{200, json.dump(2), std::nullopt};
+  return pageReply(json);
 }
 
 }  // namespace tamarindshift
--- a/src/news/agent_node.cpp
+++ b/src/news/agent_node.cpp
@@ -138,8 +138,8 @@
     if (leaseUntil(fleetTopic) && !drainingSince_) co_return DoorReply{200, "{}", std::nullopt};
     co_return refusal(503, drainingSince_ ? "this node is leaving" : "no current lease", {}, settings_.timings.comeBack);
   }
-  if (request.path == "/status") co_return DoorReply{200, status().dump(2), std::nullopt};
-  if (request.path == "/counters") co_return DoorReply{200, nlohmann::json(journal_.counters()).dump(2), std::nullopt};
+  if (request.path == "/status") co_return pageReply(status());
+  if (request.path == "/counters") co_return pageReply(nlohmann::json(journal_.counters()));
   co_return refusal(404, "no such path");
 }
 
--- a/src/pooler/failure_log.cpp
+++ b/src/pooler/failure_log.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/plain_text.hpp"
+
 namespace tamarindshift {
 
 namespace {
@@ -65,7 +67,13 @@
   return subject + " " + std::string{faultName(fault)} + ": " + reason;
 }
 
+// what clients and databases send may be long and may be no text
+void FailureLog::makeShowable(FailedStatement& failed) {
+  for (auto* text : {&failed.trace.id, &failed.host, &failed.reason}) *text = printable(*text, mostText);
+}
+
 void FailureLog::note(FailedStatement failed) {
+  makeShowable(failed);
   Cause cause{failed.trace.service, failed.fault, failed.reason};
   if (sums_.size() >= mostCauses && !sums_.contains(cause)) std::get<std::string>(cause) = "one of many other reasons";
   ++sums_[cause];
@@ -92,8 +100,9 @@
 
 Json FailureLog::json(Instant now, const std::string& id) const {
   Json list = Json::array();
+  const auto shownId = printable(id, mostText);
   for (const auto& failed : kept_)
-    if (id.empty() || failed.trace.id == id) list.push_back(failureJson(failed, now));
+    if (id.empty() || failed.trace.id == shownId) list.push_back(failureJson(failed, now));
   return list;
 }
 
--- a/src/pooler/failure_log.hpp
+++ b/src/pooler/failure_log.hpp
@@ -56,8 +56,11 @@
   /// Causes told apart; what databases say in their own words must not grow this without end.
   static constexpr std::size_t mostCauses = 128;
   static constexpr Duration episodeEnds = 1s;
+  /// Bytes kept of an id, a host name or a reason.
+  static constexpr std::size_t mostText = 256;
 
   static std::string text(const Cause& cause);
+  static void makeShowable(FailedStatement& failed);
 
   Journal& journal_;
   std::deque<FailedStatement> kept_;
--- a/src/real/daemon.cpp
+++ b/src/real/daemon.cpp
@@ -6,7 +6,7 @@
 namespace tamarindshift {
 
 std::optional<std::string> Daemon::serve(const Address& address, DoorKeeper& keeper) {
-  doors_.push_back(std::make_unique<RestinioDoor>(context, address, keeper));
+  doors_.push_back(std::make_unique<RestinioDoor>(context, address, keeper, journal));
   auto fault = doors_.back()->open();
   if (fault) return "cannot serve on " + address.get() + ": " + *fault;
   return std::nullopt;
--- a/src/real/restinio_door.cpp
+++ b/src/real/restinio_door.cpp
@@ -2,6 +2,7 @@
 
 #include <restinio/all.hpp>
 
+#include "base/plain_text.hpp"
 #include "base/task_scope.hpp"
 #include "edge/door_replies.hpp"
 
@@ -9,6 +10,8 @@
 
 namespace {
 
+constexpr std::size_t mostPathShown = 256;
+
 class DepartureListener {
  public:
   explicit DepartureListener(DoorKeeper& keeper) : keeper_(keeper) {}
@@ -47,6 +50,8 @@
       return "Payload Too Large";
     case 422:
       return "Unprocessable Entity";
+    case 500:
+      return "Internal Server Error";
     case 503:
       return "Service Unavailable";
     case 504:
@@ -59,8 +64,8 @@
 }  // namespace
 
 struct RestinioDoor::Server {
-  Server(boost::asio::io_context& context, const HostAndPort& place, DoorKeeper& keeper)
-      : keeper(keeper), http(restinio::external_io_context(context), [&](auto& settings) {
+  Server(boost::asio::io_context& context, const HostAndPort& place, DoorKeeper& keeper, Journal& journal)
+      : keeper(keeper), journal(journal), http(restinio::external_io_context(context), [&](auto& settings) {
           settings.address(place.host)
               .port(place.port)
               .read_next_http_message_timelimit(std::chrono::hours{2})
@@ -75,13 +80,25 @@
               });
         }) {}
 
+  /// What the keeper answers; an exception ends its own request only, not the program.
+  Task<DoorReply> served(DoorRequest request) {
+    const auto place = request.method + " " + printable(request.path, mostPathShown);
+    try {
+      co_return co_await keeper.serve(std::move(request));
+    } catch (const std::exception& error) {
+      journal.count("requests.threw");
+      journal.line(std::string{requestThrew} + place + ": " + printable(error.what(), mostPathShown));
+    }
+    co_return refusal(500, "internal error");
+  }
+
   Task<void> handle(restinio::request_handle_t request) {
     DoorRequest asked{request->header().method().c_str(), std::string{request->header().path()}, request->body(),
                       ConnectionId{request->connection_id()}};
     request->header().for_each_field([&asked](const auto& field) {
       asked.headers.emplace_back(field.name(), field.value());
     });
-    auto reply = co_await keeper.serve(std::move(asked));
+    auto reply = co_await served(std::move(asked));
     auto response = request->create_response(
         restinio::http_status_line_t{restinio::http_status_code_t{static_cast<std::uint16_t>(reply.status)}, reasonPhrase(reply.status)});
     response.append_header(restinio::http_field::content_type, reply.contentType);
@@ -93,13 +110,14 @@
   }
 
   DoorKeeper& keeper;
+  Journal& journal;
   TaskScope scope;
   restinio::http_server_t<DoorTraits> http;
 };
 
-RestinioDoor::RestinioDoor(boost::asio::io_context& context, Address address, DoorKeeper& keeper) {
+RestinioDoor::RestinioDoor(boost::asio::io_context& context, Address address, DoorKeeper& keeper, Journal& journal) {
   auto split = splitAddress(address).value_or(HostAndPort{"", 0});
-  server_ = std::make_unique<Server>(context, split, keeper);
+  server_ = std::make_unique<Server>(context, split, keeper, journal);
 }
 
 RestinioDoor::~RestinioDoor() = default;
--- a/tests/failure_log_test.cpp
+++ b/tests/failure_log_test.cpp
@@ -139,3 +139,25 @@
   for (const auto& [cause, sum] : log.sums()) held += std::get<std::string>(cause).size();
   CHECK(held < (1 << 17));
 }
+
+TEST_CASE("failures: a client that sends bytes that are no text does not keep the list from being read") {
+  PoolerTrial trial;
+  auto client = trial.client("a");
+  REQUIRE(client->ask("READ x") == "OK");
+  trial.endLease();
+  trial.run(2s);
+  Statement statement;
+  statement.kind = StatementKind::read;
+  statement.id = "\xff\x01";
+  statement.name = "x";
+  statement.text = "READ x";
+  TaskScope scope;
+  auto ask = [&](Statement asked) -> Task<void> {
+    co_await trial.pooler->run(client->session, std::move(asked));
+  };
+  scope.spawn(ask(statement));
+  trial.run(2s);
+  auto failures = trial.pooler->failures().json(trial.clock.now(), {});
+  REQUIRE(failures.size() == 1);
+  CHECK_NOTHROW(failures.dump());
+}
--- a/tests/restinio_door_test.cpp
+++ b/tests/restinio_door_test.cpp
@@ -14,6 +14,11 @@
 
 namespace {
 
+struct QuietJournal : Journal {
+  void line(const std::string& text) override { lines.push_back(text); }
+  std::vector<std::string> lines;
+};
+
 struct FaultyKeeper : DoorKeeper {
   Task<DoorReply> serve(DoorRequest request) override {
     if (request.path == "/fault") throw std::runtime_error("a fault in one request");
@@ -33,7 +38,8 @@
   HttpWebLink web{context};
   FaultyKeeper keeper;
   Address address = freeAddress(context);
-  RestinioDoor door{context, address, keeper};
+  QuietJournal journal;
+  RestinioDoor door{context, address, keeper, journal};
   TaskScope scope;
 
   Task<void> asking(std::string path, std::optional<int>& status) {
@@ -60,4 +66,7 @@
     REQUIRE(trial.ask("/fault") == 500);
     REQUIRE(trial.ask("/good") == 200);
   }
+  CHECK(trial.journal.counters().at("requests.threw") == 60);
+  REQUIRE_FALSE(trial.journal.lines.empty());
+  CHECK(trial.journal.lines.front() == "a request threw: GET /fault: a fault in one request");
 }
