--- a/src/control/duties.cpp
+++ b/src/control/duties.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "control/share_check.hpp"
 #include "control/share_cut.hpp"
 
 namespace tamarindshift {
@@ -62,31 +63,13 @@
 }
 
 void Duties::checkConfiguration() {
-  auto mark = state_.plan() ? state_.plan()->mark : PlanMark{};
-  planSame_ = mark == planSeen_;
-  journal_.check(Invariant::planNeverGoesBack, mark >= planSeen_, [&] {
-    return "version " + std::to_string(mark.get()) + " is held after " + std::to_string(planSeen_.get());
-  });
-  planSeen_ = mark;
+  planSame_ = planVersions_.note(state_.plan() ? state_.plan()->mark : PlanMark{});
 }
 
 void Duties::checkShares(const ServiceName& name, const ServiceState& service) {
   const auto* planned = state_.planned(name);
   // a newer configuration may leave less than what the last move of shares was cut from
-  if (!planned || !planSame_) return;
-  std::map<BranchName, std::uint64_t> held;
-  for (const auto& [node, branches] : service.grants)
-    for (const auto& [branch, amount] : branches) held[branch] += amount;
-  for (const auto& [node, share] : service.reserved)
-    for (const auto& [branch, amount] : share.most) held[branch] += amount;
-  for (const auto& [branch, amount] : held) {
-    auto found = planned->branches.find(branch);
-    if (found == planned->branches.end()) continue;
-    journal_.check(Invariant::sharesWithinBranch, amount <= found->second.connections, [&, &branch = branch, &amount = amount] {
-      return std::to_string(amount) + " connections of branch " + branch.get() + " of " + name.get() + " are held, it has " +
-             std::to_string(found->second.connections);
-    });
-  }
+  if (planned && planSame_) checkSharesWithinBranches(journal_, name, *planned, service);
 }
 
 void Duties::pass() {
--- a/src/control/duties.hpp
+++ b/src/control/duties.hpp
@@ -5,7 +5,9 @@
 #include "control/access_tables.hpp"
 #include "control/control_state.hpp"
 #include "control/database_control.hpp"
+#include "control/duty_epoch_check.hpp"
 #include "control/member_replacement.hpp"
+#include "control/plan_version_check.hpp"
 #include "control/ration_cut.hpp"
 #include "engine/replication_engine.hpp"
 
@@ -176,9 +178,9 @@
   bool nodesBusy_ = false;
   bool enrolmentsBusy_ = false;
   bool wasOnDuty_ = false;
-  PlanMark planSeen_;
+  PlanVersionCheck planVersions_{journal_};
   bool planSame_ = false;
-  std::uint64_t dutyEpochUsed_ = 0;
+  DutyEpochCheck dutyEpochs_{journal_};
   Gate wake_;
   Gate ordered_;
   Instant takenAt_{};
--- a/src/control/recovery_duties.cpp
+++ b/src/control/recovery_duties.cpp
@@ -469,10 +469,7 @@
   journal_.count("duties.promote_calls");
   auto calledAt = clock_.now();
   DutyHolder holder{own_.address, engine_.primComponent().primIndex};
-  journal_.check(Invariant::dutyEpochNeverFalls, onDuty() && holder.fence >= dutyEpochUsed_, [&] {
-    return "a promotion is called with " + std::to_string(holder.fence) + " after " + std::to_string(dutyEpochUsed_);
-  });
-  dutyEpochUsed_ = std::max(dutyEpochUsed_, holder.fence);
+  dutyEpochs_.note(holder.fence, onDuty());
   auto outcome = co_await databases_.promote(*chosen, service.epoch, holder, calledAt + timings_.promotePatience);
   if (!pending(name, service.epoch)) co_return;
   if (outcome == PromotionOutcome::refused) co_return co_await recover(name, "the chosen database cannot become primary");
--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -281,10 +281,7 @@
   auto before = std::exchange(caredAt_, clock_.now());
   if (caredAt_ - before > stallPause) stalledAt_ = caredAt_;
   guide_.refresh();
-  journal_.check(Invariant::planNeverGoesBack, guide_.planMark() >= planSeen_, [this] {
-    return "version " + std::to_string(guide_.planMark().get()) + " is followed after " + std::to_string(planSeen_.get());
-  });
-  planSeen_ = guide_.planMark();
+  planVersions_.note(guide_.planMark());
   if (guide_.servicesKnown()) leasedAt_ = clock_.now();
   std::set<DatabaseName> known;
   bool routesChanged = false;
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -4,7 +4,9 @@
 
 #include "base/journal.hpp"
 #include "control/access_messages.hpp"
+#include "control/plan_version_check.hpp"
 #include "pool/guide.hpp"
+#include "pooler/answer_check.hpp"
 #include "pooler/back_end_pool.hpp"
 #include "pooler/demand_table.hpp"
 #include "pooler/failure_log.hpp"
@@ -81,7 +83,10 @@
   std::string whyWaiting(const Demand& demand) const;
   Task<StatementReply> runStatement(Session session, Statement statement);
   void noteFailure(const ClientSession& session, const StatementReply& reply);
-  void checkAcknowledged(const ClientSession& session, const Connection& connection, bool leased);
+  /// What is true of the success of a statement, taken before its connection is given back.
+  AcknowledgementFacts acknowledgementFacts(const ClientSession& session, const Connection& connection, bool keeps) const;
+  /// Whether the database is the primary of the epoch that is followed, or finishes work before a planned change.
+  bool inEpoch(const Connection& connection) const;
   void checkSending(const ClientSession* session, const Connection& connection, const Statement& statement);
   /// Until when a statement may wait for a lease that lapsed long ago.
   Instant holdLapsedUntil(const Demand& demand) const;
@@ -157,7 +162,6 @@
   static constexpr Duration leastDemandTime = 200ms;
   /// The state is looked after each 100 ms or sooner; a pause longer than this means that the process stood still.
   static constexpr Duration stallPause = 400ms;
-  static constexpr Duration answerSlack = 500ms;
   Instant demandsSince_{};
   bool serving_ = false;
   bool serveAgain_ = false;
@@ -169,7 +173,7 @@
   Instant startedAt_{};
   Instant caredAt_{};
   Instant stalledAt_{};
-  PlanMark planSeen_;
+  PlanVersionCheck planVersions_{journal_};
   Gate cared_;
   TaskScope scope_;
 };
--- a/src/pooler/pooler_checks.cpp
+++ b/src/pooler/pooler_checks.cpp
@@ -62,21 +62,31 @@
   facts.leased = guide_.leased(target.service);
   facts.asPrimary = connection->asPrimary;
   facts.begins = !session->transaction || statement.kind == StatementKind::begin || statement.kind == StatementKind::beginRead;
-  if (const auto* view = guide_.service(target.service)) {
-    const auto& primary = view->primary;
-    bool current = connection->epoch == primary.epoch && primary.promoted && primary.primary == target.database;
-    bool finishes = primary.planned && Epoch{connection->epoch.get() + 1} == primary.epoch;
-    facts.inEpoch = current || finishes;
+  facts.inEpoch = inEpoch(connection);
+  if (const auto* view = guide_.service(target.service))
     if (auto drained = view->drained.find(target.database); drained != view->drained.end())
       facts.drainedFor = clock_.now() - drained->second;
-  }
   tamarindshift::checkSending(journal_, facts, settings_.timings.detach);
 }
 
-void Pooler::checkAcknowledged(const ClientSession& session, const Connection& connection, bool leased) {
-  journal_.check(Invariant::acknowledgedUnderLease, leased, [&] {
-    return "'" + session.trace.id + "' at " + connection->target.database.get();
-  });
+bool Pooler::inEpoch(const Connection& connection) const {
+  const auto* view = guide_.service(connection->target.service);
+  if (!view) return true;
+  const auto& primary = view->primary;
+  bool current = connection->epoch == primary.epoch && primary.promoted && primary.primary == connection->target.database;
+  bool finishes = primary.planned && Epoch{connection->epoch.get() + 1} == primary.epoch;
+  return current || finishes;
+}
+
+AcknowledgementFacts Pooler::acknowledgementFacts(const ClientSession& session, const Connection& connection, bool keeps) const {
+  AcknowledgementFacts facts;
+  facts.place = [id = session.trace.id, database = connection->target.database] {
+    return "'" + id + "' at " + database.get();
+  };
+  facts.keepsSomething = keeps;
+  facts.leased = guide_.leased(connection->target.service);
+  facts.inEpoch = inEpoch(connection);
+  return facts;
 }
 
 bool Pooler::stalledSince(Instant since) const {
@@ -85,11 +95,9 @@
 
 void Pooler::checkEnded(const ClientSession& session) {
   const auto& trace = session.trace;
-  if (trace.endsBy == Instant::max()) return;
-  bool inTime = clock_.now() <= trace.endsBy + answerSlack || stalledSince(trace.arrivedAt);
-  journal_.check(Invariant::answeredInTime, inTime, [&] {
-    return "'" + trace.id + "' of " + trace.kind.get() + " was held for " +
-           std::to_string(milliseconds(clock_.now() - trace.arrivedAt).count()) + " ms";
+  AnswerTimes times{trace.arrivedAt, clock_.now(), trace.endsBy, stalledSince(trace.arrivedAt)};
+  checkAnsweredInTime(journal_, times, [&] {
+    return "'" + trace.id + "' of " + trace.kind.get();
   });
 }
 
--- a/src/pooler/pooler_transactions.cpp
+++ b/src/pooler/pooler_transactions.cpp
@@ -71,10 +71,10 @@
     if (reply.fault == StatementFault::none) {
       bool good = !keeps || mayAcknowledge(connection);
       if (keeps) noteOwn(*session, connection, reply);
-      bool leased = !keeps || guide_.leased(connection->target.service);
+      auto facts = acknowledgementFacts(*session, connection, keeps);
       pool_.release(connection);
       if (!good) co_return refused(StatementFault::unknownOutcome, "the lease ended before the reply");
-      checkAcknowledged(*session, connection, leased);
+      checkAcknowledgement(journal_, facts);
       co_return passed(std::move(reply));
     }
     journal_.count("replies.faults");
@@ -251,14 +251,14 @@
   }
   if (reply.fault != StatementFault::none && laid) connection->dubious = true;
   bool good = !wrote || mayAcknowledge(connection);
-  bool leased = !wrote || guide_.leased(connection->target.service);
+  auto facts = acknowledgementFacts(*session, connection, wrote);
   if (wrote && reply.fault == StatementFault::none) noteOwn(*session, connection, reply);
   if (reply.state == TransactionState::idle)
     pool_.release(connection);
   else
     scope_.spawn(finishRollback(connection));
   if (reply.fault == StatementFault::none && !good) co_return refused(StatementFault::unknownOutcome, "the lease ended before the reply");
-  if (reply.fault == StatementFault::none) checkAcknowledged(*session, connection, leased);
+  if (reply.fault == StatementFault::none) checkAcknowledgement(journal_, facts);
   auto given = passed(std::move(reply));
   given.state = TransactionState::idle;
   if (notRun(given.fault)) given.comeBack = settings_.timings.comeBack;
