Soak: each refusal that a client saw is looked up in its machine's own list of failures

Clients now send ids and names that are no text or 100 kB long, and the control address gets heartbeats no database sends.

--- a/tests/platform/soak/rude_clients.cpp
+++ b/tests/platform/soak/rude_clients.cpp
@@ -10,7 +10,7 @@
 
 std::string RudeClients::misbehaviour(const std::string& hostName) {
   auto setup = "SETUP " + hostName + " rude\r\n";
-  switch (chance_.below(8)) {
+  switch (chance_.below(11)) {
     case 0:
       return std::string(1 + chance_.below(400), static_cast<char>(chance_.below(256)));
     case 1:
@@ -28,6 +28,12 @@
       return setup + std::string((1u << 20) + 4096, 'x') + "\r\n";
     case 6:
       return "GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n";
+    case 7:
+      return setup + "QUERY \xff\xfe\x01 READ 1a4\r\n" + "QUERY \xc3 EXECUTE \x80 1\r\n";
+    case 8:
+      return "SETUP \xff\xfe rude\r\n";
+    case 9:
+      return setup + "QUERY " + std::string(100'000, 'i') + " EXECUTE none 1\r\n";
     default:
       return setup + "QUERY 1 COMMIT\r\nQUERY 2 ROLLBACK\r\nQUERY 3 EXECUTE none 1\r\nQUERY 4 BEGIN\r\nQUERY 5 BEGIN\r\n";
   }
--- a/tests/platform/soak/soak_run.cpp
+++ b/tests/platform/soak/soak_run.cpp
@@ -113,6 +113,10 @@
       return controlNodes();
     }));
   clients_ = std::make_unique<StandinWireClients>(daemon_.clock, lines_, chance_, entry_, history_.clients);
+  std::vector<FailurePage> pages;
+  for (const auto& machine : machines_)
+    if (!machine->core) pages.push_back(FailurePage{machine->name, machine->front(), machine->readiness()});
+  failures_ = std::make_unique<FailureCollector>(daemon_.clock, daemon_.web, std::move(pages));
 }
 
 std::vector<Address> SoakRun::controlNodes() const {
@@ -204,6 +208,7 @@
   configure(0);
   if (!co_await waitReady()) fault("not all access machines were ready in time");
   for (const auto& kind : kinds_) clients_->start(kind);
+  failures_->start();
   co_await sleep(daemon_.clock, 3s);
   troublesFrom_ = daemon_.clock.now();
   for (const auto& trouble : drawTroubles(settings_.seed, 0s, settings_.lasting)) {
@@ -227,6 +232,7 @@
   operators_.front()->retrieve(history_.bounds.contact + 2s);
   co_await sleep(daemon_.clock, history_.bounds.contact + 3s);
   co_await readMetrics();
+  co_await failures_->finish();
   over_ = true;
   for (auto& machine : machines_) {
     machine->wanted = false;
@@ -238,6 +244,7 @@
   for (const auto& broken : checkRules(history_)) fault(broken.rule + ": " + broken.text);
   for (const auto& each : history_.clients.faults) fault("client: " + each);
   readLogs();
+  explainFailures();
   auto calmServed = served(calmFrom_, calmUntil);
   if (calmServed < settings_.leastServed) fault("served " + std::to_string(calmServed) + " in the calm time at the end");
   std::ostringstream text;
@@ -266,12 +273,20 @@
   summary_ = ", " + std::to_string(static_cast<std::uint64_t>(checked)) + " checks of invariants in the last lives";
 }
 
+void SoakRun::explainFailures() {
+  auto explanations = failures_->explain(history_);
+  for (const auto& missing : explanations.missing) fault("no machine tells why this statement failed: " + missing);
+  if (!explanations.example.empty()) say("one failure explained: " + explanations.example);
+  summary_ +=
+      ", " + std::to_string(explanations.explained) + " of " + std::to_string(explanations.refused) + " refusals told by their machines";
+}
+
 void SoakRun::readLogs() {
   for (const auto& machine : machines_) {
     std::ifstream file(machine->logFile);
     for (std::string line; std::getline(file, line);)
-      for (const char* sign :
-           {invariantViolated.data(), "ERROR: AddressSanitizer", "runtime error:", "terminate called", "failed and are done again"})
+      for (const char* sign : {invariantViolated.data(), "ERROR: AddressSanitizer", "runtime error:", "terminate called",
+                               "failed and are done again", requestThrew.data()})
         if (line.find(sign) != std::string::npos) fault(machine->name + ": " + line);
   }
 }
--- a/tests/platform/soak/soak_run.hpp
+++ b/tests/platform/soak/soak_run.hpp
@@ -7,6 +7,7 @@
 #include "tests/platform/standin_operator.hpp"
 #include "tests/platform/standin_promotion_api.hpp"
 #include "tests/platform/standin_wire_clients.hpp"
+#include "tests/platform/failure_collector.hpp"
 #include "tests/platform/soak/lossy_web_link.hpp"
 #include "tests/platform/soak/rude_clients.hpp"
 #include "tests/platform/soak/soak_database.hpp"
@@ -55,6 +56,8 @@
   void writeSettings(const SoakMachine& machine);
   void start(SoakMachine& machine);
   Task<void> stopped(SoakMachine& machine, Duration down);
+  /// A caller of the control address that sends what no database would.
+  Task<void> rudeHeartbeats(SoakMachine& machine);
   Task<void> watch();
   Task<bool> waitReady();
   void befall(const SoakTrouble& trouble);
@@ -74,6 +77,8 @@
   std::vector<Address> controlNodes() const;
   Task<void> judge();
   Task<void> readMetrics();
+  /// Looks each refusal that a client saw up in the machines' own lists of failures.
+  void explainFailures();
   void readLogs();
   double served(Instant from, Instant until) const;
   void say(const std::string& text) { daemon_.journal.line(text); }
@@ -95,6 +100,7 @@
   std::vector<std::unique_ptr<StandinOperator>> operators_;
   std::vector<ClientKind> kinds_;
   std::unique_ptr<StandinWireClients> clients_;
+  std::unique_ptr<FailureCollector> failures_;
   RudeClients rudeClients_;
   PlatformConfiguration configuration_;
   Instant troublesFrom_{};
--- a/tests/platform/soak/soak_troubles.cpp
+++ b/tests/platform/soak/soak_troubles.cpp
@@ -51,6 +51,25 @@
   });
 }
 
+Task<void> SoakRun::rudeHeartbeats(SoakMachine& machine) {
+  const std::string path = "/api/Instances.Heartbeat/";
+  const std::string zone = "zone-1";
+  auto body = [&](const std::string& address) {
+    return R"({"targetService":")" + services_.front()->name() + R"(","address":")" + address + R"(","zone":")" + zone +
+           R"(","capacity":5,"condition":"in_service","callCount":1,"dbRole":"primary"})";
+  };
+  const std::string place = settings_.prefix + ".2.99:8080";
+  std::vector<std::pair<std::string, std::string>> calls{{path + "i-\xff\xfe", body(place)},
+                                                         {path + std::string(1500, 'i'), body(place)},
+                                                         {path + "rude", body("nowhere")},
+                                                         {path + "rude", std::string(100'000, '[')},
+                                                         {"/api/Instances.Detach/\xff", {}}};
+  for (auto& [target, content] : calls) co_await daemon_.web.call(machine.control(), "POST", target, content, daemon_.clock.now() + 1s);
+  // the page shows whatever was taken
+  auto page = co_await daemon_.web.call(machine.control(), "GET", "/status", {}, daemon_.clock.now() + 1s);
+  if (page && page->status == 500) fault(machine.name + " cannot show its status");
+}
+
 bool SoakRun::befallMachine(const SoakTrouble& trouble) {
   bool ofCore = trouble.kind == SoakTroubleKind::killCore || trouble.kind == SoakTroubleKind::stopCore ||
                 trouble.kind == SoakTroubleKind::freezeCore || trouble.kind == SoakTroubleKind::loseDisk ||
@@ -197,6 +216,7 @@
       return true;
     case SoakTroubleKind::rudeClients:
       rudeClients_.visit(access(trouble.first).front(), kinds_.front().hostName, 20, trouble.lasting);
+      scope_.spawn(rudeHeartbeats(core(trouble.second)));
       return true;
     case SoakTroubleKind::crowd:
       clients_->press(8);
