--- /dev/null
+++ b/src/control/promotion_duties.cpp
@@ -0,0 +1,216 @@
+#include <algorithm>
+
+#include "control/duties.hpp"
+
+// How a service without a primary gets one: recovery, survey, promotion.
+
+namespace tamarindshift {
+
+Task<void> Duties::firstPrimary(ServiceName name) {
+  if (!discovered(name)) co_return co_await recover(name, "first primary");
+  std::optional<DatabaseName> chosen;
+  Instant heardAt{};
+  bool chosenLeaves = false;
+  for (const auto& [database, own] : state_.databases(name)) {
+    if (!saysPrimary(name, database)) continue;
+    auto at = access_.database(name, database)->heardAt;
+    bool leaves = state_.drained(name, database) != nullptr;
+    if (chosen && std::pair(!leaves, at) < std::pair(!chosenLeaves, heardAt)) continue;
+    chosen = database;
+    heardAt = at;
+    chosenLeaves = leaves;
+  }
+  if (!chosen) {
+    if (clock_.now() - duties_[name].seenAt > timings_.firstPrimary) co_await recover(name, "first primary");
+    co_return;
+  }
+  journal_.line("service " + name.get() + " has its first primary " + chosen->get());
+  RecoveryUpdate update{name, Epoch{}, *chosen, "first primary", false};
+  co_await order(ControlMatter::recovery, packed(update));
+}
+
+Task<void> Duties::recover(ServiceName name, std::string reason) {
+  auto service = state_.services().at(name);
+  bool leaves = service.drained.contains(service.primary);
+  std::optional<DatabaseName> besides;
+  if (service.epoch != Epoch{} && reason != "primary says it is none") besides = service.primary;
+  auto best = co_await candidate(name, besides);
+  if (!best || !state_.services().contains(name)) co_return;
+  bool retired = !present(name, service.servedBy) && best->allReached;
+  if (keepsAcknowledged(name) && !leaves && !retired && best->standing.place() < access_.acknowledged(name))
+    co_return wait(name, "no database holds all that was acknowledged");
+  if (!onDuty()) co_return;
+  bool orderly = leaves || reason == "primary is strained";
+  bool planned = service.promoted ? orderly && saysPrimary(name, service.primary) : service.planned;
+  journal_.line("service " + name.get() + " recovers to " + best->database.get() + ": " + reason);
+  RecoveryUpdate update{name, service.epoch, best->database, reason, planned};
+  co_await order(ControlMatter::recovery, packed(update));
+}
+
+Task<void> Duties::demote(ServiceName name, DatabaseName former) {
+  auto found = target(name, former);
+  if (!found) co_return;
+  auto own = state_.services().at(name).epoch;
+  auto epoch = discovered(name) ? Epoch{std::max(duties_[name].highestTerm, access_.acknowledged(name).epoch).get() + 1} : own;
+  auto standing = co_await databases_.demote(*found, epoch, clock_.now() + timings_.statusPatience);
+  if (!standing) co_return;
+  noteTerm(name, standing->epoch);
+  auto& duty = duties_[name];
+  if (standing->role == "primary" || duty.epoch != own) co_return;
+  if (!duty.demotedAt) duty.demotedAt = clock_.now();
+  duty.finalPlace = std::max(duty.finalPlace, standing->place());
+}
+
+Task<void> Duties::demoteStray(ServiceName name) {
+  std::vector<DatabaseName> strays;
+  for (const auto& [database, own] : state_.databases(name))
+    if (database != state_.services().at(name).primary && saysPrimary(name, database)) strays.push_back(database);
+  auto& duty = duties_[name];
+  if (strays.empty() || (discovered(name) && clock_.now() - duty.demoteAskedAt < timings_.statusPatience)) co_return;
+  duty.demoteAskedAt = clock_.now();
+  for (const auto& database : strays) {
+    journal_.count("duties.strays_demoted");
+    co_await demote(name, database);
+    if (!state_.services().contains(name)) co_return;
+  }
+}
+
+Task<void> Duties::promote(ServiceName name) {
+  auto service = state_.services().at(name);
+  if (!present(name, service.primary) || service.drained.contains(service.primary))
+    if (!service.servedBy.get().empty() || !saysPrimary(name, service.primary)) co_return co_await recover(name, "chosen database is gone");
+  bool first = service.servedBy.get().empty();
+  if (first && discovered(name) && saysPrimary(name, service.primary)) {
+    PromotedUpdate update{name, service.epoch};
+    co_await order(ControlMatter::promoted, packed(update));
+    co_return;
+  }
+  auto behind = first ? std::nullopt : leftBehind(name, service);
+  bool left = !behind;
+  bool demotes = !first && service.servedBy != service.primary && !duties_[name].demotedAt && present(name, service.servedBy);
+  if (demotes && (!service.planned || left || leasesOver(name)) && clock_.now() - duties_[name].demoteAskedAt > timings_.statusPatience) {
+    duties_[name].demoteAskedAt = clock_.now();
+    if (service.planned)
+      co_await demote(name, service.servedBy);
+    else
+      scope_.spawn(demote(name, service.servedBy));
+  }
+  if (!pending(name, service.epoch)) co_return;
+  const auto& duty = duties_[name];
+  bool ready = left || leasesOver(name) || (!discovered(name) && duty.demotedAt);
+  bool awaitsDemote = service.planned && demotes && !duty.demotedAt && !leasesOver(name);
+  if (!ready && clock_.now() - duty.seenAt > timings_.statusPatience)
+    wait(name, "node " + behind->get() + " has not left the former epoch");
+  if (!ready || awaitsDemote || clock_.now() < duty.promoteAfter) co_return;
+  if (!co_await holdsNeeded(name, service) || !pending(name, service.epoch)) co_return;
+  co_await callPromotion(name, service);
+}
+
+Place Duties::needed(const ServiceName& name, const ServiceState& service) const {
+  const auto& duty = duties_.at(name);
+  bool keeps = keepsAcknowledged(name);
+  auto needed = keeps ? access_.acknowledged(name) : Place{};
+  bool mayReach = duty.demotedAt && clock_.now() - *duty.demotedAt <= timings_.lease + timings_.leaseMargin;
+  return mayReach && (keeps || service.planned) ? std::max(needed, duty.finalPlace) : needed;
+}
+
+// in a planned change the chosen database is asked again until it has what is needed, for a while
+Task<std::optional<DatabaseStanding>> Duties::reached(ServiceName name, ServiceState service, Place needed,
+                                                      std::optional<DatabaseStanding> standing) {
+  auto deadline = clock_.now() + timings_.statusPatience;
+  for (Duration pause = 30ms;; pause = pause * 3 / 2) {
+    bool waits = service.planned && standing && standing->place() < needed && clock_.now() < deadline && pending(name, service.epoch);
+    if (!waits) co_return standing;
+    co_await sleep(clock_, pause);
+    standing = co_await status(name, service.primary, timings_.statusPatience);
+  }
+}
+
+Task<bool> Duties::holdsNeeded(ServiceName name, ServiceState service) {
+  bool first = service.servedBy.get().empty();
+  bool keeps = keepsAcknowledged(name);
+  auto needed = this->needed(name, service);
+  if (!keeps && needed == Place{}) co_return true;
+  auto among = keeps ? candidates(name, std::nullopt) : std::vector<DatabaseName>{};
+  std::set<DatabaseName> asked(among.begin(), among.end());
+  asked.insert(service.primary);
+  auto survey = co_await this->survey(name, asked);
+  if (!pending(name, service.epoch)) co_return false;
+  auto standing = co_await reached(name, service, needed, survey->standings[service.primary]);
+  if (!pending(name, service.epoch)) co_return false;
+  auto age = clock_.now() - duties_[name].seenAt;
+  auto chosenPatience = discovered(name) ? timings_.silence() : 2 * (timings_.lease + timings_.leaseMargin);
+  if (!standing) {
+    if (age > chosenPatience) co_await recover(name, "chosen database is silent");
+    co_return false;
+  }
+  if (!keeps) {
+    if (standing->place() >= needed) co_return true;
+    wait(name, "the chosen database has not yet what the former primary held");
+    co_return false;
+  }
+  auto best = this->best(name, among, *survey);
+  if (!best) co_return false;
+  if (standing->place() < needed) {
+    if (best->standing.place() >= needed && best->database != service.primary && leasesOver(name) && age > 2 * timings_.lease) {
+      co_await recover(name, "another database holds more");
+      co_return false;
+    }
+    bool givenUp = !present(name, service.servedBy) && best->allReached && best->database == service.primary &&
+                   age > timings_.lease + timings_.leaseMargin + timings_.databaseOut;
+    if (!givenUp) {
+      wait(name, "the chosen database has not all that was acknowledged");
+      co_return false;
+    }
+    journal_.line("service " + name.get() + " gives up acknowledged commits that no planned database holds");
+  }
+  if (auto why = best->mayHoldMore && !first ? unproved(name) : std::nullopt) {
+    wait(name, "database " + best->mayHoldMore->get() + " fell silent with the primary and may hold more: " + *why);
+    co_return false;
+  }
+  co_return true;
+}
+
+Task<void> Duties::callPromotion(ServiceName name, ServiceState service) {
+  auto chosen = target(name, service.primary);
+  if (!chosen) co_return;
+  journal_.count("duties.promote_calls");
+  auto calledAt = clock_.now();
+  DutyHolder holder{own_.address, engine_.primComponent().primIndex};
+  dutyEpochs_.note(holder.fence, onDuty());
+  auto outcome = co_await databases_.promote(*chosen, service.epoch, holder, calledAt + timings_.promotePatience);
+  if (!pending(name, service.epoch)) co_return;
+  if (outcome == PromotionOutcome::refused) co_return co_await recover(name, "the chosen database cannot become primary");
+  bool led = outcome == PromotionOutcome::led;
+  if (outcome == PromotionOutcome::accepted) led = co_await leads(name, service, calledAt);
+  if (!pending(name, service.epoch)) co_return;
+  if (!led) {
+    auto& duty = duties_[name];
+    duty.promotePause = std::clamp<Duration>(2 * duty.promotePause, timings_.duty, 16 * timings_.duty);
+    duty.promoteAfter = clock_.now() + duty.promotePause;
+    co_return wait(name, outcome == PromotionOutcome::accepted ? "the chosen database does not say that it leads"
+                                                               : "the platform did not confirm the promotion");
+  }
+  waits_.erase(name);
+  PromotedUpdate update{name, service.epoch};
+  if (co_await order(ControlMatter::promoted, packed(update)))
+    journal_.line("service " + name.get() + " is led by " + service.primary.get());
+}
+
+Task<bool> Duties::leads(ServiceName name, ServiceState service, Instant calledAt) {
+  auto askedAt = calledAt;
+  while (pending(name, service.epoch) && clock_.now() - calledAt < 10 * timings_.leadPatience) {
+    const auto* sign = access_.database(name, service.primary);
+    bool beaten = sign && sign->heardAt > calledAt;
+    if (beaten && sign->heartbeat.role == "primary") co_return true;
+    if (clock_.now() - askedAt > timings_.leadPatience) {
+      askedAt = clock_.now();
+      auto standing = co_await status(name, service.primary, timings_.statusPatience);
+      if (standing && standing->role == "primary") co_return true;
+    }
+    co_await wake_.wait(clock_, clock_.now() + 20ms);
+  }
+  co_return false;
+}
+
+}  // namespace tamarindshift
--- /dev/null
+++ b/src/engine/engine_exchange.cpp
@@ -0,0 +1,227 @@
+#include "engine/replication_engine.hpp"
+
+#include <algorithm>
+
+// How the members of a new configuration exchange what they know, and how a primary component forms.
+
+namespace tamarindshift {
+
+void ReplicationEngine::shiftToExchangeStates() {
+  stateMessages_.clear();
+  cpcs_.clear();
+  turns_.clear();
+  turn_ = 0;
+  lostAtExchange_ = lostNow();
+  enterState(EngineState::exchangeStates);
+  StateMessage state{serverId_,     conf_.confId,   redCut_,     greenLine(), greenBase_,
+                     attemptIndex_, primComponent_, vulnerable_, yellow_,     lostAtExchange_};
+  syncThenSend(EngineMatter::state, packed(state), false);
+}
+
+void ReplicationEngine::onState(const StateMessage& state) {
+  if (state_ != EngineState::exchangeStates || state.confId != conf_.confId) return;
+  stateMessages_[state.serverId] = state;
+  if (stateMessages_.size() < conf_.set.size()) return;
+  planTurns();
+  shiftToExchangeActions();
+}
+
+void ReplicationEngine::planTurns() {
+  std::uint64_t lowest = stateMessages_.begin()->second.greenLine;
+  std::uint64_t highest = lowest;
+  std::map<ServerId, std::pair<std::uint64_t, ServerId>> mostRed;
+  for (const auto& [server, state] : stateMessages_) {
+    lowest = std::min(lowest, state.greenLine);
+    highest = std::max(highest, state.greenLine);
+    for (const auto& [creator, cut] : state.redCut)
+      if (!mostRed.contains(creator) || cut > mostRed[creator].first) mostRed[creator] = {cut, server};
+  }
+  greenTurn_ = lowest < highest;
+  if (greenTurn_)
+    for (const auto& [server, state] : stateMessages_)
+      if (state.greenLine == highest) {
+        turns_.push_back(server);
+        break;
+      }
+  std::set<ServerId> redSenders;
+  for (const auto& [creator, most] : mostRed)
+    for (const auto& [server, state] : stateMessages_) {
+      auto cut = state.redCut.find(creator);
+      if (cut == state.redCut.end() || cut->second < most.first) redSenders.insert(most.second);
+    }
+  turns_.insert(turns_.end(), redSenders.begin(), redSenders.end());
+}
+
+void ReplicationEngine::shiftToExchangeActions() {
+  enterState(EngineState::exchangeActions);
+  if (endOfRetransmission())
+    endOfRetrans();
+  else
+    retrans();
+}
+
+void ReplicationEngine::retrans() {
+  if (turns_[turn_] != serverId_) return;
+  if (greenTurn_ && turn_ == 0)
+    retransGreen();
+  else
+    retransRed();
+  send(EngineMatter::endOfTurn, packed(serverId_), false);
+}
+
+void ReplicationEngine::retransGreen() {
+  std::uint64_t lowest = greenLine();
+  for (const auto& [server, state] : stateMessages_) lowest = std::min(lowest, state.greenLine);
+  if (lowest < greenBase_) {
+    send(EngineMatter::snapshot, packed(snapshotNow()), false);
+    return;
+  }
+  for (auto position = lowest + 1; position <= greenLine(); ++position)
+    send(EngineMatter::green, packed(GreenMessage{position, green_[position - greenBase_ - 1]}), false);
+}
+
+void ReplicationEngine::retransRed() {
+  for (const auto& [id, action] : red_) {
+    bool missing = false;
+    for (const auto& [server, state] : stateMessages_) {
+      auto cut = state.redCut.find(id.serverId);
+      missing = missing || cut == state.redCut.end() || cut->second < id.index;
+    }
+    if (missing) send(EngineMatter::red, packed(action), false);
+  }
+}
+
+void ReplicationEngine::onRetransmitted(const EngineMessage& message) {
+  if (message.matter == EngineMatter::green) {
+    auto green = unpacked<GreenMessage>(message.body);
+    if (green && green->position == greenLine() + 1) markGreen(green->action);
+  } else if (message.matter == EngineMatter::red) {
+    if (auto action = unpacked<Action>(message.body)) markRed(*action);
+  } else if (message.matter == EngineMatter::snapshot) {
+    auto snapshot = unpacked<EngineSnapshot>(message.body);
+    if (snapshot && snapshot->greenLine > greenLine()) {
+      journal_.count("engine.snapshots_taken");
+      applySnapshot(*snapshot);
+      store_.rewrite(wholeState());
+    }
+  } else if (message.matter == EngineMatter::endOfTurn && state_ == EngineState::exchangeActions) {
+    ++turn_;
+    if (endOfRetransmission())
+      endOfRetrans();
+    else
+      retrans();
+  }
+}
+
+void ReplicationEngine::endOfRetrans() {
+  for (const auto& [server, state] : stateMessages_)
+    if (auto line = greenLines_.find(server); line != greenLines_.end()) line->second = std::max(line->second, state.greenLine);
+  computeKnowledge();
+  if (isQuorum()) {
+    ++attemptIndex_;
+    vulnerable_ = Vulnerable{true, primComponent_.primIndex, attemptIndex_, conf_.set, {}};
+    enterState(EngineState::construct);
+    syncThenSend(EngineMatter::cpc, packed(CpcMessage{serverId_, conf_.confId}), true);
+  } else {
+    enterState(EngineState::nonPrim);
+    handleBuffRequests();
+  }
+}
+
+void ReplicationEngine::computeKnowledge() {
+  auto newer = [](const PrimComponent& left, const PrimComponent& right) {
+    return std::tie(left.primIndex, left.attemptIndex) < std::tie(right.primIndex, right.attemptIndex);
+  };
+  for (const auto& [server, state] : stateMessages_)
+    if (newer(primComponent_, state.primComponent)) primComponent_ = state.primComponent;
+
+  attemptIndex_ = 0;
+  std::optional<std::vector<ActionId>> common;
+  for (const auto& [server, state] : stateMessages_) {
+    if (state.primComponent != primComponent_) continue;
+    attemptIndex_ = std::max(attemptIndex_, state.attemptIndex);
+    if (!state.yellow.valid) continue;
+    if (!common) {
+      common = state.yellow.set;
+      continue;
+    }
+    std::erase_if(*common, [&](const ActionId& id) {
+      return std::find(state.yellow.set.begin(), state.yellow.set.end(), id) == state.yellow.set.end();
+    });
+  }
+  yellow_ = common ? Yellow{true, *common} : Yellow{};
+
+  auto before = stateMessages_;
+  for (auto& [server, state] : stateMessages_) {
+    if (!state.vulnerable.valid) continue;
+    bool outdated = primComponent_.primIndex > state.vulnerable.primIndex && !primComponent_.servers.contains(server);
+    for (const auto& other : state.vulnerable.set)
+      if (auto found = before.find(other); found != before.end() && !found->second.vulnerable.sameAttempt(state.vulnerable))
+        outdated = true;
+    if (outdated) state.vulnerable.valid = false;
+  }
+  std::set<ServerId> bits;
+  for (const auto& [server, state] : stateMessages_) {
+    if (!state.vulnerable.valid) continue;
+    bits.insert(server);
+    bits.insert(state.vulnerable.bits.begin(), state.vulnerable.bits.end());
+  }
+  for (const auto& [server, state] : stateMessages_) bits.insert(state.lost.begin(), state.lost.end());
+  for (auto& [server, state] : stateMessages_) {
+    if (!state.vulnerable.valid) continue;
+    state.vulnerable.bits = bits;
+    if (std::includes(bits.begin(), bits.end(), state.vulnerable.set.begin(), state.vulnerable.set.end())) state.vulnerable.valid = false;
+  }
+  vulnerable_ = stateMessages_.at(serverId_).vulnerable;
+  recordMeta();
+}
+
+bool ReplicationEngine::isQuorum() const {
+  std::set<ServerId> lost;
+  for (const auto& [server, state] : stateMessages_) {
+    if (state.vulnerable.valid) return false;
+    lost.insert(state.lost.begin(), state.lost.end());
+  }
+  std::size_t groupPresent = 0;
+  for (const auto& [server, line] : greenLines_) groupPresent += conf_.set.contains(server);
+  if (2 * groupPresent <= greenLines_.size()) return false;
+  std::set<ServerId> voters;
+  std::set_difference(primComponent_.servers.begin(), primComponent_.servers.end(), lost.begin(), lost.end(),
+                      std::inserter(voters, voters.end()));
+  if (voters.empty()) return false;
+  std::size_t present = 0;
+  for (const auto& server : voters) present += conf_.set.contains(server);
+  if (2 * present == voters.size()) return conf_.set.contains(*voters.begin());
+  return 2 * present > voters.size();
+}
+
+void ReplicationEngine::onCpc(const CpcMessage& cpc) {
+  if (cpc.confId != conf_.confId) return;
+  if (state_ != EngineState::construct && state_ != EngineState::no) return;
+  cpcs_.insert(cpc.serverId);
+  recordMeta();
+  if (cpcs_ != conf_.set) return;
+  if (state_ == EngineState::no) return enterState(EngineState::un);
+  for (const auto& server : conf_.set)
+    if (auto line = greenLines_.find(server); line != greenLines_.end()) line->second = greenLine();
+  install();
+  enterState(EngineState::regPrim);
+  journal_.count("engine.primaries_installed");
+  syncThen([] {});
+  handleBuffRequests();
+}
+
+void ReplicationEngine::install() {
+  if (yellow_.valid)
+    for (const auto& id : yellow_.set)
+      if (auto found = red_.find(id); found != red_.end()) markGreen(Action{found->second});
+  yellow_ = Yellow{};
+  ++primComponent_.primIndex;
+  primComponent_.attemptIndex = attemptIndex_;
+  primComponent_.servers = vulnerable_.set;
+  attemptIndex_ = 0;
+  while (!red_.empty()) markGreen(Action{red_.begin()->second});
+  recordMeta();
+}
+
+}  // namespace tamarindshift
--- a/src/group/sequenced_group.cpp
+++ b/src/group/sequenced_group.cpp
@@ -38,11 +38,6 @@
   });
 }
 
-template <class Body>
-void SequencedGroup::pass(const Address& peer, Matter matter, const Body& body) {
-  link_.pass(peer, Envelope{matter, packed(body)});
-}
-
 Task<void> SequencedGroup::work() {
   for (;;) {
     auto command = co_await queue_.take(clock_);
@@ -134,7 +129,7 @@
   heartbeat.retiring = retiring_;
   for (const auto& [address, peer] : peers_)
     if (clock_.now() - peer.heardAt <= timings_.suspicion) heartbeat.heard[peer.heartbeat.from] = peer.heartbeat.sentAt;
-  for (const auto& address : known_) pass(address, Matter::groupHeartbeat, heartbeat);
+  for (const auto& address : known_) send(address, Matter::groupHeartbeat, heartbeat);
   for (auto& unordered : unordered_)
     if (!flushing_ && clock_.now() - unordered.sentAt > 2 * timings_.heartbeat) submit(unordered);
 }
@@ -142,7 +137,7 @@
 void SequencedGroup::onHeartbeat(const GroupHeartbeat& heartbeat) {
   if (heartbeat.from.server.address == own_.server.address) return;
   if (listener_ && listener_->hasLeft(heartbeat.from.server)) {
-    pass(heartbeat.from.server.address, Matter::leftNotice, heartbeat.from.server);
+    send(heartbeat.from.server.address, Matter::leftNotice, heartbeat.from.server);
     return;
   }
   auto& peer = peers_[heartbeat.from.server.address];
@@ -173,7 +168,7 @@
     recordAck(heartbeat.from, heartbeat.stable);
     if (heartbeat.received == receivedBefore)
       for (auto next = ordered_.upper_bound(heartbeat.received); next != ordered_.end(); ++next)
-        pass(heartbeat.from.server.address, Matter::groupOrdered, next->second);
+        send(heartbeat.from.server.address, Matter::groupOrdered, next->second);
   } else if (heartbeat.from == *members_.begin()) {
     advanceSafe(heartbeat.safe);
   }
@@ -225,163 +220,6 @@
   return members;
 }
 
-bool SequencedGroup::isSequencer() const {
-  return !members_.empty() && *members_.begin() == own_;
-}
-
-bool SequencedGroup::needsNewView(const std::set<Member>& reachable) const {
-  if (flushing_ || reachable != members_ || listener_->wantsExchange()) return true;
-  for (const auto& member : reachable) {
-    if (member == own_) continue;
-    const auto& heartbeat = peers_.at(member.server.address).heartbeat;
-    if (heartbeat.flushing || heartbeat.view != view_) return true;
-  }
-  return false;
-}
-
-// nobody is waited for when all are here at last, and a set that could do nothing alone waits longer
-Duration SequencedGroup::settlesIn(const std::set<Member>& candidates) const {
-  if (candidates == members_) return timings_.settle;
-  std::set<ServerId> servers;
-  for (const auto& member : candidates) servers.insert(member.server);
-  switch (listener_->coverage(servers)) {
-    case Coverage::all:
-      return Duration::zero();
-    case Coverage::majority:
-      return 2 * timings_.settle;
-    default:
-      return 3 * timings_.settle;
-  }
-}
-
-void SequencedGroup::considerForming() {
-  if (!listener_) return;
-  auto now = clock_.now();
-  if (forming_ && now >= forming_->deadline) {
-    for (const auto& member : forming_->members)
-      if (!forming_->flushed.contains(member)) {
-        auto found = peers_.find(member.server.address);
-        if (found != peers_.end()) found->second.refusedUntil = now + 2 * timings_.suspicion;
-      }
-    forming_.reset();
-  }
-  auto candidates = reachable();
-  bool waitingForInstall = flushing_ && promised_.coordinator != own_ && now - flushedAt_ < 2 * timings_.flush;
-  if (forming_ || waitingForInstall || *candidates.begin() != own_ || !needsNewView(candidates)) {
-    unsettledSince_.reset();
-    return;
-  }
-  if (!unsettledSince_) unsettledSince_ = now;
-  bool shrinks = !flushing_ && candidates.size() < members_.size() &&
-                 std::includes(members_.begin(), members_.end(), candidates.begin(), candidates.end());
-  if (shrinks || now - *unsettledSince_ >= settlesIn(candidates)) startForming(candidates);
-}
-
-// one that has not yet noticed that a member ended follows no other coordinator, and is asked again
-void SequencedGroup::prepareAgain() {
-  if (!forming_) return;
-  for (const auto& member : forming_->members)
-    if (member != own_ && !forming_->flushed.contains(member))
-      pass(member.server.address, Matter::groupPrepare, GroupPrepare{forming_->proposed, forming_->members});
-}
-
-void SequencedGroup::startForming(std::set<Member> members) {
-  unsettledSince_.reset();
-  ViewId proposed{std::max(highestCounter_, promised_.counter) + 1, own_};
-  journal_.count("group.views_proposed");
-  forming_ = Forming{proposed, members, {}, clock_.now() + timings_.flush};
-  GroupPrepare prepare{proposed, members};
-  for (const auto& member : members)
-    if (member != own_) pass(member.server.address, Matter::groupPrepare, prepare);
-  onPrepare(prepare);
-}
-
-void SequencedGroup::onPrepare(const GroupPrepare& prepare) {
-  if (!listener_ || !prepare.members.contains(own_) || prepare.proposed <= promised_) return;
-  auto candidates = reachable();
-  if (prepare.proposed.coordinator != own_) {
-    if (!candidates.contains(prepare.proposed.coordinator) || *candidates.begin() < prepare.proposed.coordinator) return;
-    forming_.reset();
-  }
-  promised_ = prepare.proposed;
-  highestCounter_ = std::max(highestCounter_, promised_.counter);
-  flushing_ = true;
-  flushedAt_ = clock_.now();
-  GroupFlushed flushed{promised_, own_, view_, safe_, {}};
-  for (auto entry = held_.upper_bound(safe_); entry != held_.end(); ++entry) flushed.held.push_back(entry->second);
-  if (promised_.coordinator == own_)
-    onFlushed(flushed);
-  else
-    pass(promised_.coordinator.server.address, Matter::groupFlushed, flushed);
-}
-
-void SequencedGroup::onFlushed(const GroupFlushed& flushed) {
-  if (!forming_ || flushed.proposed != forming_->proposed || !forming_->members.contains(flushed.from)) return;
-  forming_->flushed[flushed.from] = flushed;
-  if (forming_->flushed.size() == forming_->members.size()) finishForming();
-}
-
-void SequencedGroup::finishForming() {
-  GroupInstall install{forming_->proposed, forming_->members, {}};
-  for (const auto& [member, flushed] : forming_->flushed) {
-    auto& branch = install.branches[flushed.view];
-    branch.members.insert(member);
-    branch.safe = std::max(branch.safe, flushed.safe);
-    for (const auto& delivery : flushed.held) branch.held.emplace(delivery.sequence, delivery);
-  }
-  auto members = forming_->members;
-  forming_.reset();
-  for (const auto& member : members)
-    if (member != own_) pass(member.server.address, Matter::groupInstall, install);
-  onInstall(install);
-}
-
-void SequencedGroup::onInstall(const GroupInstall& install) {
-  if (!listener_ || install.proposed != promised_ || !flushing_) return;
-  if (!members_.empty()) {
-    const auto& branch = install.branches.at(view_);
-    for (const auto& [sequence, delivery] : branch.held)
-      if (sequence > delivered_) held_.emplace(sequence, delivery);
-    deliverUpTo(branch.safe);
-    std::set<ServerId> transitional;
-    for (const auto& member : branch.members) transitional.insert(member.server);
-    listener_->transitionalConfiguration(transitional);
-    deliverUpTo(std::numeric_limits<std::uint64_t>::max());
-  }
-  view_ = install.proposed;
-  members_ = install.members;
-  flushing_ = false;
-  held_.clear();
-  ordered_.clear();
-  numbers_.clear();
-  acked_.clear();
-  unordered_.clear();
-  received_ = stable_ = safe_ = delivered_ = lastSequence_ = lastNumber_ = 0;
-  for (auto& [address, peer] : peers_) {
-    peer.provedAt.reset();
-    peer.proofWaiting.reset();
-  }
-  journal_.count("group.views_installed");
-  Configuration configuration{view_, {}};
-  std::string names;
-  for (const auto& member : members_) {
-    configuration.set.insert(member.server);
-    names += " " + text(member.server);
-  }
-  journal_.line("view " + text(view_) + " of" + names);
-  listener_->regularConfiguration(configuration);
-  scope_.spawn(proveSoon());
-}
-
-// two heartbeats at once, so that a new view is proved without waiting for the next ones
-Task<void> SequencedGroup::proveSoon() {
-  auto view = view_;
-  for (int left = 2; left > 0 && view == view_ && !flushing_; --left) {
-    sendHeartbeats();
-    co_await sleep(clock_, 20ms);
-  }
-}
-
 void SequencedGroup::multicast(const ViewId& view, std::string payload, bool durable) {
   if (flushing_ || view != view_) return;
   unordered_.push_back(Unordered{++lastNumber_, std::move(payload), durable, {}});
@@ -396,7 +234,7 @@
       order(submit);
     });
   else
-    pass(members_.begin()->server.address, Matter::groupSubmit, submit);
+    send(members_.begin()->server.address, Matter::groupSubmit, submit);
 }
 
 void SequencedGroup::onSubmit(const GroupSubmit& submit) {
@@ -409,7 +247,7 @@
   GroupOrdered ordered{Delivery{view_, ++lastSequence_, submit.from.server, submit.payload, submit.durable}, submit.number};
   ordered_.emplace(lastSequence_, ordered);
   for (const auto& member : members_)
-    if (member != own_) pass(member.server.address, Matter::groupOrdered, ordered);
+    if (member != own_) send(member.server.address, Matter::groupOrdered, ordered);
   hold(ordered);
 }
 
@@ -436,7 +274,7 @@
   if (isSequencer())
     recordAck(own_, stable_);
   else
-    pass(members_.begin()->server.address, Matter::groupAcked, GroupMark{view_, own_, stable_});
+    send(members_.begin()->server.address, Matter::groupAcked, GroupMark{view_, own_, stable_});
 }
 
 void SequencedGroup::onAcked(const GroupMark& mark) {
@@ -452,7 +290,7 @@
   }
   if (everyone <= safe_) return;
   for (const auto& each : members_)
-    if (each != own_) pass(each.server.address, Matter::groupSafe, GroupMark{view_, own_, everyone});
+    if (each != own_) send(each.server.address, Matter::groupSafe, GroupMark{view_, own_, everyone});
   ordered_.erase(ordered_.begin(), ordered_.upper_bound(everyone));
   advanceSafe(everyone);
 }
--- a/src/group/sequenced_group.hpp
+++ b/src/group/sequenced_group.hpp
@@ -59,7 +59,9 @@
   template <class Body>
   void route(Matter matter, void (SequencedGroup::*handler)(const Body&));
   template <class Body>
-  void pass(const Address& peer, Matter matter, const Body& body);
+  void send(const Address& peer, Matter matter, const Body& body) {
+    link_.pass(peer, Envelope{matter, packed(body)});
+  }
 
   Task<void> work();
   Task<void> heartbeat();
--- a/src/news/agent_node.cpp
+++ b/src/news/agent_node.cpp
@@ -10,18 +10,6 @@
 
 namespace tamarindshift {
 
-namespace {
-
-FollowTimings followTimings(const AgentSettings& settings) {
-  FollowTimings timings;
-  timings.patience = settings.timings.newsPatience;
-  timings.signs = settings.signs;
-  timings.longestLease = settings.timings.lease;
-  return timings;
-}
-
-}  // namespace
-
 AgentNode::AgentNode(Clock& clock, PeerLink& link, Journal& journal, AgentSettings settings, std::uint64_t boot)
     : clock_(clock),
       journal_(journal),
@@ -33,7 +21,7 @@
           [this](const Topic& topic) {
             return sources(topic);
           },
-          followTimings(settings_),
+          FollowTimings::of(settings_.timings, settings_.signs),
           [this] {
             return isHome() ? std::nullopt : std::optional{settings_.address};
           }),
@@ -75,10 +63,9 @@
   if (mark == homesAt_) return homes_;
   homesAt_ = mark;
   std::vector<Address> agents;
-  static const std::string prefix = "node/";
-  for (auto entry = fleet->table.lower_bound(prefix); entry != fleet->table.end() && entry->first.starts_with(prefix); ++entry) {
+  for (auto entry = fleet->table.lower_bound(nodePrefix); entry != fleet->table.end() && entry->first.starts_with(nodePrefix); ++entry) {
     auto news = unpacked<NodeNews>(entry->second);
-    if (news && news->zone == settings_.zone && !news->draining) agents.push_back(Address{entry->first.substr(prefix.size())});
+    if (news && news->zone == settings_.zone && !news->draining) agents.push_back(Address{entry->first.substr(nodePrefix.size())});
   }
   homes_ = ZoneHomes{std::move(agents)};
   return homes_;
--- a/src/news/follow_timings.hpp
+++ b/src/news/follow_timings.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/time.hpp"
+#include "base/timings.hpp"
 
 namespace tamarindshift {
 
@@ -18,6 +18,15 @@
   Duration longestReply = 15s;
   /// No lease lasts longer from the moment in which its source answered.
   Duration longestLease = Duration::max();
+
+  /// What a node with these timings follows with; `signs` says whether it also keeps what databases tell of themselves.
+  static FollowTimings of(const Timings& timings, bool signs = true) {
+    FollowTimings follow;
+    follow.patience = timings.newsPatience;
+    follow.signs = signs;
+    follow.longestLease = timings.lease;
+    return follow;
+  }
 };
 
 }  // namespace tamarindshift
--- a/src/news/news_table.hpp
+++ b/src/news/news_table.hpp
@@ -15,5 +15,7 @@
 
 // entries under this prefix concern the node that is named behind it
 inline const std::string sharePrefix = "share/";
+/// Begins the key of a node in the fleet's table.
+inline const std::string nodePrefix = "node/";
 
 }  // namespace tamarindshift
--- a/src/pool/database_messages.hpp
+++ b/src/pool/database_messages.hpp
@@ -16,6 +16,8 @@
   std::string name;
   std::vector<std::optional<std::string>> parameters;
   bool reads = false;
+  /// Whether it may keep something at the database.
+  bool keeps() const { return !reads; }
 };
 
 struct DatabaseStanding {
@@ -23,6 +25,8 @@
   Epoch epoch;
   Position position;
   Duration contactAge{};
+  /// Where its log ends.
+  Place place() const { return Place{epoch, position}; }
 };
 
 struct DatabaseReply {
--- a/src/pool/guide.cpp
+++ b/src/pool/guide.cpp
@@ -45,7 +45,7 @@
   fleetMark_ = entry->mark;
   if (entry->planAt != fleetPlanAt_) fleetPlan_ = fleetPlanIn(entry->table);
   fleetPlanAt_ = entry->planAt;
-  auto own = entry->table.find("node/" + node_.get());
+  auto own = entry->table.find(nodePrefix + node_.get());
   nodeKnown_ = own != entry->table.end();
   if (nodeKnown_)
     if (auto news = unpacked<NodeNews>(own->second)) node_news_ = *news;
--- /dev/null
+++ b/src/pool/proxy_settling.cpp
@@ -0,0 +1,227 @@
+#include "pool/proxy_node.hpp"
+
+#include <algorithm>
+
+// How requests are forwarded, and what becomes of them with and without a reply.
+
+namespace tamarindshift {
+
+Task<void> ProxyNode::passOn(Record record, std::shared_ptr<PooledConnection> connection, Choice choice) {
+  if (!connection) {
+    auto deadline = std::min(record->giveUpAt, clock_.now() + settings_.timings.queuePatience / 2);
+    connection = co_await pool_.open(record->service, choice.database, record->branch, choice.address, deadline);
+    if (!connection) {
+      noteUnreached(record->service, choice.database);
+      record->avoid.insert(choice.database);
+      queue_.put([this, record] {
+        again(record);
+      });
+      co_return;
+    }
+  }
+  connection->epoch = choice.epoch;
+  if (record->session->pinned != connection) connection->kind = record->kind;
+  bool given = record->stage == RequestStage::replied || record->session->closing;
+  if (given || !mayPass(record, *connection)) {
+    if (record->session->pinned == connection)
+      dropPin(record->session);
+    else if (given)
+      pool_.release(connection);
+    else
+      pool_.drop(connection);
+    queue_.put([this, record] {
+      again(record);
+    });
+    co_return;
+  }
+  ++record->attempts;
+  workedAt_[record->service] = clock_.now();
+  auto passedAt = clock_.now();
+  connection->running = true;
+  auto outcome = co_await connection->link->run(record->request, clock_.now() + settings_.timings.statementPatience);
+  connection->running = false;
+  noteDone(record->service, clock_.now() - passedAt);
+  settle(record, connection, std::move(outcome));
+  queue_.put([] {});
+}
+
+void ProxyNode::noteDone(const ServiceName& service, Duration taken) {
+  auto& mean = meanTaken_[service];
+  mean = mean * 0.95 + static_cast<double>(taken.count()) * 0.05;
+}
+
+void ProxyNode::again(const Record& record) {
+  if (record->stage == RequestStage::replied) return;
+  if (record->attempts >= settings_.mostAttempts) return refuse(record, "no database did it in three attempts");
+  requests_.waits(record);
+}
+
+void ProxyNode::refuse(const Record& record, const std::string& reason, int status) {
+  journal_.count("requests.refused");
+  journal_.count("refused: " + reason);
+  RequestReply reply;
+  reply.fate = status == 410 ? RequestFate::lostState : RequestFate::refused;
+  reply.status = status;
+  reply.reason = reason;
+  if (status == 503) reply.comeBack = settings_.timings.comeBack;
+  requests_.reply(record, std::move(reply));
+}
+
+void ProxyNode::unknown(const Record& record, const std::string& reason) {
+  journal_.count("requests.unknown");
+  RequestReply reply;
+  reply.fate = RequestFate::unknown;
+  reply.status = 504;
+  reply.reason = reason;
+  requests_.reply(record, std::move(reply));
+}
+
+void ProxyNode::transactionLost(const Record& record) {
+  record->session->inTransaction = false;
+  if (record->session->stateful) record->session->stateLost = true;
+  refuse(record, "transaction lost, nothing was kept", 410);
+}
+
+void ProxyNode::settle(const Record& record, const std::shared_ptr<PooledConnection>& connection, PassOutcome outcome) {
+  if (outcome.fate == PassFate::replied) unreached_[record->service].erase(connection->database);
+  if (outcome.fate == PassFate::replied)
+    settleReplied(record, connection, std::move(outcome.reply));
+  else
+    settleLost(record, connection, outcome.fate == PassFate::lost);
+}
+
+void ProxyNode::settleLost(const Record& record, const std::shared_ptr<PooledConnection>& connection, bool sent) {
+  journal_.count(sent ? "passes.lost" : "passes.unsent");
+  noteUnreached(record->service, connection->database);
+  const auto& session = record->session;
+  bool pinned = session->pinned == connection;
+  if (pinned) session->pinned.reset();
+  pool_.drop(connection);
+  bool mayBeKept = sent && record->request.keeps() && record->request.operation != Operation::rollback;
+  if (session->inTransaction) {
+    if (sent && record->request.operation == Operation::commit) {
+      session->inTransaction = false;
+      if (session->stateful) session->stateLost = true;
+      return unknown(record, "the reply to the commit was lost");
+    }
+    return transactionLost(record);
+  }
+  if (pinned) session->stateLost = true;
+  if (mayBeKept && record->request.operation != Operation::begin) return unknown(record, "the reply was lost");
+  if (pinned) return refuse(record, "session state lost, open a new session", 410);
+  record->avoid.insert(connection->database);
+  again(record);
+}
+
+void ProxyNode::settleReplied(const Record& record, const std::shared_ptr<PooledConnection>& connection, DatabaseReply reply) {
+  const auto& session = record->session;
+  auto view = guide_.kind(record->kind);
+  auto operation = record->request.operation;
+  const auto* service = guide_.service(record->service);
+  bool atPrimary = service && service->primary.primary == connection->database;
+  bool current = service && guide_.leased(record->service) && service->primary.epoch == connection->epoch && (atPrimary || view.kind);
+  if (current && atPrimary) current = reply.standing.role == "primary" && reply.standing.epoch == connection->epoch;
+  bool inTransaction = session->inTransaction && session->pinned == connection;
+  bool keptNow =
+      reply.done && record->request.keeps() &&
+      (operation == Operation::commit || (!inTransaction && (operation == Operation::statement || operation == Operation::execute)));
+
+  if (!current) {
+    journal_.count("passes.replied_late");
+    if (session->pinned == connection) session->pinned.reset();
+    pool_.drop(connection);
+    if (keptNow) {
+      session->inTransaction = false;
+      if (session->stateful) session->stateLost = true;
+      return unknown(record, "the reply came after the lease or the epoch it was passed under");
+    }
+    if (inTransaction) return transactionLost(record);
+    if (session->stateful) {
+      session->stateLost = true;
+      return refuse(record, "session state lost, open a new session", 410);
+    }
+    if (!record->request.reads) return refuse(record, "the database is not the primary");
+    record->avoid.insert(connection->database);
+    return again(record);
+  }
+  if (keptNow && !reply.replicated) {
+    auto& position = session->own[record->service];
+    position = std::max(position, reply.keptAt);
+    if (operation == Operation::commit) session->inTransaction = false;
+    retire(record, connection);
+    return unknown(record, "kept by the primary alone");
+  }
+  if (record->request.reads && !atPrimary) {
+    auto own = session->own.find(record->service);
+    bool behind = reply.standing.epoch != connection->epoch || (own != session->own.end() && reply.standing.position < own->second);
+    bool stale = reply.standing.contactAge > view.kind->stalenessBound();
+    if (behind || stale) {
+      journal_.count("reads.too_stale");
+      if (session->pinned != connection) {
+        pool_.release(connection);
+        record->avoid.insert(connection->database);
+        return again(record);
+      }
+      return refuse(record, "the replica is too far behind");
+    }
+  }
+  if (keptNow) {
+    auto& own = session->own[record->service];
+    own = std::max(own, reply.keptAt);
+    auto& acknowledged = acknowledged_[record->service];
+    acknowledged = std::max(acknowledged, Place{reply.standing.epoch, reply.keptAt});
+  }
+  if (operation == Operation::begin && reply.done) session->inTransaction = true;
+  if (operation == Operation::commit || operation == Operation::rollback) session->inTransaction = false;
+  if (reply.done && (operation == Operation::prepare || operation == Operation::set)) session->stateful = true;
+  retire(record, connection);
+  RequestReply answer;
+  answer.fate = reply.done ? RequestFate::done : RequestFate::failed;
+  answer.status = reply.done ? 200 : 422;
+  answer.reason = reply.reason;
+  answer.result = std::move(reply.result);
+  answer.database = connection->database;
+  answer.position = keptNow ? reply.keptAt : reply.standing.position;
+  journal_.count(reply.done ? "requests.done" : "requests.failed");
+  requests_.reply(record, std::move(answer));
+}
+
+void ProxyNode::retire(const Record& record, const std::shared_ptr<PooledConnection>& connection) {
+  const auto& session = record->session;
+  bool holds = session->inTransaction || session->stateful;
+  bool abandoned =
+      session->closing || session->left || session->transactionLost || session->stateLost || record->stage == RequestStage::replied;
+  if (holds && !abandoned && !connection->doomed) {
+    session->pinned = connection;
+    connection->pinnedBy = session;
+    return;
+  }
+  if (session->pinned == connection) session->pinned.reset();
+  if (holds) {
+    if (session->inTransaction) session->transactionLost = true;
+    if (session->stateful) session->stateLost = true;
+    session->inTransaction = session->stateful = false;
+    pool_.drop(connection);
+  } else {
+    pool_.release(connection);
+  }
+}
+
+std::uint32_t ProxyNode::pins(const ServiceName& service, const BranchName& branch) const {
+  std::uint32_t amount = 0;
+  for (const auto& [id, session] : sessions_)
+    amount += session->stateful && session->pinned && session->pinned->service == service && session->pinned->branch == branch;
+  return amount;
+}
+
+void ProxyNode::loseHold(const std::shared_ptr<PooledConnection>& connection) {
+  auto session = connection->pinnedBy.lock();
+  if (connection->running || !session || session->pinned != connection) return pool_.drop(connection);
+  journal_.count("sessions.pins_closed");
+  if (session->inTransaction) session->transactionLost = true;
+  if (session->stateful) session->stateLost = true;
+  session->inTransaction = false;
+  dropPin(session);
+}
+
+}  // namespace tamarindshift
--- a/src/scale/pieces.cpp
+++ b/src/scale/pieces.cpp
@@ -166,7 +166,7 @@
     const auto* fleet = board_.find(fleetTopic);
     note("zone_agents_us", cost([&] {
            for (const auto& [key, value] : fleet->table)
-             if (key.starts_with("node/")) unpacked<NodeNews>(value);
+             if (key.starts_with(nodePrefix)) unpacked<NodeNews>(value);
          }));
   }
 
