--- a/src/group/view_forming.cpp
+++ b/src/group/view_forming.cpp
@@ -147,7 +147,8 @@
   std::string names;
   for (const auto& member : members_) {
     configuration.set.insert(member.server);
-    names += " " + text(member.server);
+    names += ' ';
+    names += text(member.server);
   }
   journal_.line("view " + text(view_) + " of" + names);
   listener_->regularConfiguration(configuration);
