--- a/tests/invariant_test.cpp
+++ b/tests/invariant_test.cpp
@@ -1,19 +1,14 @@
 #include <catch2/catch.hpp>
 
 #include "pooler/sending_check.hpp"
-#include "simulated/simulated_journal.hpp"
+#include "tests/check_trial.hpp"
 #include "tests/pooler_trial.hpp"
 
 using namespace tamarindshift;
 
 namespace {
 
-struct Trial {
-  std::vector<std::string> lines;
-  SimulatedJournal journal{"node", [this](const std::string& text) {
-                             lines.push_back(text);
-                           }};
-
+struct Trial : CheckTrial {
   SendingFacts sound() const {
     SendingFacts facts;
     facts.keepsSomething = true;
@@ -23,7 +18,7 @@
   /// Checks what is sent and takes the violations back, which would fail the case otherwise.
   std::size_t violations(const SendingFacts& facts) {
     checkSending(journal, facts, 7s);
-    return SimulatedJournal::takeViolations().size();
+    return CheckTrial::violations();
   }
 };
 
