--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 
 DRAIN_S = 7.0
 # "serves on for drainMs after the acknowledgement and a little longer (at times many seconds)"
-LONGER_S = 10.0
+LONGER_S = 5.0
 REUSE_GUARD_S = 2.0
 
 
