--- a/review/3/case.py
+++ b/review/3/case.py
@@ -47,9 +47,11 @@
         async def operator(amount, first):
             nonlocal taken
             for each in range(amount):
-                body = json.dumps(fleet.configuration(MORE_ROUTES))
+                configuration = fleet.configuration(MORE_ROUTES)
+                body = json.dumps(configuration)
                 for attempt in range(5):
                     status, _ = await http(fleet.control()[(first + attempt) % 2], "POST", "/api/Configuration.Replace", body, 3.0)
+                    record(f"Configuration.Replace {configuration['revision']}: {status}")
                     if status == 200:
                         taken += 1
                         break
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -128,6 +128,9 @@
     acknowledged = {ident: at for client in clients for ident, at in client.acknowledged.items()}
     if len(acknowledged) < 200 or (trouble and len(service.promotions) < 2):
         return 2
+    for client in clients:
+        for ident, at in client.sent.items():
+            record(f"client {client.name} sent {ident} at {at:.3f}: {client.answers.get(ident, 'no answer')}")
     broken = False
     for term, (at, database, _, _) in enumerate(service.promotions, start=2):
         late = [(when, ident) for when, where, of, ident in fleet.kept if when > at and of < term and where != database and ident in acknowledged]
