--- a/review/6/case.py
+++ b/review/6/case.py
@@ -18,9 +18,9 @@
     record = world.record
     service = world.service("records")
     hosts = world.net.host
-    old = service.add(1, hosts(21), "z1", "primary")
-    service.add(2, hosts(22), "z2", "replica")
-    service.add(3, hosts(23), "z3", "replica")
+    old = service.add(1, hosts(31), "z1", "primary")
+    service.add(2, hosts(32), "z2", "replica")
+    service.add(3, hosts(33), "z3", "replica")
     await world.start()
     await asyncio.sleep(2)
     if not await world.configure([route("r-counter", "counter", "records")]) or not await world.ready():
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -47,7 +47,7 @@
             self.net = f"127.{random.randint(11, 250)}.{random.randint(1, 250)}"
             base = random.randint(20000, 28000)
             self.peer, self.control, self.front, self.ready, self.db, self.metrics, self.relay = (base + i for i in range(7))
-            if all(self.free(host) for host in (1, 2, 3, *range(11, 18), 21, 22, 23, 107, 157, 200)):
+            if all(self.free(host) for host in (1, 2, 3, *range(11, 23), *range(31, 43), *range(101, 112), *range(151, 162), 200)):
                 return
         print("no free ports")
         sys.exit(2)
@@ -199,6 +199,7 @@
         self.work_s = 0.011
         self.rows = lambda thing: ["0"]
         self.connections = 0
+        self.writers = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.world.net.db, limit=1 << 21)
@@ -254,14 +255,30 @@
         self.changed.set()
         self.world.record.line(f"{self.id} says quiescing")
 
+    async def end(self):
+        """The end after a planned leave: Detach, then nothing answers any more."""
+        for host in self.world.core_hosts():
+            status, _ = await call_http(host, self.world.net.control, "POST", f"/api/Instances.Detach/{self.id}")
+            if status is not None and 200 <= status < 300:
+                break
+        self.dark = True
+        self.server.close()
+        for each in list(self.writers):
+            each.close()
+        if self in self.service.databases:
+            self.service.databases.remove(self)
+        self.world.record.line(f"{self.id} has detached and ended")
+
     async def serve(self, reader, writer):
         self.connections += 1
+        self.writers.add(writer)
         try:
             await Conversation(self, reader, writer).run()
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
             pass
         finally:
             self.connections -= 1
+            self.writers.discard(writer)
             writer.close()
 
     def row(self):
@@ -379,6 +396,7 @@
         stamp = f"{database.term}.{id}.{random.getrandbits(48):x}"
         if verb == "READ":
             rows = database.rows(words[1])
+            database.world.reads[id] = {"database": database.id, "role": database.role, "held": {entry["id"] for entry in database.log}}
             self.note(id, text)
             return await self.say(*[f"ROW {each}" for each in rows], f"COMPLETE {stamp}", self.idle())
         if verb == "WRITE":
@@ -478,6 +496,8 @@
         self.temporary = tempfile.mkdtemp(prefix="review-case-")
         self.processes = {}
         self.commits = []
+        # of each read: where it ran, and the commits that the log held then
+        self.reads = {}
         self.services = {}
         self.relays = {}
         self.access_zones = access_zones
@@ -626,9 +646,9 @@
         self.record.line(f"configuration {self.revision} not acknowledged: {status} {answer[:80]!r}")
         return False
 
-    async def ready(self, patience=20.0):
+    async def ready(self, patience=20.0, only=None):
         until = time.monotonic() + patience
-        for index in range(len(self.access_zones)):
+        for index in only if only is not None else range(len(self.access_zones)):
             while True:
                 status, _ = await call_http(self.access_host(index), self.net.ready, "GET", "/api/readiness")
                 if status == 200:
@@ -637,7 +657,7 @@
                     self.record.line(f"access-{index + 1} does not become ready")
                     return False
                 await asyncio.sleep(0.1)
-        self.record.line("all access machines are ready")
+        self.record.line("the access machines are ready")
         return True
 
     def cut(self, index, is_cut):
