Review: stand-in replicas receive commits in order

Cause: with a changing lag a replica could get a later commit before an earlier one. Change: review/standins-2 copies the prefix of the primary's log.

--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -128,16 +128,15 @@
         return max((each for each in self.databases if each.role == "primary"), key=lambda each: each.term, default=None)
 
     async def replicate(self, source, entry):
-        """A commit goes to every replica that the primary reaches, a little later."""
+        """A commit goes to every replica that the primary reaches, a little later and in order."""
+        count = len(source.log)
         await asyncio.sleep(LAG_S)
         for each in self.databases:
             if each is source or each.cut_replicas or source.cut_replicas or each.role != "replica" or each.dark:
                 continue
-            if each.term > source.term:
+            if each.term > source.term or len(each.log) >= count:
                 continue
-            held = {(e["term"], e["number"]) for e in each.log}
-            if (entry["term"], entry["number"]) not in held:
-                each.log.append(entry)
+            each.log = source.log[:count]
 
     def promote(self, name):
         chosen = self.named(name)
