--- a/review/6/case.py
+++ b/review/6/case.py
@@ -49,7 +49,7 @@
         await asyncio.sleep(0.4)
         old.cut_core = old.cut_replicas = True
         record.line(f"{old.id} is cut off from its replicas and the core machines")
-    await asyncio.sleep(max(0, cut_at + 1.0 - record.now()))
+    await asyncio.sleep(max(0, cut_at + 1.1 - record.now()))
     await asyncio.gather(*(begin(each) for each in clients))
     begun = [each for each in clients if each.begun]
     record.line(f"{len(begun)} transactions have written and rest")
