--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -582,7 +582,7 @@
         self.processes[name] = subprocess.Popen([path], cwd=ROOT, env=environment, stdout=log, stderr=log)
         self.record.line(f"started {name}")
 
-    async def start(self):
+    async def start(self, access=None):
         for index in sorted(self.cut_access):
             self.relays[index] = []
             for i, core in enumerate(self.core_hosts()):
@@ -596,7 +596,7 @@
                 await database.start()
         for index in range(3):
             self.start_core(index)
-        for index in range(len(self.access_zones)):
+        for index in access if access is not None else range(len(self.access_zones)):
             self.start_access(index)
 
     async def promotion(self, reader, writer):
