--- a/review/6/case.py
+++ b/review/6/case.py
@@ -47,8 +47,8 @@
         if old.acked_quiescing is None:
             return None
         await asyncio.sleep(0.4)
-        old.cut_core = old.cut_replicas = True
-        record.line(f"{old.id} is cut off from its replicas and the core machines")
+        old.cut_core = True
+        record.line(f"{old.id} is cut off from the core machines")
     await asyncio.sleep(max(0, cut_at + 1.1 - record.now()))
     await asyncio.gather(*(begin(each) for each in clients))
     begun = [each for each in clients if each.begun]
@@ -87,7 +87,7 @@
             f"ONE: commit {each['id']} at {old.id} in term {each['term']}, {each['at'] - promoted_at:.3f} s after the promotion took effect and "
             f"{each['at'] - healed_at:.3f} s after the cut healed; acknowledged to its client"
         )
-    old.cut_core = old.cut_replicas = False
+    old.cut_core = False
     await asyncio.sleep(3)
     held = {entry["id"] for entry in service.leader().log}
     for each in broken:
