--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -494,6 +494,8 @@
         self.net = Net()
         self.temporary = tempfile.mkdtemp(prefix="review-case-")
         self.processes = {}
+        # all that were started, those too that another of the same name has followed
+        self.started = []
         self.commits = []
         # of each read: where it ran, and the commits that the log held then
         self.reads = {}
@@ -580,6 +582,7 @@
             print(f"{program} is not built")
             sys.exit(2)
         self.processes[name] = subprocess.Popen([path], cwd=ROOT, env=environment, stdout=log, stderr=log)
+        self.started.append(self.processes[name])
         self.record.line(f"started {name}")
 
     async def start(self, access=None):
@@ -669,10 +672,10 @@
         self.record.line(f"{signal.Signals(which).name} to {name}")
 
     def end(self):
-        for process in self.processes.values():
+        for process in self.started:
             if process.poll() is None:
                 process.kill()
-        for process in self.processes.values():
+        for process in self.started:
             process.wait()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
