Work of an epoch goes on only under the lease that came with it

After it came back, COMMITs of open transactions ran at the old primary and were acknowledged; the new primary did not have them. Cause: the 250 ms in which work may finish after a planned change were counted from the moment the node saw the new epoch. The core waits only for the end of the leases given with the old epoch; the node had the new epoch with its first new lease, later than that. Nodes in touch still get 250 ms, "its lease lasts". Change: the pooler keeps the end of the lease that came with each epoch; sending, running on and acknowledging end with it.

--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -329,34 +329,55 @@
   supervised_.open();
 }
 
+// A newer epoch may come with the first lease after a cut, long after the control plane gave up waiting for this node. So its
+// grace period ends with the lease that came with the previous epoch.
+void Pooler::observeEpoch(const ServiceName& name, const ServiceDirectory::ServiceView& view, ServiceTracker& tracker) {
+  auto now = clock_.now();
+  const auto& primary = view.primary;
+  if (primary.epoch != tracker.observedEpoch) {
+    bool first = tracker.observedEpoch == Epoch{};
+    auto grace = primary.plannedSwitchover ? settings_.plannedChangeGrace : Duration::zero();
+    tracker.previousLeaseUntil = tracker.leaseUntil;
+    tracker.finishUntil = std::min(now + grace, tracker.previousLeaseUntil);
+    tracker.runningUntil = std::min(now + 2 * grace, tracker.previousLeaseUntil);
+    if (!first && !primary.plannedSwitchover && tracker.primary != primary.primary) pool_.closeIdle(tracker.primary);
+    tracker.observedEpoch = primary.epoch;
+    tracker.primary = primary.primary;
+    if (!first) logEpochChange(name, tracker);
+  }
+  if (auto until = guide_.leaseUntil(name)) tracker.leaseUntil = *until;
+}
+
+void Pooler::logEpochChange(const ServiceName& name, const ServiceTracker& tracker) {
+  auto now = clock_.now();
+  auto grace = std::max(tracker.finishUntil - now, Duration::zero());
+  journal_.line("service " + name.get() + ": epoch " + std::to_string(tracker.observedEpoch.get()) +
+                ", work of the previous one may finish for " + std::to_string(milliseconds(grace).count()) + " ms, its lease " +
+                (tracker.previousLeaseUntil > now ? "lasts" : "has ended"));
+}
+
+// After a planned change, transactions between statements are closed first, running statements later.
+void Pooler::finishPreviousEpoch(const ServiceName& name, const ServiceDirectory::ServiceView& view, ServiceTracker& tracker) {
+  auto now = clock_.now();
+  bool runs = false;
+  for (const auto& [database, databasePool] : pool_.databasePools())
+    for (const auto& connection : databasePool.busy)
+      if (connection->target.service == name && connection->asPrimary && connection->epoch < tracker.observedEpoch) runs = true;
+  if (runs && now >= tracker.finishUntil)
+    for (const auto& [database, info] : view.databases) pool_.closeBusy(database, true, tracker.observedEpoch, now < tracker.runningUntil);
+  if (runs) return;
+  tracker.confirmedEpoch = tracker.observedEpoch;
+  requestReport();
+}
+
 void Pooler::superviseService(const ServiceName& name, const ServiceDirectory::ServiceView& view) {
   auto& tracker = trackers_[name];
   auto now = clock_.now();
   bool leased = guide_.leased(name);
   if (now - tracker.lastLeasedAt > settings_.timings.connectionsKept) pool_.closeAll(name);
   if (leased) tracker.lastLeasedAt = now;
-  if (view.primary.epoch != tracker.observedEpoch) {
-    bool first = tracker.observedEpoch == Epoch{};
-    tracker.finishUntil = view.primary.plannedSwitchover ? now + settings_.plannedChangeGrace : now;
-    if (!first && !view.primary.plannedSwitchover && tracker.primary != view.primary.primary) pool_.closeIdle(tracker.primary);
-    tracker.observedEpoch = view.primary.epoch;
-    tracker.primary = view.primary.primary;
-  }
-  if (tracker.confirmedEpoch != tracker.observedEpoch) {
-    bool runs = false;
-    for (const auto& [database, databasePool] : pool_.databasePools())
-      for (const auto& connection : databasePool.busy)
-        if (connection->target.service == name && connection->asPrimary && connection->epoch < tracker.observedEpoch) runs = true;
-    // after a planned change, transactions between statements go first and running statements get twice the grace period
-    if (runs && now >= tracker.finishUntil)
-      for (const auto& [database, info] : view.databases)
-        pool_.closeBusy(database, true, tracker.observedEpoch,
-                        view.primary.plannedSwitchover && now < tracker.finishUntil + settings_.plannedChangeGrace);
-    if (!runs) {
-      tracker.confirmedEpoch = tracker.observedEpoch;
-      requestReport();
-    }
-  }
+  observeEpoch(name, view, tracker);
+  if (tracker.confirmedEpoch != tracker.observedEpoch) finishPreviousEpoch(name, view, tracker);
   bool withinLimit = true;
   for (const auto& [database, info] : view.databases) {
     auto& databasePool = pool_.forDatabase(database);
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -96,6 +96,11 @@
   /// Whether work of an earlier epoch than the observed one still runs at a service.
   bool epochChangePending() const;
   void superviseService(const ServiceName& name, const ServiceDirectory::ServiceView& view);
+  /// Notices a new epoch and decides for how long work of the previous one may finish.
+  void observeEpoch(const ServiceName& name, const ServiceDirectory::ServiceView& view, ServiceTracker& tracker);
+  void logEpochChange(const ServiceName& name, const ServiceTracker& tracker);
+  /// Closes work of earlier epochs whose time is over, and confirms the observed epoch once none is left.
+  void finishPreviousEpoch(const ServiceName& name, const ServiceDirectory::ServiceView& view, ServiceTracker& tracker);
   nlohmann::json serviceStatus(const ServiceName& name, const ServiceDirectory::ServiceView& view) const;
   /// Why a service is not available at its primary now, in words for operators.
   std::vector<std::string> unavailabilityReasons(const ServiceName& name, const ServiceDirectory::ServiceView& view) const;
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -214,7 +214,8 @@
   if (!view || !guide_.leased(service)) return false;
   if (connection->epoch == view->primary.epoch) return true;
   auto tracker = trackers_.find(service);
-  bool finishing = tracker != trackers_.end() && tracker->second.confirmedEpoch < view->primary.epoch;
+  bool finishing = tracker != trackers_.end() && tracker->second.confirmedEpoch < view->primary.epoch &&
+                   clock_.now() < tracker->second.previousLeaseUntil;
   return finishing && view->primary.plannedSwitchover && Epoch{connection->epoch.get() + 1} == view->primary.epoch;
 }
 
--- a/src/pooler/service_tracker.hpp
+++ b/src/pooler/service_tracker.hpp
@@ -15,8 +15,14 @@
   Epoch confirmedEpoch;
   /// Of the observed epoch.
   DatabaseName primary;
-  /// Until then work of the previous epoch may finish, after a planned change of primary.
+  /// Until then transactions of the previous epoch may send statements, after a planned change of primary.
   Instant finishUntil{};
+  /// Until then statements of the previous epoch that are running may end, after a planned change of primary.
+  Instant runningUntil{};
+  /// The end of the last lease that was received with the observed epoch, and with the one before. The control plane waits no
+  /// longer than that for work of an epoch to end.
+  Instant leaseUntil{};
+  Instant previousLeaseUntil{};
   /// When a lease was last seen to be valid.
   Instant lastLeasedAt{};
   /// Suspected and strained databases as last included in a requested report.
--- a/tests/pooler_trial.hpp
+++ b/tests/pooler_trial.hpp
@@ -90,6 +90,7 @@
   void makePrimary(const std::string& name);
   void addRoute(const std::string& name, Consistency consistency, std::uint32_t order = 1);
   void endLease() { updates.endLease("s1"); }
+  void stopRenewing() { updates.stopRenewing("s1"); }
   void renewLease() { updates.renewLease("s1"); }
 
   std::vector<ScriptedRun> runsOf(const std::string& text) const;
