A lease that came with newer updates covers nothing read before them

Cause: ServiceDirectory took the lease as of now, but epoch, primary and routes as of its last refresh. Between the reply that renews a lapsed lease and the next look, statements ran by the old epoch under the new lease. Change: while updates are unread, the directory answers with the lease under which it read the ones that it shows. Evidence: the tests publish a change with the first new lease and send a statement before the next look.

--- a/src/proxy/service_directory.cpp
+++ b/src/proxy/service_directory.cpp
@@ -8,6 +8,7 @@
 
 void ServiceDirectory::refresh() {
   readFleet();
+  fleetLeaseWhenRead_ = feed_.leaseUntil(fleetTopic);
   std::set<ServiceName> wanted;
   for (const auto& [kind, service] : fleetPlan_.kinds) wanted.insert(service);
   std::erase_if(services_, [&](const auto& each) {
@@ -19,6 +20,7 @@
     readService(service, *entry);
     auto& view = services_[service];
     view.share = registered(service) ? view.granted : PublishedShare{};
+    view.leaseWhenRead = feed_.leaseUntil(service.get());
   }
 }
 
@@ -109,12 +111,20 @@
 }
 
 std::optional<Instant> ServiceDirectory::leaseUntil(const ServiceName& name) const {
-  auto serviceUntil = feed_.leaseUntil(name.get());
-  auto fleetUntil = feed_.leaseUntil(fleetTopic);
+  const auto* view = service(name);
+  if (!view) return std::nullopt;
+  auto serviceUntil = coveringLease(name.get(), view->mark, view->leaseWhenRead);
+  auto fleetUntil = coveringLease(fleetTopic, fleetMark_, fleetLeaseWhenRead_);
   if (!serviceUntil || !fleetUntil) return std::nullopt;
   return std::min(*serviceUntil, *fleetUntil);
 }
 
+std::optional<Instant> ServiceDirectory::coveringLease(const Topic& topic, std::uint64_t readMark,
+                                                       std::optional<Instant> leaseWhenRead) const {
+  if (feed_.updates().mark(topic) == readMark) return feed_.leaseUntil(topic);
+  return leaseWhenRead && *leaseWhenRead > clock_.now() ? leaseWhenRead : std::nullopt;
+}
+
 bool ServiceDirectory::routesKnown() const {
   if (!anyLease() || fleetPlan_.mark == PlanVersion{}) return false;
   return std::all_of(fleetPlan_.kinds.begin(), fleetPlan_.kinds.end(), [this](const auto& each) {
--- a/src/proxy/service_directory.hpp
+++ b/src/proxy/service_directory.hpp
@@ -29,6 +29,8 @@
     PublishedShare granted;
     /// `granted` if this process is the one that is registered, or else empty.
     PublishedShare share;
+    /// The end of the service's lease when its updates were last read.
+    std::optional<Instant> leaseWhenRead;
   };
   /// A route and its service; if it can't be used, `kind` and `service` are null and `refusal` says why.
   struct KindView {
@@ -47,7 +49,8 @@
   const std::map<ServiceName, ServiceView>& services() const { return services_; }
   /// Why this node has no share of a service, as far as its updates show; no value if it has one.
   std::optional<std::string> missingShareReason(const ServiceName& name) const;
-  /// Whether there is a lease for both the service and the fleet's topic.
+  /// Whether there is a lease for both the service and the fleet's topic, for the updates as they were read. A lease that came with
+  /// newer updates counts from the next `refresh` on.
   bool leased(const ServiceName& name) const;
   /// The earlier end of the leases of the service and of the fleet's topic.
   std::optional<Instant> leaseUntil(const ServiceName& name) const;
@@ -69,6 +72,8 @@
 
  private:
   void readFleet();
+  /// The end of a topic's lease as far as it covers what was read of the topic, at version `readMark` and under `leaseWhenRead`.
+  std::optional<Instant> coveringLease(const Topic& topic, std::uint64_t readMark, std::optional<Instant> leaseWhenRead) const;
   /// Whether this process, and not an earlier one at the same address, is registered, and the service's updates are as new as that.
   bool registered(const ServiceName& name) const;
   void readService(const ServiceName& name, const UpdateStore::TopicState& entry);
@@ -82,6 +87,7 @@
   PublishedFleetPlan fleetPlan_;
   PublishedNode nodeState_;
   bool nodeRegistered_ = false;
+  std::optional<Instant> fleetLeaseWhenRead_;
   std::map<ServiceName, ServiceView> services_;
 };
 
--- a/tests/pooler_late_epoch_test.cpp
+++ b/tests/pooler_late_epoch_test.cpp
@@ -75,3 +75,31 @@
   CHECK(bob->ask("COMMIT") == "ABORTED");
   CHECK(trial.backEnds.at("d1").committed.size() == 1);
 }
+
+// Guards against stale reads, and writes at the old primary, in the moment between the arrival of updates and their being read.
+TEST_CASE("pooler late epoch: a lease that came with unread updates does not cover work by the old ones", "[pooler][epochs]") {
+  LateEpochTrial trial;
+  auto alice = trial.client("alice");
+  CHECK(alice->ask("WRITE a 1") == "OK");
+  trial.stopRenewing();
+  trial.run(longCut);
+  trial.learnOfPlannedChange(true);
+  auto text = GENERATE(as<std::string>{}, "READ a", "WRITE a 2");
+  CHECK(alice->ask(text) == "OK");
+  REQUIRE(trial.runsOf(text).size() == 1);
+  CHECK(trial.runsOf(text).front().database == "d2");
+}
+
+// The same for a transaction that rested at the old primary.
+TEST_CASE("pooler late epoch: a transaction does not go on under a lease that came with unread updates", "[pooler][epochs]") {
+  LateEpochTrial trial;
+  auto alice = trial.client("alice");
+  alice->ask("BEGIN");
+  CHECK(alice->ask("WRITE a 1") == "OK");
+  trial.stopRenewing();
+  trial.run(longCut);
+  trial.learnOfPlannedChange(true);
+  CHECK(alice->ask("COMMIT") == "ABORTED");
+  CHECK(trial.runsOf("COMMIT").empty());
+  CHECK(trial.backEnds.at("d1").committed.empty());
+}
