Statements of a transaction are not taken after half of the stop time

Cause: only the look every 100 ms ended transactions whose time is over, and only those of sessions at rest at that moment. Change: DrainSchedule tells the steps of a stop; a statement that arrives after the half finds its transaction ended, and mayRunOn refuses to send or to repeat one. Statements that were sent before go on.

--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -10,6 +10,7 @@
       guide_(guide),
       journal_(journal),
       settings_(std::move(settings)),
+      drain_(clock, settings_),
       boot_(boot),
       reports_(std::move(reports)),
       pool_(
@@ -71,6 +72,7 @@
 
 Task<StatementReply> Pooler::runStatement(Session session, Statement statement) {
   StatementReply reply;
+  if (drain_.transactionsOver() && session->transaction && !session->transaction->failed) failTransaction(*session);
   bool failureUnreported =
       session->transaction && session->transaction->failed && !std::exchange(session->transaction->failureReported, true);
   bool ends = statement.kind == StatementKind::commit || statement.kind == StatementKind::rollback;
@@ -115,19 +117,13 @@
 }
 
 void Pooler::drain() {
-  if (drainingSince_) return;
-  drainingSince_ = clock_.now();
+  if (draining()) return;
+  drain_.begin();
   journal_.line("draining: not ready from now on, serving for " + std::to_string(milliseconds(settings_.drainServingTime).count()) + " ms");
 }
 
-bool Pooler::closing() const {
-  return drainingSince_ && clock_.now() - *drainingSince_ > settings_.drainServingTime;
-}
-
 bool Pooler::stopped() const {
-  if (!closing()) return false;
-  auto since = clock_.now() - *drainingSince_;
-  return sessions_.empty() || since > settings_.timings.stop - 700ms;
+  return closing() && (sessions_.empty() || drain_.over());
 }
 
 bool Pooler::cutOff() const {
@@ -314,12 +310,11 @@
   for (const auto& [name, tracker] : trackers_)
     if (!guide_.service(name) && clock_.now() - tracker.lastLeasedAt > settings_.timings.connectionsKept) pool_.closeAll(name);
   auto now = clock_.now();
-  bool transactionTimeOver = drainingSince_ && now - *drainingSince_ > settings_.timings.stopTransactions;
   for (const auto& session : sessions_) {
     if (!session->transaction || session->busy || session->transaction->failed) continue;
     auto idleLimit = limit("idle-transaction-ms");
     bool tooLong = idleLimit && now - session->usedAt > std::chrono::milliseconds{*idleLimit};
-    if (transactionTimeOver || tooLong) {
+    if (drain_.transactionsOver() || tooLong) {
       journal_.count("transactions.rested_too_long");
       failTransaction(*session);
     }
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -10,6 +10,7 @@
 #include "pooler/reply_check.hpp"
 #include "pooler/back_end_pool.hpp"
 #include "pooler/connection_request_queue.hpp"
+#include "pooler/drain_schedule.hpp"
 #include "pooler/failure_log.hpp"
 #include "pooler/pooler_settings.hpp"
 #include "pooler/service_tracker.hpp"
@@ -43,9 +44,9 @@
   void updateSettings(PoolerSettings settings) { settings_ = std::move(settings); }
   /// The node leaves: it is no longer ready, serves for `drainServingTime` and then closes sessions. Repeated calls do nothing.
   void drain();
-  bool draining() const { return drainingSince_.has_value(); }
+  bool draining() const { return drain_.begun(); }
   /// Whether draining has reached the point from which idle sessions are closed and new ones refused.
-  bool closing() const;
+  bool closing() const { return drain_.closing(); }
   /// Whether the process may exit: no session is left, or its time to stop is nearly over.
   bool stopped() const;
   /// Whether leases and contact with the replicas were lost for so long that clients are better served by another node.
@@ -186,6 +187,7 @@
   ServiceDirectory& guide_;
   Journal& journal_;
   PoolerSettings settings_;
+  DrainSchedule drain_;
   std::uint64_t boot_;
   Reports reports_;
   BackEndPool pool_;
@@ -198,7 +200,6 @@
   /// Moving average per kind of route.
   std::map<KindName, double> usualLatencyMicros_;
   std::set<Session> sessions_;
-  std::optional<Instant> drainingSince_;
   /// When leases for all services were last seen to be valid; unset if never.
   std::optional<Instant> lastLeasedAt_;
   /// As last logged; empty if ready.
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -195,6 +195,7 @@
 
 bool Pooler::mayRunOn(const Connection& connection, const KindName& kind, bool inTransaction) const {
   if (connection->dropped || !connection->link->usable()) return false;
+  if (inTransaction && drain_.transactionsOver()) return false;
   const auto& service = connection->target.service;
   const auto* view = guide_.service(service);
   if (!view || !guide_.leased(service) || !view->databases.contains(connection->target.database)) return false;
--- a/tests/pooler_drain_test.cpp
+++ b/tests/pooler_drain_test.cpp
@@ -10,6 +10,14 @@
   return trial.serviceReport().connectionDemand.at(BranchName{"work"});
 }
 
+/// The last time at which a statement of a client reached a database.
+Instant lastSent(const PoolerTrial& trial) {
+  Instant last{};
+  for (const auto& run : trial.backEnds.runs)
+    if (!run.statement.id.empty()) last = run.at;
+  return last;
+}
+
 }  // namespace
 
 TEST_CASE("pooler drain: a draining node is not ready at once and serves for drainServingTime", "[pooler][drain]") {
@@ -78,6 +86,44 @@
   CHECK(alice->ask("COMMIT") == "ABORTED");
 }
 
+// Guards against statements that reach a database so late that the process exits before their replies.
+TEST_CASE("pooler drain: a transaction without pauses is ended after half of the stop time", "[pooler][drain]") {
+  PoolerTrial trial;
+  auto alice = trial.client("alice");
+  trial.pooler->drain();
+  auto since = trial.world.now();
+  trial.run(2100ms);
+  alice->ask("BEGIN");
+  trial.backEnds.at("d1").runTime = 130ms;
+  while (trial.world.now() - since <= 3s) CHECK(alice->ask("READ a") == "OK");
+  auto text = GENERATE(as<std::string>{}, "READ a", "WRITE a 1", "COMMIT");
+  auto asked = alice->start(text);
+  CHECK(alice->finish(asked) == "ABORTED");
+  CHECK(asked->elapsed() < 10ms);
+  CHECK(asked->reply->retryAfter);
+  trial.run(1s);
+  CHECK(lastSent(trial) - since <= 3s);
+}
+
+// The same for statements that the database has not run yet and that are sent again.
+TEST_CASE("pooler drain: no statement of a transaction is retried after half of the stop time", "[pooler][drain]") {
+  PoolerTrial trial;
+  auto alice = trial.client("alice");
+  trial.pooler->drain();
+  auto since = trial.world.now();
+  trial.run(2100ms);
+  alice->ask("BEGIN");
+  CHECK(alice->ask("WRITE a 1") == "OK");
+  trial.run(850ms);
+  bool commits = GENERATE(false, true);
+  auto kind = commits ? StatementKind::commit : StatementKind::read;
+  for (int times = 0; times < 20; ++times) trial.backEnds.script("d1", kind, ScriptedOutcome::busy);
+  CHECK(alice->ask(commits ? "COMMIT" : "READ a") == "ABORTED");
+  trial.run(1s);
+  CHECK(lastSent(trial) - since <= 3s);
+  CHECK(trial.backEnds.at("d1").committed.empty());
+}
+
 TEST_CASE("pooler drain: it has stopped once it is closing and no session is left", "[pooler][drain]") {
   PoolerTrial trial;
   auto alice = trial.client("alice");
