Proxy: no statement of a transaction is forwarded after half of the stop time

Change: mayForward looks at the time; the transaction is answered as lost (410), nothing of it kept.

--- a/src/proxy/proxy_node.cpp
+++ b/src/proxy/proxy_node.cpp
@@ -198,8 +198,7 @@
     bool late = connection->mismatchSince && now - *connection->mismatchSince > settings_.timings.planGrace();
     if (pinned && !late) {
       late = !service || !directory_.leased(connection->service) || service->primary.epoch != connection->epoch ||
-             drainGraceOver(*connection, session->inTransaction) ||
-             (draining() && now - *drainingSince_ > settings_.timings.stopTransactions) ||
+             drainGraceOver(*connection, session->inTransaction) || transactionTimeOver() ||
              (session->inTransaction && now - session->lastUsedAt > settings_.idleTransactionTimeout);
     }
     if (late) revokeConnection(connection);
@@ -245,6 +244,10 @@
   journal_.line("draining, " + std::to_string(sessions_.size()) + " sessions open");
 }
 
+bool ProxyNode::transactionTimeOver() const {
+  return draining() && clock_.now() - *drainingSince_ > settings_.timings.stopTransactions;
+}
+
 bool ProxyNode::stopped() const {
   if (!drainingSince_) return false;
   auto since = clock_.now() - *drainingSince_;
--- a/src/proxy/proxy_node.hpp
+++ b/src/proxy/proxy_node.hpp
@@ -93,6 +93,8 @@
   std::optional<std::string> mismatch(const KindName& kind, const PooledConnection& connection) const;
   /// Whether the connection's database is drained, and no open transaction may use the connection any longer.
   bool drainGraceOver(const PooledConnection& connection, bool inTransaction) const;
+  /// Whether open transactions have had their part of the time to stop.
+  bool transactionTimeOver() const;
   void superviseBusyConnections();
   void closeIdleSessions();
   /// Records that this node follows an update once its connections are within the share, and revokes surplus ones if they stay open too
--- a/src/proxy/proxy_placement.cpp
+++ b/src/proxy/proxy_placement.cpp
@@ -156,7 +156,7 @@
 }
 
 bool ProxyNode::mayForward(const Record& record, const PooledConnection& connection) const {
-  if (!directory_.leased(record->service)) return false;
+  if (!directory_.leased(record->service) || (record->session->inTransaction && transactionTimeOver())) return false;
   const auto* service = directory_.service(record->service);
   if (!service || connection.epoch != service->primary.epoch || drainGraceOver(connection, record->session->inTransaction)) return false;
   bool fits = !mismatch(record->kind, connection);
