A stopping node keeps its share while work needs it, and answers what waits or runs before it exits

Cause: the end of a stop was decided by time and by the number of sessions. The share went 2.2 s after the SIGTERM, though open transactions have 3 s; what waited was not refused when no connection could come any more; the exit at 5.3 s left it unanswered. Change: the share is given back once no statement is in progress and no transaction is open, at the latest after half of the stop time.

--- a/src/pooler/back_end_pool.cpp
+++ b/src/pooler/back_end_pool.cpp
@@ -289,6 +289,13 @@
   }
 }
 
+void BackEndPool::dropBusy() {
+  for (auto& [database, databasePool] : databasePools_) {
+    auto busy = databasePool.busy;
+    for (const auto& connection : busy) drop(connection);
+  }
+}
+
 std::size_t BackEndPool::connections() const {
   std::size_t sum = 0;
   for (const auto& [database, databasePool] : databasePools_) sum += databasePool.total();
--- a/src/pooler/back_end_pool.hpp
+++ b/src/pooler/back_end_pool.hpp
@@ -79,6 +79,8 @@
   void drop(const std::shared_ptr<PooledBackEnd>& connection);
   void closeIdle(const DatabaseName& database);
   void closeAll(const ServiceName& service);
+  /// Drops all busy connections.
+  void dropBusy();
   /// Closes idle connections, the longest unused first, until at most `limit` are held.
   void trim(const DatabaseName& database, std::uint32_t limit);
   /// Closes the idle connections to all other databases and removes their entries once nothing is busy or being opened.
--- a/src/pooler/drain_schedule.hpp
+++ b/src/pooler/drain_schedule.hpp
@@ -18,6 +18,8 @@
   bool closing() const { return reached(settings_.drainServingTime); }
   /// Whether open transactions had their time: from now on none of their statements is sent.
   bool transactionsOver() const { return reached(settings_.timings.stopTransactions); }
+  /// Whether statements that still run are given up on, so that their clients get an answer before the process exits.
+  bool answersDue() const;
   /// Whether the process must exit, whatever is open.
   bool over() const;
 
--- a/src/pooler/pooler.cpp
+++ b/src/pooler/pooler.cpp
@@ -29,7 +29,7 @@
 
 std::shared_ptr<ClientSession> Pooler::open(const std::string& host, StatementReply& refusal) {
   if (closing() || sessions_.size() >= settings_.maxSessions) {
-    refusal = refuse(StatementFault::busy, closing() ? "this node is leaving" : "too many sessions");
+    refusal = refuse(StatementFault::busy, closing() ? leavingReason : "too many sessions");
     return nullptr;
   }
   if (!route(host)) {
@@ -123,7 +123,26 @@
 }
 
 bool Pooler::stopped() const {
-  return closing() && (sessions_.empty() || drain_.over());
+  if (!closing()) return false;
+  return sessions_.empty() || drain_.over() || (drain_.answersDue() && !anyBusy());
+}
+
+bool Pooler::anyBusy() const {
+  return std::any_of(sessions_.begin(), sessions_.end(), [](const auto& session) {
+    return session->busy;
+  });
+}
+
+bool Pooler::needsConnections() const {
+  if (drain_.transactionsOver()) return false;
+  return std::any_of(sessions_.begin(), sessions_.end(), [](const auto& session) {
+    return session->busy || (session->transaction && !session->transaction->failed);
+  });
+}
+
+void Pooler::superviseDrain() {
+  if (closing() && !needsConnections() && !std::exchange(releasesShare_, true)) requestReport();
+  if (drain_.answersDue()) pool_.dropBusy();
 }
 
 bool Pooler::cutOff() const {
@@ -148,7 +167,7 @@
 }
 
 std::optional<std::string> Pooler::notReadyReason() const {
-  if (draining()) return "this node is leaving";
+  if (draining()) return leavingReason;
   if (!guide_.servicesKnown()) return "no news of every service under a lease";
   bool works = guide_.services().empty();
   for (const auto& [name, view] : guide_.services()) works = works || connectionLimit(name, view) > 0;
@@ -251,6 +270,7 @@
 }
 
 StatementReply Pooler::begin(ClientSession& session, const Statement& statement) {
+  if (drain_.transactionsOver()) return refuse(StatementFault::busy, leavingReason);
   auto found = route(session.host);
   if (!found) return refuse(guide_.routesKnown() ? StatementFault::noDatabase : StatementFault::busy, "no route to this database now");
   ClientTransaction transaction;
@@ -319,6 +339,7 @@
       failTransaction(*session);
     }
   }
+  superviseDrain();
   assignConnections();
   failures_.endQuietEpisodes(clock_.now());
   supervised_.open();
@@ -408,7 +429,7 @@
   report.node = settings_.node;
   report.zone = settings_.zone;
   report.boot = boot_;
-  report.draining = closing();
+  report.draining = releasesShare_;
   report.mark = guide_.planMark();
   auto now = clock_.now();
   measureDemand();
@@ -430,7 +451,7 @@
     tracker.connectionDemand = std::max(static_cast<double>(busy), tracker.connectionDemand * 0.9);
     if (auto until = guide_.leaseUntil(name)) report.lease = std::max(report.lease, *until - now);
     for (const auto& [branch, planned] : view.plan->service.branches)
-      serviceReport.connectionDemand[branch] = closing() ? 0 : static_cast<std::uint32_t>(tracker.connectionDemand + 1.5);
+      serviceReport.connectionDemand[branch] = releasesShare_ ? 0 : static_cast<std::uint32_t>(tracker.connectionDemand + 1.5);
   }
   return report;
 }
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -47,7 +47,8 @@
   bool draining() const { return drain_.begun(); }
   /// Whether draining has reached the point from which idle sessions are closed and new ones refused.
   bool closing() const { return drain_.closing(); }
-  /// Whether the process may exit: no session is left, or its time to stop is nearly over.
+  /// Whether the process may exit: no session is left, or at the end of its time to stop none has a statement in progress, or that
+  /// time is nearly over.
   bool stopped() const;
   /// Whether leases and contact with the replicas were lost for so long that clients are better served by another node.
   bool cutOff() const;
@@ -94,6 +95,14 @@
   Task<void> reportLoop();
   /// Applies updates of the control plane, closes what may no longer be held, assigns connections and detects stalls.
   void supervise();
+  /// Hands the share back once nothing needs connections any more, and gives up on what still runs at the end of the time to stop.
+  void superviseDrain();
+  /// Whether a statement is in progress.
+  bool anyBusy() const;
+  /// Whether a draining node still needs its connections: for statements in progress, and for open transactions while they have time.
+  bool needsConnections() const;
+  /// Whether nothing that waits gets a connection any more.
+  bool noMoreConnections(const ServiceName& name, const ServiceDirectory::ServiceView& view) const;
   /// Whether work of an earlier epoch than the observed one still runs at a service.
   bool epochChangePending() const;
   void superviseService(const ServiceName& name, const ServiceDirectory::ServiceView& view);
@@ -188,6 +197,8 @@
   Journal& journal_;
   PoolerSettings settings_;
   DrainSchedule drain_;
+  /// Whether the reports say that this node gives its share back.
+  bool releasesShare_ = false;
   std::uint64_t boot_;
   Reports reports_;
   BackEndPool pool_;
@@ -206,6 +217,8 @@
   std::string notReadyReason_ = "not started";
   /// Per database, connections being opened that a request of the current assignment counts on.
   std::map<DatabaseName, std::uint32_t> claimedOpens_;
+  /// Why a node that leaves refuses something.
+  static constexpr const char* leavingReason = "this node is leaving";
   /// Least time over which running work is averaged.
   static constexpr Duration minDemandWindow = 200ms;
   /// `supervise` runs every 100 ms or more often; a longer gap than this means that the process was stalled.
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -23,6 +23,7 @@
   if (!found)
     return requests_.refuse(request, guide_.routesKnown() ? StatementFault::noDatabase : StatementFault::busy, "the route is gone");
   const auto& service = found->kind->service;
+  if (noMoreConnections(service, *found->service)) return requests_.refuse(request, StatementFault::busy, leavingReason);
   if (!guide_.leased(service)) {
     if (cutOff())
       requests_.refuse(request, StatementFault::busy, "this node is cut off");
@@ -66,6 +67,10 @@
   }
 }
 
+bool Pooler::noMoreConnections(const ServiceName& name, const ServiceDirectory::ServiceView& view) const {
+  return drain_.transactionsOver() || (closing() && guide_.leased(name) && connectionLimit(name, view) == 0);
+}
+
 bool Pooler::rationed(const ServiceDirectory::ServiceView& view, const DatabaseName& database, std::uint32_t order) const {
   auto ration = view.rations.find(database);
   if (ration == view.rations.end() || order <= ration->second.freeThrough) return false;
--- a/tests/pooler_trial.cpp
+++ b/tests/pooler_trial.cpp
@@ -273,6 +273,13 @@
   own.host = name;
 }
 
+void PoolerTrial::setStatementTimeout(const std::string& route, Duration timeout) {
+  kinds.at(KindName{route}).statementTimeout = timeout;
+  publishFleet();
+  publishService();
+  run(10ms);
+}
+
 const ServiceReport& PoolerTrial::serviceReport() const {
   static const ServiceReport none;
   for (auto report = reports.rbegin(); report != reports.rend(); ++report)
--- a/tests/pooler_trial.hpp
+++ b/tests/pooler_trial.hpp
@@ -89,6 +89,8 @@
   /// Makes the scripted database the primary, of a new term; publishes nothing.
   void makePrimary(const std::string& name);
   void addRoute(const std::string& name, Consistency consistency, std::uint32_t order = 1);
+  /// Publishes a longer or shorter timeout for the statements of a route.
+  void setStatementTimeout(const std::string& route, Duration timeout);
   void endLease() { updates.endLease("s1"); }
   void stopRenewing() { updates.stopRenewing("s1"); }
   void renewLease() { updates.renewLease("s1"); }
