A stopping node exits only when its last answers have been sent

Nobody asked for what the connection still held, nor for sessions that were being opened. The simulated platform program ends by the same rule.

--- a/src/edge/line_connection.hpp
+++ b/src/edge/line_connection.hpp
@@ -21,6 +21,8 @@
   virtual bool usable() const = 0;
   /// Whether bytes have come that nobody has read.
   virtual bool holdsInput() const = 0;
+  /// Whether bytes that were written wait to be sent, also after `close`. Never again once the connection is broken.
+  virtual bool holdsOutput() const { return false; }
   // whether reading ended because a line was longer than mostLineBytes
   virtual bool tooLong() const { return false; }
   // what was written before still goes out
--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -50,6 +50,8 @@
   /// Whether the process may exit: no session is left, or at the end of its time to stop none has a statement in progress, or that
   /// time is nearly over.
   bool stopped() const;
+  /// Whether the process must exit, whatever is unanswered or unsent.
+  bool stopTimeOver() const { return drain_.over(); }
   /// Whether leases and contact with the replicas were lost for so long that clients are better served by another node.
   bool cutOff() const;
   /// Whether a service has had no lease here for so long that letting its statements wait would only use up the clients' time.
--- a/src/real/tcp_line_connection.hpp
+++ b/src/real/tcp_line_connection.hpp
@@ -19,6 +19,7 @@
   bool write(std::string bytes) override;
   bool usable() const override { return wire_->open && !wire_->ended; }
   bool holdsInput() const override { return !wire_->arrived.empty(); }
+  bool holdsOutput() const override { return wire_->open && !(wire_->outgoing.empty() && wire_->leaving.empty()); }
   bool tooLong() const override { return wire_->tooLong; }
   void close() override;
 
--- a/tests/platform/adapter_programs.cpp
+++ b/tests/platform/adapter_programs.cpp
@@ -26,7 +26,7 @@
 Task<void> AccessProgram::stop() {
   if (wraps_.stopsAtOnce) co_return;
   pooler_.drain();
-  while (!pooler_.stopped()) co_await sleep(process_.clock(), 20ms);
+  while (!frontDoor_.stopped()) co_await sleep(process_.clock(), 20ms);
 }
 
 void AccessProgram::settingsChanged() {
