HTTP doors: the last replies are sent before a program ends

Change: a door counts the replies that are being written; a program that has stopped waits up to 200 ms for them.

--- a/src/real/daemon.cpp
+++ b/src/real/daemon.cpp
@@ -1,10 +1,18 @@
 #include "real/daemon.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 
 namespace tamarindshift {
 
+namespace {
+
+/// A client that does not read its reply delays the exit for no longer than this.
+constexpr Duration lastRepliesTimeout = 200ms;
+
+}  // namespace
+
 std::optional<std::string> Daemon::serve(const Address& address, DoorKeeper& keeper) {
   doors_.push_back(std::make_unique<RestinioDoor>(context, address, keeper, journal));
   auto fault = doors_.back()->open();
@@ -20,9 +28,18 @@
   });
 }
 
+Task<void> Daemon::sendLastReplies() {
+  auto holdsOutput = [](const auto& door) {
+    return door->holdsOutput();
+  };
+  auto until = clock.now() + lastRepliesTimeout;
+  while (clock.now() < until && std::any_of(doors_.begin(), doors_.end(), holdsOutput)) co_await sleep(clock, 5ms);
+}
+
 Task<void> Daemon::watch(std::function<std::optional<int>()> ended) {
   for (auto nextLog = clock.now() + 60s;;) {
     if (auto code = ended()) {
+      co_await sendLastReplies();
       code_ = *code;
       context.stop();
       co_return;
--- a/src/real/daemon.hpp
+++ b/src/real/daemon.hpp
@@ -29,6 +29,8 @@
  private:
   void awaitSignal(std::function<void()> terminate, std::function<void()> reread);
   Task<void> watch(std::function<std::optional<int>()> ended);
+  /// Gives the last replies of the doors time to be sent.
+  Task<void> sendLastReplies();
   std::string name_;
   boost::asio::signal_set signals_;
   std::vector<std::unique_ptr<RestinioDoor>> doors_;
--- a/src/real/restinio_door.cpp
+++ b/src/real/restinio_door.cpp
@@ -106,11 +106,16 @@
       auto seconds = std::chrono::ceil<std::chrono::seconds>(*reply.comeBack).count();
       response.append_header(restinio::http_field::retry_after, std::to_string(seconds));
     }
-    response.set_body(std::move(reply.body)).done();
+    ++unsentReplies;
+    response.set_body(std::move(reply.body)).done([this](const auto&) {
+      --unsentReplies;
+    });
   }
 
   DoorKeeper& keeper;
   Journal& journal;
+  /// Replies that are being written to their connections.
+  std::size_t unsentReplies = 0;
   TaskScope scope;
   restinio::http_server_t<DoorTraits> http;
 };
@@ -122,6 +127,10 @@
 
 RestinioDoor::~RestinioDoor() = default;
 
+bool RestinioDoor::holdsOutput() const {
+  return server_->unsentReplies > 0;
+}
+
 std::optional<std::string> RestinioDoor::open() {
   try {
     server_->http.open_sync();
--- a/src/real/restinio_door.hpp
+++ b/src/real/restinio_door.hpp
@@ -19,6 +19,8 @@
   RestinioDoor(boost::asio::io_context& context, Address address, DoorKeeper& keeper, Journal& journal);
   ~RestinioDoor();
   std::optional<std::string> open();
+  /// Whether replies wait to be sent.
+  bool holdsOutput() const;
 
  private:
   struct Server;
