--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -97,6 +97,10 @@
   Task<void> reportLoop();
   /// Applies updates of the control plane, closes what may no longer be held, assigns connections and detects stalls.
   void supervise();
+  /// Reads the routes again if the updates of a service have changed.
+  void updateRoutes();
+  /// Ends open transactions that rest for too long, or whose part of the time to stop is over.
+  void endOverdueTransactions();
   /// Hands the share back once nothing needs connections any more, and gives up on what still runs at the end of the time to stop.
   void superviseDrain();
   /// Whether a statement is in progress.
--- a/src/pooler/pooler_serving.cpp
+++ b/src/pooler/pooler_serving.cpp
@@ -67,10 +67,6 @@
   }
 }
 
-bool Pooler::noMoreConnections(const ServiceName& name, const ServiceDirectory::ServiceView& view) const {
-  return drain_.transactionsOver() || (closing() && guide_.leased(name) && connectionLimit(name, view) == 0);
-}
-
 bool Pooler::rationed(const ServiceDirectory::ServiceView& view, const DatabaseName& database, std::uint32_t order) const {
   auto ration = view.rations.find(database);
   if (ration == view.rations.end() || order <= ration->second.freeThrough) return false;
