--- a/src/pooler/pooler.hpp
+++ b/src/pooler/pooler.hpp
@@ -126,7 +126,8 @@
   void noteFailure(const ClientSession& session, const StatementReply& reply);
   /// The state that the success of a statement is checked against; to be taken before its connection is released.
   AcknowledgementFacts acknowledgementFacts(const ClientSession& session, const Connection& connection, bool durable) const;
-  /// Whether the connection works at the primary of the current epoch, or is finishing work before a planned change.
+  /// Whether the connection works at the primary of the current epoch, or is finishing work before a planned change under the lease
+  /// that came with the previous epoch.
   bool inEpoch(const Connection& connection) const;
   void checkSending(const ClientSession* session, const Connection& connection, const Statement& statement);
   /// Until when a statement may wait while its service's lease has lapsed long ago.
--- a/src/pooler/pooler_checks.cpp
+++ b/src/pooler/pooler_checks.cpp
@@ -75,7 +75,9 @@
   if (!view) return true;
   const auto& primary = view->primary;
   bool current = connection->epoch == primary.epoch && primary.promoted && primary.primary == connection->target.database;
-  bool finishes = primary.plannedSwitchover && Epoch{connection->epoch.get() + 1} == primary.epoch;
+  auto tracker = trackers_.find(connection->target.service);
+  bool oldLeaseLasts = tracker != trackers_.end() && clock_.now() < tracker->second.previousLeaseUntil;
+  bool finishes = primary.plannedSwitchover && Epoch{connection->epoch.get() + 1} == primary.epoch && oldLeaseLasts;
   return current || finishes;
 }
 
